Serve a request end to end through separate processes

Cause: nothing existed. Adds the design page, the four libraries, the node process with its duty threads, the settings fold, the completion and service proxies and three thin stand-ins. Result: scripts/demo serves a completion, whole and streamed, and an order through nodes whose address came from the address query.

--- /dev/null
+++ b/scripts/common.sh
@@ -0,0 +1,40 @@
+# Shared by the scripts: paths, package installation and the build.
+set -euo pipefail
+
+root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+build="${POMELOROUTER_BUILD_DIR:-$root/build/release}"
+
+packages=(g++ cmake ninja-build ccache curl
+    libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev libboost-program-options1.81-dev
+    libboost-thread1.81-dev libthrift-dev doctest-dev libxxhash-dev)
+
+fail() {
+    echo "error: $*" >&2
+    exit 1
+}
+
+install_packages() {
+    local missing=()
+    for package in "${packages[@]}" "$@"; do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
+            missing+=("$package")
+    done
+    [ ${#missing[@]} -eq 0 ] && return 0
+    echo "installing: ${missing[*]}"
+    local sudo=()
+    [ "$(id -u)" -eq 0 ] || sudo=(sudo)
+    "${sudo[@]}" apt-get update -q >/dev/null || fail "apt-get update failed"
+    DEBIAN_FRONTEND=noninteractive "${sudo[@]}" apt-get install -q -y --no-install-recommends \
+        "${missing[@]}" >/dev/null || fail "could not install: ${missing[*]}"
+}
+
+# build_tree DIRECTORY [cmake option...]
+build_tree() {
+    local directory="$1"
+    shift
+    mkdir -p "$directory"
+    cmake -S "$root" -B "$directory" -G Ninja "$@" >"$directory/configure.log" 2>&1 ||
+        { tail -30 "$directory/configure.log" >&2; fail "cmake failed"; }
+    cmake --build "$directory" --parallel "${POMELOROUTER_JOBS:-$(nproc)}" ||
+        fail "the build failed"
+}
--- /dev/null
+++ b/src/app/node/node_process.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "state/process_settings.hpp"
+
+namespace pomelorouter::app
+{
+
+/// Runs a node until it is asked to stop with SIGTERM or SIGINT; returns the exit code.
+int run_node(const state::process_settings& settings);
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/node/settings_component.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "app/node/control_component.hpp"
+#include "app/node/control_loop.hpp"
+#include "app/node/platform_client.hpp"
+#include "coordination/settings_fold.hpp"
+#include "state/counters.hpp"
+#include "state/event_log.hpp"
+
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// Identity of this process in records and messages.
+struct node_identity
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::string address;
+    std::string peer_address;
+};
+
+/// What became of a settings change: a verdict, or the failure that left it open.
+struct settings_outcome
+{
+    std::optional<protocol::proposal_result> result;
+    std::optional<state::error> failure;
+};
+
+using settings_callback = std::function<void(const settings_outcome&)>;
+
+/// Keeps the settings in force and proposes changes to them.
+class settings_component : public control_component
+{
+public:
+    settings_component(const node_identity& identity, control_loop& loop,
+                       platform_port& platform, state::event_log& events,
+                       state::counter_registry& counters);
+
+    /// Begins to read the settings stream.
+    void start();
+    /// Proposes a tree; `done` is called on the control thread once the verdict is known.
+    void propose(std::uint64_t base_version, std::string author, boost::json::value tree,
+                 settings_callback done);
+    const coordination::settings_fold& fold() const { return this->state_fold; }
+
+    void on_page(const stream_page& event) override;
+    void on_truncated(const stream_truncated& event) override;
+    void on_tick(state::time_point now) override;
+    void contribute(state::node_view& view) override;
+
+private:
+    struct waiting_proposal
+    {
+        settings_callback done;
+        state::time_point deadline;
+    };
+
+    void apply(const transport::log_record& record);
+    void finish(const protocol::proposal_result& result);
+    void on_appended(const std::string& id, const append_result& result);
+
+    const node_identity& identity;
+    control_loop& loop;
+    platform_port& platform;
+    state::event_log& events;
+    state::counter& skipped_records;
+    coordination::settings_fold state_fold;
+    std::map<std::string, waiting_proposal> waiting;
+    std::uint64_t next_sequence = 0;
+};
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/libs/coordination/settings_fold.cpp
@@ -0,0 +1,164 @@
+#include "coordination/settings_fold.hpp"
+
+#include "state/error.hpp"
+
+#include <utility>
+
+namespace pomelorouter::coordination
+{
+
+using protocol::proposal_result;
+using protocol::proposal_verdict;
+
+namespace
+{
+// A writer that lost the answer to an append looks for its proposal here; it gives up
+// long before this many others have been handled.
+constexpr std::size_t remembered_results = 256;
+constexpr const char* document = "settings";
+} // namespace
+
+std::optional<proposal_result> settings_fold::apply(std::uint64_t offset,
+                                                    std::string_view data)
+{
+    if (offset < this->next)
+        return std::nullopt;
+    if (this->known)
+        return this->apply_known(offset, data);
+    this->look_for_snapshot(offset, data);
+    return std::nullopt;
+}
+
+void settings_fold::begin_at(std::uint64_t first)
+{
+    if (first == 0 && !this->known && this->next == 0)
+    {
+        this->known = true;
+        this->current = std::make_shared<const state::settings>();
+        return;
+    }
+    if (this->known && first <= this->next)
+        return;
+    // Records between the state and `first` have expired unread: they may have changed
+    // it.
+    this->known = false;
+    this->unread_begin = first;
+    this->unread.clear();
+}
+
+std::optional<proposal_result> settings_fold::apply_known(std::uint64_t offset,
+                                                          std::string_view data)
+{
+    // A malformed record is skipped by every node alike, so the position moves on first.
+    this->next = offset + 1;
+    const protocol::settings_record record = protocol::parse_settings_record(data);
+    if (const auto* proposal = std::get_if<protocol::settings_proposal>(&record))
+        return this->apply_proposal(*proposal);
+    return std::nullopt;
+}
+
+void settings_fold::look_for_snapshot(std::uint64_t offset, std::string_view data)
+{
+    this->unread.push_back({offset, std::string(data)});
+    const protocol::settings_record record = protocol::parse_settings_record(data);
+    const auto* snapshot = std::get_if<protocol::settings_snapshot>(&record);
+    if (snapshot == nullptr)
+        return;
+    // A snapshot that was taken before the first record still kept would lose the changes
+    // between the two.
+    if (snapshot->upto + 1 >= this->unread_begin)
+        this->adopt(*snapshot);
+}
+
+bool settings_fold::adopt(const protocol::settings_snapshot& snapshot)
+{
+    if (snapshot.upto + 1 < this->next ||
+        (this->known && snapshot.upto + 1 == this->next))
+        return false;
+    this->current = std::make_shared<const state::settings>(
+        state::resolve_settings(snapshot.tree, document));
+    this->current_tree = snapshot.tree;
+    this->current_version = snapshot.version;
+    this->recent.assign(snapshot.recent.begin(), snapshot.recent.end());
+    this->next = snapshot.upto + 1;
+    this->known = true;
+    const std::vector<unread_record> later = std::exchange(this->unread, {});
+    const bool reaches_back = this->unread_begin <= this->next;
+    for (const unread_record& record : later)
+    {
+        if (!reaches_back || record.offset < this->next)
+            continue;
+        try
+        {
+            this->apply_known(record.offset, record.data);
+        }
+        catch (const state::error&)
+        {
+            // Reported when the record was read first.
+        }
+    }
+    return true;
+}
+
+protocol::settings_snapshot settings_fold::snapshot() const
+{
+    protocol::settings_snapshot result;
+    result.version = this->current_version;
+    result.upto = this->next == 0 ? 0 : this->next - 1;
+    result.tree = this->current_tree;
+    result.recent.assign(this->recent.begin(), this->recent.end());
+    return result;
+}
+
+std::optional<proposal_result> settings_fold::find_result(std::string_view id) const
+{
+    for (const proposal_result& result : this->recent)
+    {
+        if (result.id == id)
+            return result;
+    }
+    return std::nullopt;
+}
+
+std::optional<proposal_result>
+settings_fold::apply_proposal(const protocol::settings_proposal& proposal)
+{
+    // A second copy of a proposal, appended because the answer to the first was lost.
+    if (this->find_result(proposal.id))
+        return std::nullopt;
+    proposal_result result;
+    result.id = proposal.id;
+    if (proposal.base_version != this->current_version)
+    {
+        result.verdict = proposal_verdict::conflict;
+        result.reason =
+            "the settings are at version " + std::to_string(this->current_version);
+    }
+    else
+    {
+        try
+        {
+            this->current = std::make_shared<const state::settings>(
+                state::resolve_settings(proposal.tree, document));
+            this->current_tree = proposal.tree;
+            ++this->current_version;
+        }
+        catch (const state::error& failure)
+        {
+            result.verdict = proposal_verdict::invalid;
+            result.reason = failure.what();
+        }
+    }
+    result.version = this->current_version;
+    this->remember(result);
+    return result;
+}
+
+void settings_fold::remember(proposal_result result)
+{
+    this->recent.push_back(std::move(result));
+    if (this->recent.size() > remembered_results)
+        this->recent.pop_front();
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/state/process_settings.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "state/log.hpp"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::state
+{
+
+/// Settings file of one node process: its own addresses and those of the platform.
+struct process_settings
+{
+    std::string node_id;
+    std::string zone;
+    /// Address for callers, `ip:port`; port 0 lets the kernel choose.
+    std::string listen;
+    /// Address for other nodes, `ip:port`.
+    std::string peer_listen;
+    /// Address of the log service and of the instance list, `ip:port`.
+    std::string platform;
+    /// Peer addresses known before the instance list has been read.
+    std::vector<std::string> seed_peers;
+    log_level minimum_log_level = log_level::info;
+    std::int64_t max_connections = 10000;
+    std::int64_t max_body_bytes = 8 * 1024 * 1024;
+    std::int64_t read_timeout_ms = 10000;
+    std::int64_t timeline_events = 4096;
+};
+
+/// Reads and checks the settings of a node process; throws `error`.
+process_settings read_process_settings(const boost::json::value& value,
+                                       const std::string& place);
+
+/// Reads a whole file; throws `error` naming the file.
+std::string read_file(const std::string& path);
+
+} // namespace pomelorouter::state
--- /dev/null
+++ b/src/libs/transport/address.cpp
@@ -0,0 +1,35 @@
+#include "transport/address.hpp"
+
+#include "state/error.hpp"
+
+#include <charconv>
+
+namespace pomelorouter::transport
+{
+
+boost::asio::ip::tcp::endpoint parse_address(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    boost::system::error_code failure;
+    boost::asio::ip::address ip;
+    std::uint16_t port = 0;
+    bool valid = colon != std::string::npos && colon + 1 < address.size();
+    if (valid)
+    {
+        ip = boost::asio::ip::make_address(address.substr(0, colon), failure);
+        const char* const end = address.data() + address.size();
+        const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+        valid = !failure && parsed.ec == std::errc() && parsed.ptr == end;
+    }
+    if (!valid)
+        throw state::error(state::error_code::invalid_argument, address,
+                           "expected ip:port");
+    return {ip, port};
+}
+
+std::string format_address(const boost::asio::ip::tcp::endpoint& endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace pomelorouter::transport
--- /dev/null
+++ b/src/libs/transport/duty_thread.cpp
@@ -0,0 +1,61 @@
+#include "transport/duty_thread.hpp"
+
+#include "state/log.hpp"
+
+#include <pthread.h>
+
+#include <utility>
+
+namespace pomelorouter::transport
+{
+
+namespace
+{
+// The kernel's limit for a thread name, without the terminating zero.
+constexpr std::size_t max_thread_name = 15;
+} // namespace
+
+duty_thread::duty_thread(std::string thread_name)
+    : name(std::move(thread_name)), work(this->loop.get_executor())
+{
+}
+
+duty_thread::~duty_thread()
+{
+    this->stop();
+}
+
+void duty_thread::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+    pthread_setname_np(this->thread.native_handle(),
+                       this->name.substr(0, max_thread_name).c_str());
+}
+
+void duty_thread::stop()
+{
+    this->work.reset();
+    this->loop.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void duty_thread::run()
+{
+    // A handler that throws must not take the other duties down with it.
+    while (!this->loop.stopped())
+    {
+        try
+        {
+            this->loop.run();
+        }
+        catch (const std::exception& failure)
+        {
+            state::log_event(state::log_level::error, "unhandled_exception")
+                .field("thread", this->name)
+                .field("what", failure.what());
+        }
+    }
+}
+
+} // namespace pomelorouter::transport
--- /dev/null
+++ b/src/libs/transport/duty_thread.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <string>
+#include <thread>
+
+namespace pomelorouter::transport
+{
+
+/// A thread with one duty and its own event loop.
+class duty_thread
+{
+public:
+    explicit duty_thread(std::string name);
+    /// Stops the loop and joins the thread.
+    ~duty_thread();
+    duty_thread(const duty_thread&) = delete;
+    duty_thread& operator=(const duty_thread&) = delete;
+
+    boost::asio::io_context& context() { return this->loop; }
+    boost::asio::any_io_executor executor() { return this->loop.get_executor(); }
+
+    void start();
+    void stop();
+
+private:
+    void run();
+
+    std::string name;
+    boost::asio::io_context loop{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    std::thread thread;
+};
+
+} // namespace pomelorouter::transport
--- /dev/null
+++ b/src/libs/transport/http_client.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "state/clock.hpp"
+#include "transport/http_types.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::transport
+{
+
+namespace internal
+{
+class http_connection;
+}
+
+/// Limits of one HTTP call.
+struct http_call_options
+{
+    state::milliseconds connect_timeout{500};
+    /// Longest time without progress in writing the request or reading the response.
+    state::milliseconds progress_timeout{2000};
+    /// Uses a connection that has carried no other request, so that a failure to write
+    /// cannot be mistaken for an idle connection that the other end had already closed.
+    bool fresh_connection = false;
+    std::size_t max_body_bytes = 64 * 1024 * 1024;
+};
+
+class http_client;
+
+/// One request in flight whose response body is read piece by piece. Destroying the call
+/// before its end closes the connection.
+class http_call
+{
+public:
+    http_call(http_client& owner, std::unique_ptr<internal::http_connection> connection,
+              const http_call_options& options);
+    ~http_call();
+    http_call(const http_call&) = delete;
+    http_call& operator=(const http_call&) = delete;
+
+    /// Status and header of the response.
+    const http_response& head() const;
+    /// Reads the next bytes of the body, waiting at most the progress timeout; nothing at
+    /// the end. Throws `http_error`.
+    boost::asio::awaitable<std::optional<std::string>> read_some();
+    /// Reads the rest of the body; throws `http_error`.
+    boost::asio::awaitable<std::string> read_all();
+
+private:
+    friend class http_client;
+
+    boost::asio::awaitable<void> send(const http_request& request);
+
+    http_client& client;
+    std::unique_ptr<internal::http_connection> connection;
+    http_call_options options;
+    http_response response_head;
+};
+
+/// HTTP client with a pool of idle connections for each address. All calls must be made
+/// on one thread, the one that runs `executor`.
+class http_client
+{
+public:
+    explicit http_client(boost::asio::any_io_executor executor);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Sends a request and reads the head of the response; throws `http_error`.
+    boost::asio::awaitable<std::unique_ptr<http_call>>
+    open(const std::string& address, const http_request& request,
+         const http_call_options& options);
+    /// Sends a request and reads the whole response; throws `http_error`.
+    boost::asio::awaitable<http_response> fetch(const std::string& address,
+                                                const http_request& request,
+                                                const http_call_options& options);
+    /// Closes the idle connections to an address. Called after a call has gone silent,
+    /// since whatever lost track of one connection may have lost the others.
+    void forget(const std::string& address);
+
+private:
+    friend class http_call;
+
+    std::unique_ptr<internal::http_connection> take_idle(const std::string& address);
+    void keep_idle(std::unique_ptr<internal::http_connection> connection);
+
+    boost::asio::any_io_executor executor;
+    std::map<std::string, std::vector<std::unique_ptr<internal::http_connection>>,
+             std::less<>>
+        idle;
+};
+
+} // namespace pomelorouter::transport
--- /dev/null
+++ b/src/libs/transport/http_server.cpp
@@ -0,0 +1,369 @@
+#include "transport/http_server.hpp"
+
+#include "protocol/refusal.hpp"
+#include "state/error.hpp"
+#include "state/log.hpp"
+#include "transport/address.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace pomelorouter::transport
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+struct http_server::shared_state
+{
+    shared_state(asio::io_context& event_loop, const http_server_limits& server_limits,
+                 http_handler& request_handler, state::counter_registry& counters)
+        : loop(event_loop),
+          limits(server_limits),
+          handler(request_handler),
+          acceptor(event_loop),
+          requests(counters.count("http_requests_total", "requests received")),
+          bad_requests(counters.count("http_bad_requests_total",
+                                      "requests refused before they reached a handler")),
+          refused_connections(counters.count("http_refused_connections_total",
+                                             "connections closed over max_connections")),
+          open_connections(
+              counters.gauge("http_open_connections", "open client connections"))
+    {
+    }
+
+    asio::io_context& loop;
+    http_server_limits limits;
+    http_handler& handler;
+    asio::ip::tcp::acceptor acceptor;
+    state::counter& requests;
+    state::counter& bad_requests;
+    state::counter& refused_connections;
+    state::counter& open_connections;
+    std::set<session*> sessions;
+    std::size_t in_flight = 0;
+    bool closing = false;
+    bool accepting = true;
+};
+
+class http_server::session : public http_exchange
+{
+public:
+    session(std::shared_ptr<shared_state> server, asio::ip::tcp::socket socket)
+        : shared(std::move(server)), stream(std::move(socket))
+    {
+        this->shared->sessions.insert(this);
+        this->shared->open_connections.set(
+            static_cast<std::int64_t>(this->shared->sessions.size()));
+    }
+
+    ~session() override
+    {
+        this->shared->sessions.erase(this);
+        this->shared->open_connections.set(
+            static_cast<std::int64_t>(this->shared->sessions.size()));
+    }
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    asio::awaitable<void> run()
+    {
+        bool keep_open = true;
+        while (keep_open)
+            keep_open = co_await this->serve_one();
+        boost::system::error_code ignored;
+        this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    void close_if_idle()
+    {
+        if (this->idle)
+            this->stream.close();
+    }
+
+    const http_request& request() const override { return this->current_request; }
+    bool has_responded() const override { return this->responded; }
+
+    bool client_has_closed() override
+    {
+        std::array<char, 1> byte{};
+        boost::system::error_code failure;
+        this->stream.socket().non_blocking(true, failure);
+        const std::size_t received = this->stream.socket().receive(
+            asio::buffer(byte), asio::socket_base::message_peek, failure);
+        return received == 0 && failure != asio::error::would_block;
+    }
+
+    asio::awaitable<void> respond(http_response response) override
+    {
+        this->prepare_head(response);
+        response.prepare_payload();
+        this->stream.expires_after(this->shared->limits.io_timeout);
+        co_await http::async_write(this->stream, response, asio::use_awaitable);
+    }
+
+    asio::awaitable<void> begin_stream(http_response head) override
+    {
+        this->prepare_head(head);
+        http::response<http::empty_body> empty{std::move(head.base())};
+        empty.chunked(true);
+        http::response_serializer<http::empty_body> serializer{empty};
+        this->stream.expires_after(this->shared->limits.io_timeout);
+        co_await http::async_write_header(this->stream, serializer, asio::use_awaitable);
+    }
+
+    asio::awaitable<void> write_piece(std::string piece) override
+    {
+        this->stream.expires_after(this->shared->limits.io_timeout);
+        co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(piece)),
+                                   asio::use_awaitable);
+    }
+
+    asio::awaitable<void> end_stream() override
+    {
+        this->stream.expires_after(this->shared->limits.io_timeout);
+        co_await asio::async_write(this->stream, http::make_chunk_last(),
+                                   asio::use_awaitable);
+    }
+
+private:
+    /// Returns whether the connection stays open for another request.
+    asio::awaitable<bool> serve_one()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(
+            static_cast<std::uint32_t>(this->shared->limits.max_header_bytes));
+        parser.body_limit(this->shared->limits.max_body_bytes);
+        this->responded = false;
+        boost::system::error_code failure;
+        if (this->buffer.size() == 0)
+        {
+            this->idle = true;
+            this->stream.expires_after(this->shared->limits.idle_timeout);
+            co_await this->read_first_bytes(failure);
+            this->idle = false;
+            if (failure)
+                co_return false;
+        }
+        this->stream.expires_after(this->shared->limits.io_timeout);
+        co_await http::async_read(this->stream, this->buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+        {
+            co_await this->refuse_bad_request(failure);
+            co_return false;
+        }
+        this->shared->requests.add();
+        this->current_request = parser.release();
+        this->stream.expires_never();
+        ++this->shared->in_flight;
+        const bool completed = co_await this->call_handler();
+        --this->shared->in_flight;
+        co_return completed&& this->keep_alive;
+    }
+
+    asio::awaitable<void> read_first_bytes(boost::system::error_code& failure)
+    {
+        constexpr std::size_t read_bytes = 4096;
+        const std::size_t received = co_await this->stream.async_read_some(
+            this->buffer.prepare(read_bytes),
+            asio::redirect_error(asio::use_awaitable, failure));
+        this->buffer.commit(received);
+    }
+
+    asio::awaitable<bool> call_handler()
+    {
+        std::optional<state::error> refused;
+        try
+        {
+            co_await this->shared->handler.handle(*this);
+        }
+        catch (const state::error& failure)
+        {
+            refused = failure;
+        }
+        catch (const boost::system::system_error&)
+        {
+            co_return false; // the client has gone
+        }
+        if (!refused)
+            co_return this->responded;
+        // A stream that has begun can only be broken off; the client sees the missing
+        // last chunk.
+        if (this->responded)
+            co_return false;
+        co_return co_await this->respond_error(*refused,
+                                               protocol::status_of(refused->code()));
+    }
+
+    asio::awaitable<bool> respond_error(const state::error& failure, unsigned code)
+    {
+        try
+        {
+            const protocol::refusal refusal(failure);
+            co_await this->respond(
+                json_response(static_cast<http::status>(code), refusal.to_json()));
+        }
+        catch (const boost::system::system_error&)
+        {
+            co_return false;
+        }
+        co_return true;
+    }
+
+    asio::awaitable<void> refuse_bad_request(const boost::system::error_code& failure)
+    {
+        const bool quiet = failure == http::error::end_of_stream ||
+                           failure == asio::error::connection_reset ||
+                           failure == asio::error::operation_aborted;
+        if (quiet)
+            co_return;
+        this->shared->bad_requests.add();
+        this->keep_alive = false;
+        this->current_request = {};
+        const auto [refused, code] = this->bad_request_error(failure);
+        co_await this->respond_error(refused, code);
+    }
+
+    struct bad_request_answer
+    {
+        state::error refused;
+        unsigned code;
+    };
+
+    bad_request_answer bad_request_error(const boost::system::error_code& failure) const
+    {
+        const http_server_limits& limits = this->shared->limits;
+        using state::error_code;
+        if (failure == http::error::body_limit)
+        {
+            return {{error_code::too_large, "body",
+                     "at most " + std::to_string(limits.max_body_bytes) + " bytes"},
+                    413};
+        }
+        if (failure == http::error::header_limit)
+        {
+            return {{error_code::too_large, "header",
+                     "at most " + std::to_string(limits.max_header_bytes) + " bytes"},
+                    431};
+        }
+        if (failure == beast::error::timeout)
+        {
+            return {{error_code::timed_out, "request",
+                     "the whole request within " +
+                         std::to_string(limits.io_timeout.count()) + " ms"},
+                    408};
+        }
+        return {{error_code::malformed_frame, "request", failure.message()}, 400};
+    }
+
+    void prepare_head(http_response& head)
+    {
+        this->keep_alive = this->keep_alive && this->current_request.keep_alive() &&
+                           !this->shared->closing;
+        head.keep_alive(this->keep_alive);
+        this->responded = true;
+    }
+
+    std::shared_ptr<shared_state> shared;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http_request current_request;
+    bool idle = true;
+    bool responded = false;
+    bool keep_alive = true;
+};
+
+http_server::http_server(asio::io_context& loop, const http_server_limits& limits,
+                         http_handler& handler, state::counter_registry& counters)
+    : shared(std::make_shared<shared_state>(loop, limits, handler, counters))
+{
+}
+
+http_server::~http_server()
+{
+    this->stop_accepting();
+}
+
+std::string http_server::listen(const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    asio::ip::tcp::acceptor& acceptor = this->shared->acceptor;
+    boost::system::error_code failure;
+    acceptor.open(endpoint.protocol(), failure);
+    if (!failure)
+        acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    if (!failure)
+        acceptor.bind(endpoint, failure);
+    if (!failure)
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        throw state::error(state::error_code::io_error, address, failure.message());
+    asio::co_spawn(this->shared->loop, accept_loop(this->shared), asio::detached);
+    return format_address(acceptor.local_endpoint());
+}
+
+void http_server::announce_close()
+{
+    this->shared->closing = true;
+}
+
+void http_server::stop_accepting()
+{
+    this->shared->closing = true;
+    this->shared->accepting = false;
+    boost::system::error_code ignored;
+    this->shared->acceptor.close(ignored);
+    const std::set<session*> open = this->shared->sessions;
+    for (session* item : open)
+        item->close_if_idle();
+}
+
+std::size_t http_server::requests_in_flight() const
+{
+    return this->shared->in_flight;
+}
+
+asio::awaitable<void> http_server::accept_loop(std::shared_ptr<shared_state> shared)
+{
+    while (shared->accepting)
+    {
+        boost::system::error_code failure;
+        asio::ip::tcp::socket socket = co_await shared->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted || !shared->accepting)
+            co_return;
+        if (failure)
+            continue;
+        if (shared->sessions.size() >= shared->limits.max_connections)
+        {
+            shared->refused_connections.add();
+            continue;
+        }
+        socket.set_option(asio::ip::tcp::no_delay(true), failure);
+        auto client = std::make_unique<session>(shared, std::move(socket));
+        asio::co_spawn(
+            shared->loop,
+            [owned = std::move(client)]() -> asio::awaitable<void>
+            { co_await owned->run(); },
+            asio::detached);
+    }
+}
+
+} // namespace pomelorouter::transport
