Add the open-loop load tool

Cause: nothing measured what callers see. The tool sends a seeded plan (steady, long work, swing) whatever becomes of earlier requests and counts all times from the planned one, so a slow system cannot hide its delay.

--- /dev/null
+++ b/bench/load_tool/caller.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "plan.hpp"
+#include "transport/http_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::bench
+{
+
+/// How a request ended, as the caller saw it.
+enum class request_outcome
+{
+    /// The whole answer came within the deadline.
+    in_time,
+    late,
+    refused,
+    failed,
+};
+
+/// What the caller measured; all times count from the planned time of the request, so
+/// that a slow system cannot hide its delay by slowing the caller down.
+struct request_result
+{
+    request_outcome outcome = request_outcome::failed;
+    std::int64_t first_token_us = 0;
+    std::int64_t total_us = 0;
+    std::int64_t largest_gap_us = 0;
+    std::int64_t tokens = 0;
+    bool is_long = false;
+    bool is_peak = false;
+};
+
+/// Sends a plan to nodes (or directly to one engine) and collects the results.
+class caller
+{
+public:
+    /// `direct` sends to the engines' own interface, for the time a node adds.
+    caller(std::vector<std::string> addresses, state::milliseconds deadline, bool direct);
+
+    std::vector<request_result> run(const std::vector<planned_request>& plan);
+
+private:
+    boost::asio::awaitable<void> send_all(const std::vector<planned_request>& plan,
+                                          std::vector<request_result>& results);
+    boost::asio::awaitable<void> send_one(const planned_request& request,
+                                          std::string address, request_result& result);
+    transport::http_request make_request(const planned_request& request);
+    boost::asio::awaitable<void> read_stream(transport::http_call& call,
+                                             state::time_point planned,
+                                             request_result& result);
+
+    boost::asio::io_context loop{1};
+    transport::http_client client;
+    std::vector<std::string> addresses;
+    state::milliseconds deadline;
+    bool direct;
+    state::time_point start;
+    std::uint64_t sent = 0;
+};
+
+} // namespace pomelorouter::bench
