--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -6,7 +6,7 @@
 
 packages=(g++ cmake ninja-build ccache curl
     libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev libboost-program-options1.81-dev
-    libboost-thread1.81-dev libthrift-dev doctest-dev libxxhash-dev)
+    libboost-thread1.81-dev libthrift-dev doctest-dev libxxhash-dev python3)
 
 fail() {
     echo "error: $*" >&2
