Complete the stand-ins for the platform, the engines and the plain services

Failure tests need backend servers with limits of their own and faults that can be switched on from outside. The stand-ins only had the happy path.

The platform stand-in now has retention by time, an append cap, a lagging instance list and a weight store; the engine stand-in has slots, a bounded priority queue, a prefix cache, orders with fencing, memory accounting that records an overcommit, cancellation and KV cache transfer; the plain service has a running time and a refusal mode. All three take faults through POST /control/faults and report through GET /control/stats.

The HTTP server numbers its connections, so that a fault can silence the existing ones while new ones work.

--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -58,6 +58,7 @@
     state::counter& open_connections;
     std::set<session*> sessions;
     std::size_t in_flight = 0;
+    std::uint64_t last_connection = 0;
     bool closing = false;
     bool accepting = true;
 };
@@ -66,7 +67,9 @@
 {
 public:
     session(std::shared_ptr<shared_state> server, asio::ip::tcp::socket socket)
-        : shared(std::move(server)), stream(std::move(socket))
+        : shared(std::move(server)),
+          stream(std::move(socket)),
+          number(++this->shared->last_connection)
     {
         this->shared->sessions.insert(this);
         this->shared->open_connections.set(
@@ -98,6 +101,7 @@
     }
 
     const http_request& request() const override { return this->current_request; }
+    std::uint64_t connection() const override { return this->number; }
     bool has_responded() const override { return this->responded; }
 
     bool client_has_closed() override
@@ -285,6 +289,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     http_request current_request;
+    std::uint64_t number;
     bool idle = true;
     bool responded = false;
     bool keep_alive = true;
--- a/src/libs/transport/http_server.hpp
+++ b/src/libs/transport/http_server.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -32,6 +33,9 @@
     virtual ~http_exchange() = default;
 
     virtual const http_request& request() const = 0;
+    /// Number of the connection, counted from 1 in the order of acceptance; 0 if the
+    /// exchange has none.
+    virtual std::uint64_t connection() const { return 0; }
     /// Sends a whole response.
     virtual boost::asio::awaitable<void> respond(http_response response) = 0;
     /// Sends the head of a chunked response.
--- a/src/tools/engine_stand_in/engine_handler.hpp
+++ b/src/tools/engine_stand_in/engine_handler.hpp
@@ -1,11 +1,17 @@
 #pragma once
 
-#include "protocol/engine_api.hpp"
-#include "state/clock.hpp"
-#include "transport/http_server.hpp"
+#include "engine_memory.hpp"
+#include "prefix_cache.hpp"
+#include "slot_queue.hpp"
+#include "tools/stand_in_handler.hpp"
+#include "tools/work_after_leaving.hpp"
+#include "transport/http_client.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <deque>
+#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -16,31 +22,88 @@
 struct engine_options
 {
     std::string id;
+    std::uint64_t incarnation = 1;
+    bool checks_fence = false;
+    std::string role;
     state::microseconds token_time{1000};
+    /// Time for one block of a prompt that is not in the prefix cache.
+    state::microseconds block_time{200};
     std::int64_t slots = 16;
+    std::size_t max_queue = 64;
     std::int64_t capacity_bytes = 0;
+    /// Bytes of KV cache that a running request holds.
+    std::int64_t cache_bytes = 0;
+    std::size_t prefix_blocks = 1024;
+    state::milliseconds report_lag{0};
+    state::milliseconds event_lag{0};
+    std::int64_t event_gap = 0;
+    state::milliseconds load_time{200};
+    state::milliseconds unload_time{20};
+    /// Weight store; loads take `load_time` if it is empty.
+    std::string platform;
+    /// Models or `model:adapter` that are resident from the start, each with `@bytes` if
+    /// it is not 1 GiB.
     std::vector<std::string> resident;
 };
 
-/// Text of one token: a function of prompt and index, so that any engine makes the same
-/// text.
-std::string token_text(const std::string& prompt, std::int64_t index);
-
 /// HTTP interface of the engine stand-in.
-class engine_handler : public transport::http_handler
+class engine_handler : public stand_in_handler
 {
 public:
     engine_handler(boost::asio::io_context& loop, const engine_options& options);
 
     boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
+    void add_stats(boost::json::object& stats) const override;
 
 private:
     boost::asio::awaitable<void> complete(transport::http_exchange& exchange);
+    /// Waits for a slot; false if the request was cancelled or its caller is gone.
+    boost::asio::awaitable<bool> wait_for_slot(transport::http_exchange& exchange,
+                                               engine_request& request);
+    boost::asio::awaitable<void> generate(transport::http_exchange& exchange,
+                                          engine_request& request,
+                                          const protocol::engine_completion& body);
+    boost::asio::awaitable<bool> process_prompt(transport::http_exchange& exchange,
+                                                engine_request& request);
+    boost::asio::awaitable<bool> pause(transport::http_exchange& exchange,
+                                       engine_request& request,
+                                       state::microseconds duration);
+    boost::asio::awaitable<void> take_order(transport::http_exchange& exchange);
+    boost::asio::awaitable<void> carry_out(protocol::engine_order order);
+    boost::asio::awaitable<bool> fetch_weights(const protocol::engine_order& order);
+    boost::asio::awaitable<void> cancel(transport::http_exchange& exchange,
+                                        std::string id);
+    boost::asio::awaitable<void> transfer_cache(transport::http_exchange& exchange,
+                                                bool import);
+    boost::asio::awaitable<void> refuse(transport::http_exchange& exchange,
+                                        transport::status code, std::string type);
+    /// Load as it was before the lag.
+    state::load_report late_report();
+    std::string refusal_of(const protocol::engine_completion& body);
+    void end(engine_request& request);
 
     boost::asio::io_context& loop;
     engine_options options;
-    state::engine_inventory inventory;
-    std::int64_t running = 0;
+    engine_memory memory;
+    slot_queue slots;
+    prefix_cache prefixes;
+    transport::http_client client;
+    std::map<std::string, engine_request*> requests;
+
+    struct load_sample
+    {
+        state::time_point at;
+        std::int64_t running;
+        std::int64_t queued;
+        std::int64_t tokens;
+    };
+    std::deque<load_sample> samples;
+
+    work_after_leaving late_work;
+    std::int64_t received = 0;
+    std::int64_t tokens_made = 0;
+    std::int64_t cancelled = 0;
+    std::map<std::string, std::int64_t> refusals;
 };
 
 } // namespace pomelorouter::tools
--- a/src/tools/engine_stand_in/main.cpp
+++ b/src/tools/engine_stand_in/main.cpp
@@ -7,6 +7,65 @@
 using namespace pomelorouter; // NOLINT(google-build-using-namespace): main file of a
                               // stand-in
 
+namespace
+{
+
+void add_options(tools::stand_in_process& process)
+{
+    const auto number = [](std::int64_t value)
+    { return options::value<std::int64_t>()->default_value(value); };
+    process.options().add_options()("id", options::value<std::string>()->required(),
+                                    "name of the engine")(
+        "incarnation", options::value<std::uint64_t>()->default_value(1),
+        "incarnation of the process")("checks-fence", options::bool_switch(),
+                                      "refuse orders with an old fencing token")(
+        "role", options::value<std::string>()->default_value(""), "role at the start")(
+        "token-us", number(1000), "time for one token of one request, in microseconds")(
+        "block-us", number(200), "time for 64 uncached bytes of a prompt")(
+        "slots", number(16), "requests that run at once")(
+        "max-queue", number(64), "requests that wait for a slot")(
+        "resident", options::value<std::vector<std::string>>()->composing(),
+        "model[:adapter][@bytes] that is resident from the start")(
+        "capacity-bytes", number(80LL << 30), "accelerator memory")(
+        "kv-bytes", number(64LL << 20), "KV cache of one running request")(
+        "prefix-blocks", number(1024), "blocks of 64 bytes in the prefix cache")(
+        "report-lag-ms", number(0), "age of the load report")("event-lag-ms", number(0),
+                                                              "delay of cache events")(
+        "event-gap", number(0), "every n-th cache event is lost; 0 for none")(
+        "load-ms", number(200), "time of a load without a weight store")(
+        "unload-ms", number(20),
+        "time of an unload")("platform", options::value<std::string>()->default_value(""),
+                             "address of the weight store");
+}
+
+tools::engine_options read_options(const options::variables_map& values)
+{
+    const auto number = [&](const char* name) { return values[name].as<std::int64_t>(); };
+    tools::engine_options result;
+    result.id = values["id"].as<std::string>();
+    result.incarnation = values["incarnation"].as<std::uint64_t>();
+    result.checks_fence = values["checks-fence"].as<bool>();
+    result.role = values["role"].as<std::string>();
+    result.token_time = state::microseconds(number("token-us"));
+    result.block_time = state::microseconds(number("block-us"));
+    result.slots = number("slots");
+    result.max_queue = static_cast<std::size_t>(number("max-queue"));
+    result.capacity_bytes = number("capacity-bytes");
+    result.cache_bytes = number("kv-bytes");
+    result.prefix_blocks = static_cast<std::size_t>(number("prefix-blocks"));
+    result.report_lag = state::milliseconds(number("report-lag-ms"));
+    result.event_lag = state::milliseconds(number("event-lag-ms"));
+    result.event_gap = number("event-gap");
+    result.load_time = state::milliseconds(number("load-ms"));
+    result.unload_time = state::milliseconds(number("unload-ms"));
+    result.platform = values["platform"].as<std::string>();
+    if (values.count("resident") > 0)
+        result.resident = values["resident"].as<std::vector<std::string>>();
+    return result;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     return tools::run_main(
@@ -14,30 +73,11 @@
         [&]
         {
             tools::stand_in_process process("engine_stand_in: a model engine");
-            process.options().add_options()(
-                "id", options::value<std::string>()->required(), "name of the engine")(
-                "token-us", options::value<std::int64_t>()->default_value(1000),
-                "time for one token of one request, in microseconds")(
-                "slots", options::value<std::int64_t>()->default_value(16),
-                "requests that run at once")(
-                "resident", options::value<std::vector<std::string>>()->composing(),
-                "model that is resident from the start")(
-                "capacity-bytes",
-                options::value<std::int64_t>()->default_value(80LL << 30),
-                "accelerator memory");
+            add_options(process);
             if (!process.parse(argc, argv))
                 return 0;
-            tools::engine_options settings;
-            settings.id = process.values()["id"].as<std::string>();
-            settings.token_time =
-                state::microseconds(process.values()["token-us"].as<std::int64_t>());
-            settings.slots = process.values()["slots"].as<std::int64_t>();
-            settings.capacity_bytes =
-                process.values()["capacity-bytes"].as<std::int64_t>();
-            if (process.values().count("resident") > 0)
-                settings.resident =
-                    process.values()["resident"].as<std::vector<std::string>>();
-            tools::engine_handler handler(process.context(), settings);
+            tools::engine_handler handler(process.context(),
+                                          read_options(process.values()));
             process.listen(handler);
             process.run();
             return 0;
--- a/src/tools/platform_stand_in/main.cpp
+++ b/src/tools/platform_stand_in/main.cpp
@@ -7,6 +7,34 @@
 using namespace pomelorouter; // NOLINT(google-build-using-namespace): main file of a
                               // stand-in
 
+namespace
+{
+
+void add_options(tools::stand_in_process& process)
+{
+    process.options().add_options()("retention-records",
+                                    options::value<std::size_t>()->default_value(100000),
+                                    "records kept in each stream")(
+        "retention-ms", options::value<std::int64_t>()->default_value(0),
+        "age at which a record expires; 0 for never")(
+        "append-cap", options::value<std::size_t>()->default_value(0),
+        "appends in a second over all streams; 0 for no limit")(
+        "list-lag-ms", options::value<std::int64_t>()->default_value(0),
+        "age of the instance list that readers get")(
+        "loads-per-s", options::value<double>()->default_value(0.0),
+        "model loads started in a second; 0 for no limit")(
+        "load-ms", options::value<std::int64_t>()->default_value(200),
+        "time of one model load at full speed")(
+        "full-speed-loads", options::value<std::int64_t>()->default_value(24),
+        "model loads at once at full speed")(
+        "adapter-load-ms", options::value<std::int64_t>()->default_value(20),
+        "time of one adapter load at full speed")(
+        "full-speed-adapters", options::value<std::int64_t>()->default_value(190),
+        "adapter loads at once at full speed");
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     return tools::run_main(
@@ -15,14 +43,26 @@
         {
             tools::stand_in_process process(
                 "platform_stand_in: log service, weight store, list");
-            process.options().add_options()(
-                "retention-records", options::value<std::size_t>()->default_value(100000),
-                "records kept in each stream");
+            add_options(process);
             if (!process.parse(argc, argv))
                 return 0;
-            tools::platform_handler handler(
-                process.context(),
-                process.values()["retention-records"].as<std::size_t>());
+            const auto& values = process.values();
+            tools::platform_limits limits;
+            limits.retention_records = values["retention-records"].as<std::size_t>();
+            limits.retention_time =
+                state::milliseconds(values["retention-ms"].as<std::int64_t>());
+            limits.appends_per_s = values["append-cap"].as<std::size_t>();
+            limits.list_lag =
+                state::milliseconds(values["list-lag-ms"].as<std::int64_t>());
+            tools::weight_store_options weights;
+            weights.loads_per_s = values["loads-per-s"].as<double>();
+            weights.load_time = state::milliseconds(values["load-ms"].as<std::int64_t>());
+            weights.full_speed_loads = values["full-speed-loads"].as<std::int64_t>();
+            weights.adapter_time =
+                state::milliseconds(values["adapter-load-ms"].as<std::int64_t>());
+            weights.full_speed_adapters =
+                values["full-speed-adapters"].as<std::int64_t>();
+            tools::platform_handler handler(process.context(), limits, weights);
             process.listen(handler);
             process.run();
             return 0;
--- a/src/tools/platform_stand_in/platform_handler.cpp
+++ b/src/tools/platform_stand_in/platform_handler.cpp
@@ -1,6 +1,8 @@
 #include "platform_handler.hpp"
 
+#include "protocol/engine_api.hpp"
 #include "state/error.hpp"
+#include "state/json_reader.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +26,7 @@
 
 constexpr std::string_view streams_prefix = "/streams/";
 constexpr std::string_view records_suffix = "/records";
+constexpr std::string_view control_instances = "/control/instances";
 constexpr std::size_t max_record_bytes = 1024 * 1024;
 
 std::uint64_t query_number(std::string_view target, std::string_view name,
@@ -42,12 +45,29 @@
     return number;
 }
 
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string read_weights_name(const std::string& body)
+{
+    const auto value = state::parse_json(body, "body");
+    state::json_reader reader(value, "body");
+    std::string name = reader.get_string("name");
+    reader.get_uint64("bytes");
+    reader.finish();
+    return name;
+}
+
 } // namespace
 
 platform_handler::platform_handler(asio::io_context& event_loop,
-                                   std::size_t retention_records)
+                                   const platform_limits& limits,
+                                   const weight_store_options& weight_options)
     : loop(event_loop),
-      state_store(retention_records),
+      state_store(limits),
+      weights(weight_options),
       appended(event_loop, state::time_point::max())
 {
 }
@@ -65,18 +85,19 @@
     }
     if (path == "/instances" && request.method() == verb::get)
     {
-        std::vector<state::instance> list;
-        for (const auto& [id, item] : this->state_store.instances())
-            list.push_back(item);
+        const auto list = this->state_store.visible_instances(now());
         co_await exchange.respond(
             json_response(status::ok, protocol::format_instances(list)));
         co_return;
     }
-    if (path == "/control/instances" && request.method() == verb::post)
+    if (path.starts_with(control_instances))
+    {
+        co_await this->change_instances(exchange, std::string(path));
+        co_return;
+    }
+    if (path == "/weights/fetch" && request.method() == verb::post)
     {
-        for (const state::instance& item : protocol::parse_instances(request.body()))
-            this->state_store.set_instance(item);
-        co_await exchange.respond(json_response(status::ok, "{}"));
+        co_await this->fetch_weights(exchange);
         co_return;
     }
     throw error(error_code::not_found, std::string(path), "a path of the platform");
@@ -88,21 +109,14 @@
     const transport::http_request& request = exchange.request();
     if (request.method() == verb::post)
     {
-        if (request.body().size() > max_record_bytes)
-        {
-            throw error(error_code::too_large, "body",
-                        "at most " + std::to_string(max_record_bytes) + " bytes");
-        }
-        const std::uint64_t offset = this->state_store.append(stream, request.body());
-        this->appended.cancel();
-        co_await exchange.respond(
-            json_response(status::ok, protocol::format_append_response(offset)));
+        co_await this->append(exchange, stream);
         co_return;
     }
     const std::uint64_t from = query_number(request.target(), "from", 0);
     const std::uint64_t limit = query_number(request.target(), "limit", 1000);
     const state::milliseconds wait(query_number(request.target(), "wait_ms", 0));
     co_await this->wait_for_record(stream, from, wait);
+    this->state_store.expire(now());
     const protocol::log_page_body page = this->state_store.read(
         stream, std::max(from, this->state_store.first(stream)), limit);
     const bool truncated = this->state_store.is_truncated(stream, from);
@@ -110,6 +124,74 @@
                                             protocol::format_log_page(page)));
 }
 
+asio::awaitable<void> platform_handler::append(transport::http_exchange& exchange,
+                                               const std::string& stream)
+{
+    const std::string& record = exchange.request().body();
+    if (record.size() > max_record_bytes)
+    {
+        throw error(error_code::too_large, "body",
+                    "at most " + std::to_string(max_record_bytes) + " bytes");
+    }
+    if (!this->state_store.admit_append(now()))
+    {
+        ++this->refused_appends;
+        co_await exchange.respond(
+            json_response(status::too_many_requests,
+                          protocol::format_backend_error("too_many_appends")));
+        co_return;
+    }
+    const std::uint64_t offset = this->state_store.append(stream, record, now());
+    this->appended.cancel();
+    co_await exchange.respond(
+        json_response(status::ok, protocol::format_append_response(offset)));
+}
+
+asio::awaitable<void>
+platform_handler::change_instances(transport::http_exchange& exchange, std::string path)
+{
+    const verb method = exchange.request().method();
+    if (method == verb::post && path == control_instances)
+    {
+        for (const auto& item : protocol::parse_instances(exchange.request().body()))
+            this->state_store.set_instance(item, now());
+    }
+    else if (method == verb::delete_ && path.size() > control_instances.size() + 1)
+    {
+        this->state_store.remove_instance(path.substr(control_instances.size() + 1),
+                                          now());
+    }
+    else
+    {
+        throw error(error_code::method_not_allowed, path,
+                    "POST /control/instances or DELETE /control/instances/{id}");
+    }
+    co_await exchange.respond(json_response(status::ok, "{}"));
+}
+
+asio::awaitable<void> platform_handler::fetch_weights(transport::http_exchange& exchange)
+{
+    const bool adapter = is_adapter_name(read_weights_name(exchange.request().body()));
+    asio::steady_timer timer(this->loop,
+                             this->slowed(this->weights.begin(adapter, now())));
+    co_await timer.async_wait(asio::use_awaitable);
+    this->weights.end(adapter);
+    co_await exchange.respond(json_response(status::ok, "{}"));
+}
+
+void platform_handler::add_stats(boost::json::object& stats) const
+{
+    boost::json::object streams;
+    for (const auto& [name, stream] : this->state_store.all_streams())
+        streams[name] = stream.next();
+    stats["streams"] = std::move(streams);
+    stats["refused_appends"] = this->refused_appends;
+    stats["loads"] = this->weights.loads();
+    stats["most_loads_in_flight"] = this->weights.most_in_flight();
+    stats["adapter_loads"] = this->weights.adapter_loads();
+    stats["most_adapters_in_flight"] = this->weights.most_adapters_in_flight();
+}
+
 asio::awaitable<void> platform_handler::wait_for_record(const std::string& stream,
                                                         std::uint64_t from,
                                                         state::milliseconds wait)
--- a/src/tools/platform_stand_in/platform_state.cpp
+++ b/src/tools/platform_stand_in/platform_state.cpp
@@ -6,22 +6,46 @@
 namespace pomelorouter::tools
 {
 
-platform_state::platform_state(std::size_t retention_records)
-    : retention(retention_records)
+platform_state::platform_state(const platform_limits& platform) : limits(platform)
 {
+    this->lists.push_back({state::time_point{}, {}});
 }
 
-std::uint64_t platform_state::append(const std::string& stream, std::string data)
+bool platform_state::admit_append(state::time_point now)
+{
+    constexpr std::chrono::seconds window(1);
+    while (!this->recent_appends.empty() && this->recent_appends.front() + window <= now)
+        this->recent_appends.pop_front();
+    if (this->limits.appends_per_s > 0 &&
+        this->recent_appends.size() >= this->limits.appends_per_s)
+        return false;
+    this->recent_appends.push_back(now);
+    return true;
+}
+
+std::uint64_t platform_state::append(const std::string& stream, std::string data,
+                                     state::time_point now)
 {
     log_stream& target = this->streams[stream];
     const std::uint64_t offset = target.next();
-    target.records.push_back(std::move(data));
-    while (target.records.size() > this->retention)
+    target.records.push_back({now, std::move(data)});
+    this->expire(now);
+    return offset;
+}
+
+void platform_state::expire(state::time_point now)
+{
+    for (auto& [name, stream] : this->streams)
     {
-        target.records.pop_front();
-        ++target.first;
+        while (!stream.records.empty() &&
+               (stream.records.size() > this->limits.retention_records ||
+                (this->limits.retention_time.count() > 0 &&
+                 stream.records.front().appended + this->limits.retention_time <= now)))
+        {
+            stream.records.pop_front();
+            ++stream.first;
+        }
     }
-    return offset;
 }
 
 bool platform_state::is_truncated(const std::string& stream, std::uint64_t from) const
@@ -37,7 +61,7 @@
     const std::uint64_t end = std::min<std::uint64_t>(this->next(stream), from + limit);
     const auto found = this->streams.find(stream);
     for (std::uint64_t offset = from; offset < end; ++offset)
-        page.records.push_back({offset, found->second.records[offset - page.first]});
+        page.records.push_back({offset, found->second.records[offset - page.first].data});
     page.next = std::max(from, end);
     return page;
 }
@@ -54,14 +78,34 @@
     return found == this->streams.end() ? 0 : found->second.next();
 }
 
-void platform_state::set_instance(const state::instance& item)
+void platform_state::set_instance(const state::instance& item, state::time_point now)
+{
+    instance_map next = this->lists.back().instances;
+    next[item.id] = item;
+    this->change_list(std::move(next), now);
+}
+
+void platform_state::remove_instance(const std::string& id, state::time_point now)
+{
+    instance_map next = this->lists.back().instances;
+    next.erase(id);
+    this->change_list(std::move(next), now);
+}
+
+void platform_state::change_list(instance_map next, state::time_point now)
 {
-    this->list[item.id] = item;
+    this->lists.push_back({now, std::move(next)});
+    this->visible_instances(now);
 }
 
-void platform_state::remove_instance(const std::string& id)
+std::vector<state::instance> platform_state::visible_instances(state::time_point now)
 {
-    this->list.erase(id);
+    while (this->lists.size() > 1 && this->lists[1].since + this->limits.list_lag <= now)
+        this->lists.pop_front();
+    std::vector<state::instance> result;
+    for (const auto& [id, item] : this->lists.front().instances)
+        result.push_back(item);
+    return result;
 }
 
 } // namespace pomelorouter::tools
--- a/src/tools/platform_stand_in/platform_state.hpp
+++ b/src/tools/platform_stand_in/platform_state.hpp
@@ -13,11 +13,29 @@
 namespace pomelorouter::tools
 {
 
+/// Limits of the log and of the instance list.
+struct platform_limits
+{
+    std::size_t retention_records = 100000;
+    /// Age at which a record expires; 0 means never.
+    state::milliseconds retention_time{0};
+    /// Appends in any second over all streams; 0 means no limit.
+    std::size_t appends_per_s = 0;
+    /// How old the instance list is that readers get.
+    state::milliseconds list_lag{0};
+};
+
 /// One stream of the log.
 struct log_stream
 {
+    struct record
+    {
+        state::time_point appended;
+        std::string data;
+    };
+
     std::uint64_t first = 0;
-    std::deque<std::string> records;
+    std::deque<record> records;
 
     std::uint64_t next() const { return this->first + this->records.size(); }
 };
@@ -26,25 +44,44 @@
 class platform_state
 {
 public:
-    explicit platform_state(std::size_t retention_records);
+    using instance_map = std::map<std::string, state::instance>;
 
-    /// Appends a record, drops records over the retention, returns the offset.
-    std::uint64_t append(const std::string& stream, std::string data);
+    explicit platform_state(const platform_limits& limits);
+
+    /// Counts an append; returns false if it is over the cap.
+    bool admit_append(state::time_point now);
+    /// Appends a record and returns its offset.
+    std::uint64_t append(const std::string& stream, std::string data,
+                         state::time_point now);
+    /// Drops the records that are over the retention.
+    void expire(state::time_point now);
     /// Returns whether `from` has expired.
     bool is_truncated(const std::string& stream, std::uint64_t from) const;
     protocol::log_page_body read(const std::string& stream, std::uint64_t from,
                                  std::size_t limit) const;
     std::uint64_t first(const std::string& stream) const;
     std::uint64_t next(const std::string& stream) const;
+    const std::map<std::string, log_stream>& all_streams() const { return this->streams; }
 
-    void set_instance(const state::instance& item);
-    void remove_instance(const std::string& id);
-    const std::map<std::string, state::instance>& instances() const { return this->list; }
+    void set_instance(const state::instance& item, state::time_point now);
+    void remove_instance(const std::string& id, state::time_point now);
+    /// The list as it was before the lag.
+    std::vector<state::instance> visible_instances(state::time_point now);
 
 private:
-    std::size_t retention;
+    struct list_version
+    {
+        state::time_point since;
+        instance_map instances;
+    };
+
+    void change_list(instance_map next, state::time_point now);
+
+    platform_limits limits;
     std::map<std::string, log_stream> streams;
-    std::map<std::string, state::instance> list;
+    std::deque<state::time_point> recent_appends;
+    /// Oldest first; the last one is current.
+    std::deque<list_version> lists;
 };
 
 } // namespace pomelorouter::tools
--- a/src/tools/service_stand_in/service_handler.cpp
+++ b/src/tools/service_stand_in/service_handler.cpp
@@ -1,36 +1,88 @@
 #include "service_handler.hpp"
 
-#include <boost/json/object.hpp>
+#include "protocol/engine_api.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace pomelorouter::tools
 {
 
+namespace asio = boost::asio;
 using transport::json_response;
 using transport::status;
 using transport::verb;
 
-boost::asio::awaitable<void> service_handler::handle(transport::http_exchange& exchange)
+namespace
 {
-    const transport::http_request& request = exchange.request();
-    const std::string_view path = transport::target_path(request.target());
+
+// Built here because GCC 12 mishandles JSON initializers in coroutines.
+std::string format_result(const std::string& path, const std::string& key,
+                          std::int64_t runs)
+{
+    return boost::json::serialize(
+        boost::json::object{{"path", path}, {"key", key}, {"runs", runs}});
+}
+
+} // namespace
+
+service_handler::service_handler(asio::io_context& event_loop,
+                                 state::milliseconds time_of_one_request)
+    : loop(event_loop), running_time(time_of_one_request)
+{
+}
+
+asio::awaitable<void> service_handler::handle(transport::http_exchange& exchange)
+{
+    const std::string_view path = transport::target_path(exchange.request().target());
     if (path == "/control/runs")
     {
-        boost::json::object counts;
-        for (const auto& [key, count] : this->runs)
-            counts[key] = count;
         co_await exchange.respond(
-            json_response(status::ok, boost::json::serialize(counts)));
+            json_response(status::ok, boost::json::serialize(this->run_counts())));
+        co_return;
+    }
+    this->late_work.note(this->faults);
+    const bool leaves = this->faults.leaving == leaving_mode::refuse;
+    if (leaves || this->faults.refuse)
+    {
+        ++this->refused;
+        co_await exchange.respond(json_response(
+            status::service_unavailable,
+            protocol::format_backend_error(leaves ? "leaving" : "refused")));
         co_return;
     }
+    co_await this->run(exchange);
+}
+
+asio::awaitable<void> service_handler::run(transport::http_exchange& exchange)
+{
+    const transport::http_request& request = exchange.request();
     const std::string key(request["Idempotency-Key"]);
+    const std::string path(transport::target_path(request.target()));
+    // Counted before the running time: an order that was begun cannot be taken back.
     if (request.method() != verb::get)
         ++this->runs[key];
-    boost::json::object body;
-    body["path"] = path;
-    body["key"] = key;
-    body["runs"] = this->runs[key];
-    co_await exchange.respond(json_response(status::ok, boost::json::serialize(body)));
+    asio::steady_timer timer(this->loop, this->slowed(this->running_time));
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto found = this->runs.find(key);
+    const std::int64_t count = found == this->runs.end() ? 0 : found->second;
+    co_await exchange.respond(json_response(status::ok, format_result(path, key, count)));
+}
+
+boost::json::object service_handler::run_counts() const
+{
+    boost::json::object counts;
+    for (const auto& [key, count] : this->runs)
+        counts[key] = count;
+    return counts;
+}
+
+void service_handler::add_stats(boost::json::object& stats) const
+{
+    stats["runs"] = this->run_counts();
+    stats["refused"] = this->refused;
+    this->late_work.add_stats(stats);
 }
 
 } // namespace pomelorouter::tools
--- a/src/tools/service_stand_in/service_handler.hpp
+++ b/src/tools/service_stand_in/service_handler.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
-#include "transport/http_server.hpp"
+#include "tools/stand_in_handler.hpp"
+#include "tools/work_after_leaving.hpp"
+
+#include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <map>
@@ -10,13 +13,23 @@
 {
 
 /// A plain service that counts how often it ran each order, by idempotency key.
-class service_handler : public transport::http_handler
+class service_handler : public stand_in_handler
 {
 public:
+    service_handler(boost::asio::io_context& loop, state::milliseconds running_time);
+
     boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
+    void add_stats(boost::json::object& stats) const override;
 
 private:
+    boost::asio::awaitable<void> run(transport::http_exchange& exchange);
+    boost::json::object run_counts() const;
+
+    boost::asio::io_context& loop;
+    state::milliseconds running_time;
     std::map<std::string, std::int64_t> runs;
+    std::int64_t refused = 0;
+    work_after_leaving late_work;
 };
 
 } // namespace pomelorouter::tools
--- a/src/tools/stand_in_process.cpp
+++ b/src/tools/stand_in_process.cpp
@@ -1,6 +1,7 @@
 #include "tools/stand_in_process.hpp"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/program_options/parsers.hpp>
 
 #include <csignal>
@@ -32,14 +33,33 @@
     return true;
 }
 
-std::string stand_in_process::listen(transport::http_handler& handler)
+std::string stand_in_process::listen(stand_in_handler& inner)
+{
+    this->handler = std::make_unique<fault_handler>(this->loop, inner);
+    this->handler->close_port = [this](state::milliseconds duration)
+    { this->close_port(duration); };
+    this->open_port(this->parsed["listen"].as<std::string>());
+    std::cout << "listening " << this->bound_address << std::endl;
+    return this->bound_address;
+}
+
+void stand_in_process::open_port(const std::string& address)
 {
     this->server = std::make_unique<transport::http_server>(
-        this->loop, transport::http_server_limits{}, handler, this->counters);
-    const std::string address =
-        this->server->listen(this->parsed["listen"].as<std::string>());
-    std::cout << "listening " << address << std::endl;
-    return address;
+        this->loop, transport::http_server_limits{}, *this->handler, this->counters);
+    this->bound_address = this->server->listen(address);
+}
+
+void stand_in_process::close_port(state::milliseconds duration)
+{
+    this->server->stop_accepting();
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, duration);
+    timer->async_wait(
+        [this, timer](boost::system::error_code failure)
+        {
+            if (!failure)
+                this->open_port(std::string(this->bound_address));
+        });
 }
 
 void stand_in_process::run()
--- a/src/tools/stand_in_process.hpp
+++ b/src/tools/stand_in_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/counters.hpp"
+#include "tools/fault_handler.hpp"
 #include "transport/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -8,6 +9,7 @@
 #include <boost/program_options/variables_map.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace pomelorouter::tools
@@ -26,18 +28,25 @@
     const boost::program_options::variables_map& values() const { return this->parsed; }
 
     boost::asio::io_context& context() { return this->loop; }
-    /// Binds the port, prints `listening ip:port` and returns the address.
-    std::string listen(transport::http_handler& handler);
+    /// Binds the port, prints `listening ip:port` and returns the address. Faults are
+    /// applied around the handler.
+    std::string listen(stand_in_handler& handler);
     /// Serves until SIGTERM or SIGINT.
     void run();
 
 private:
+    void open_port(const std::string& address);
+    /// Refuses connections for a time and then listens on the same port again.
+    void close_port(state::milliseconds duration);
+
     boost::program_options::options_description description;
     boost::program_options::variables_map parsed;
     // Before the loop: coroutines that the loop destroys still count.
     state::counter_registry counters;
     boost::asio::io_context loop{1};
+    std::unique_ptr<fault_handler> handler;
     std::unique_ptr<transport::http_server> server;
+    std::string bound_address;
 };
 
 /// Calls `body` and reports an error on standard error; returns the exit code.
