Add routing policies, slow engine detection, admission and retry limits

The completion proxy chose engines in turn and retried without a bound. The pure decision classes for this are new: four routing policies, the local load they read, a prefix index, a slow engine detector with a Boost.MSM machine for each backend server, a work estimator, admission with priorities and deadline check, parts of a limit over all nodes, a retry budget and a backoff. The proxy does not use them yet.

--- /dev/null
+++ b/src/libs/coordination/expected_wait_policy.cpp
@@ -0,0 +1,121 @@
+#include "coordination/expected_wait_policy.hpp"
+
+#include <algorithm>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+// The best of two random replicas bounds the load nearly as well as the best of all, and
+// unlike that one it does not send all nodes to the same engine between two reports.
+constexpr std::uint32_t samples = 2;
+// Replicas that are looked at to find one in a near availability zone.
+constexpr std::uint32_t zone_probes = 3;
+// Draws before the search falls back to a scan of all replicas.
+constexpr std::uint32_t draws_per_sample = 4;
+constexpr double default_first_token_us = 200'000.0;
+
+std::optional<std::uint32_t> draw(const routing_query& query, random_source& random,
+                                  bool with_ejected)
+{
+    const auto count = static_cast<std::uint32_t>(query.candidates.size());
+    for (std::uint32_t i = 0; i < draws_per_sample; ++i)
+    {
+        const std::uint32_t candidate = query.candidates[random.below(count)];
+        if (is_eligible(query, candidate, with_ejected))
+            return candidate;
+    }
+    const std::uint32_t first = random.below(count);
+    for (std::uint32_t step = 0; step < count; ++step)
+    {
+        const std::uint32_t candidate = query.candidates[(first + step) % count];
+        if (is_eligible(query, candidate, with_ejected))
+            return candidate;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint32_t> draw_near(const routing_query& query, random_source& random,
+                                       bool with_ejected)
+{
+    const auto count = static_cast<std::uint32_t>(query.candidates.size());
+    std::optional<std::uint32_t> nearest;
+    for (std::uint32_t i = 0; i < zone_probes; ++i)
+    {
+        const std::uint32_t candidate = query.candidates[random.below(count)];
+        if (nearest &&
+            query.engines[candidate].distance_us >= query.engines[*nearest].distance_us)
+            continue;
+        if (is_eligible(query, candidate, with_ejected))
+            nearest = candidate;
+    }
+    return nearest;
+}
+
+} // namespace
+
+double expected_wait_policy::score(const routing_query& query, std::uint32_t candidate,
+                                   double cached_part)
+{
+    const engine_load& own = query.load->at_index(candidate);
+    const double usual_first = query.load->median_first_token_us() > 0.0
+                                   ? query.load->median_first_token_us()
+                                   : default_first_token_us;
+    // The measured first token includes queueing, which the wait counts already; the
+    // median stands for the cost of the prompt.
+    const double prompt_us = usual_first * (1.0 - cached_part);
+    const double gap =
+        own.token_gap_us > 0.0 ? own.token_gap_us : query.load->median_token_gap_us();
+    const double distance_us =
+        2.0 * static_cast<double>(query.engines[candidate].distance_us);
+    return expected_wait_us(query, candidate) + prompt_us + distance_us +
+           gap * static_cast<double>(query.expected_tokens);
+}
+
+std::optional<std::uint32_t> expected_wait_policy::choose(const routing_query& query,
+                                                          random_source& random)
+{
+    if (query.candidates.empty())
+        return std::nullopt;
+    // An ejected engine is better than none: every model stays reachable.
+    bool with_ejected = false;
+    std::optional<std::uint32_t> best = draw(query, random, with_ejected);
+    if (!best)
+    {
+        with_ejected = true;
+        best = draw(query, random, with_ejected);
+    }
+    if (!best || query.candidates.size() == 1)
+        return best;
+    double lowest = score(query, *best, 0.0);
+    const auto consider = [&](std::optional<std::uint32_t> candidate, double cached_part)
+    {
+        if (!candidate || (*candidate == *best && cached_part <= 0.0))
+            return;
+        const double value = score(query, *candidate, cached_part);
+        if (value >= lowest)
+            return;
+        lowest = value;
+        best = candidate;
+    };
+    for (std::uint32_t i = 1; i < samples; ++i)
+        consider(draw(query, random, with_ejected), 0.0);
+    consider(draw_near(query, random, with_ejected), 0.0);
+    if (query.prefixes == nullptr || query.prompt == nullptr)
+        return best;
+    const prefix_match match = query.prefixes->find(*query.prompt);
+    for (const engine_slot slot : match.engines)
+    {
+        const std::uint32_t index = query.load->at(slot).view_index;
+        const bool is_replica =
+            std::find(query.candidates.begin(), query.candidates.end(), index) !=
+            query.candidates.end();
+        if (is_replica && is_eligible(query, index, with_ejected))
+            consider(index, match.covered);
+    }
+    return best;
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/retry_budget.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+
+namespace pomelorouter::coordination
+{
+
+/// Token bucket that bounds retries and hedges to a share of the callers' requests. It
+/// starts empty, so the bound also holds from the start of the process. Over any window
+/// of at least `burst` / (0.2 * share) requests the attempts are at most 1 + share times
+/// the requests; 500 requests at the defaults.
+class retry_budget
+{
+public:
+    explicit retry_budget(double burst = 10.0) : most(burst) {}
+
+    /// Records a request of a caller; `percent` is the setting `retry_percent`.
+    void on_request(std::int64_t percent);
+    /// Takes the right to one more attempt; returns whether there was one.
+    bool try_take();
+    /// Returns a right that was taken and not used.
+    void give_back();
+    double available() const { return this->tokens; }
+
+private:
+    double most;
+    double tokens = 0.0;
+};
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/round_robin_policy.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "coordination/routing_policy.hpp"
+
+namespace pomelorouter::coordination
+{
+
+/// Chooses the replicas in turn. A baseline: takes no notice of slow engines.
+class round_robin_policy : public routing_policy
+{
+public:
+    std::optional<std::uint32_t> choose(const routing_query& query,
+                                        random_source& random) override;
+
+private:
+    std::uint32_t next = 0;
+};
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/routing_policy.cpp
@@ -0,0 +1,105 @@
+#include "coordination/routing_policy.hpp"
+
+#include "coordination/expected_wait_policy.hpp"
+#include "coordination/least_in_flight_policy.hpp"
+#include "coordination/random_policy.hpp"
+#include "coordination/round_robin_policy.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+// Until anything is measured, all engines count as equal at the speed that the target
+// sizes ask for.
+constexpr double default_gap_us = 29'000.0;
+constexpr std::int64_t default_slots = 8;
+// A measurement counts half after this long: engines slow down for moments, and one that
+// gets no requests would otherwise be avoided forever.
+constexpr double speed_half_life_us = 5'000'000.0;
+// A load report counts half after this long. Nodes that trusted an old report fully would
+// all move to the same engine.
+constexpr double report_half_life_us = 500'000.0;
+
+double elapsed_us(state::time_point from, state::time_point to)
+{
+    return std::max(0.0, std::chrono::duration<double, std::micro>(to - from).count());
+}
+
+} // namespace
+
+bool has_room_for_long_work(const engine_load& load, std::int64_t slots,
+                            std::int64_t share_percent)
+{
+    const std::int64_t known_slots = slots > 0 ? slots : default_slots;
+    const std::int64_t most =
+        std::max<std::int64_t>(1, known_slots * share_percent / 100);
+    return static_cast<std::int64_t>(load.long_requests) < most;
+}
+
+bool is_eligible(const routing_query& query, std::uint32_t candidate, bool with_ejected)
+{
+    const engine_slot slot = query.load->slot_of(candidate);
+    const engine_load& load = query.load->at(slot);
+    const state::backend_view& engine = query.engines[candidate];
+    if (engine.leaving || load.leaving || (load.ejected && !with_ejected))
+        return false;
+    if (query.long_work &&
+        !has_room_for_long_work(load, engine.load.slots, query.long_share_percent))
+        return false;
+    return std::find(query.tried.begin(), query.tried.end(), slot) == query.tried.end();
+}
+
+double expected_wait_us(const routing_query& query, std::uint32_t candidate)
+{
+    const state::backend_view& engine = query.engines[candidate];
+    const engine_load& own = query.load->at_index(candidate);
+    const double usual_gap = query.load->median_token_gap_us() > 0.0
+                                 ? query.load->median_token_gap_us()
+                                 : default_gap_us;
+    const double known =
+        1.0 / (1.0 + elapsed_us(own.last_progress, query.now) / speed_half_life_us);
+    const double gap = own.token_gap_us > 0.0
+                           ? usual_gap + (own.token_gap_us - usual_gap) * known
+                           : usual_gap;
+    const double slots =
+        static_cast<double>(engine.load.slots > 0 ? engine.load.slots : default_slots);
+    const double report_age_us =
+        elapsed_us(engine.load_received, query.now) +
+        std::chrono::duration<double, std::micro>(state::milliseconds(engine.load.age_ms))
+            .count();
+    const auto own_requests = static_cast<double>(own.requests);
+    const double others =
+        std::max(0.0, static_cast<double>(engine.load.running + engine.load.queued) -
+                          own_requests) /
+        (1.0 + report_age_us / report_half_life_us);
+    // Requests of other nodes are assumed to be of the size of our own.
+    const double request_tokens =
+        own.requests > 0 ? static_cast<double>(own.expected_tokens) / own_requests
+                         : static_cast<double>(query.expected_tokens);
+    const double outstanding =
+        static_cast<double>(own.expected_tokens) + others * request_tokens;
+    return outstanding * gap / slots;
+}
+
+std::unique_ptr<routing_policy> make_routing_policy(state::routing_policy_kind kind)
+{
+    switch (kind)
+    {
+    case state::routing_policy_kind::random:
+        return std::make_unique<random_policy>();
+    case state::routing_policy_kind::round_robin:
+        return std::make_unique<round_robin_policy>();
+    case state::routing_policy_kind::least_in_flight:
+        return std::make_unique<least_in_flight_policy>();
+    case state::routing_policy_kind::expected_wait:
+        return std::make_unique<expected_wait_policy>();
+    }
+    return std::make_unique<expected_wait_policy>();
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/slow_engine_detector.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "coordination/backend_health.hpp"
+#include "coordination/local_load.hpp"
+#include "state/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace pomelorouter::coordination
+{
+
+/// Thresholds of the slow engine detector.
+struct slow_engine_limits
+{
+    /// An engine is slow if it takes this many times the median of those serving.
+    double gap_factor = 3.0;
+    double first_token_factor = 4.0;
+    /// Differences below these times are no reason to eject an engine.
+    state::milliseconds gap_floor{20};
+    state::milliseconds first_token_floor{200};
+    /// Measurements that an ejected engine needs to be healthy again.
+    std::uint32_t recovery_samples = 3;
+    state::milliseconds probe_interval{500};
+    /// Engines that must have been measured before any is ejected for being slow.
+    std::size_t least_measured = 3;
+    /// At most one engine in this many is ejected.
+    std::size_t ejected_divisor = 3;
+};
+
+/// Ejects engines that are much slower than the median of those serving, by what this
+/// node's own calls see, and calls that hang count as well. Probes and the calls still in
+/// flight show when an engine has recovered.
+class slow_engine_detector
+{
+public:
+    explicit slow_engine_detector(local_load& load,
+                                  const slow_engine_limits& limits = {});
+
+    /// Judges all engines; to be called every few tens of milliseconds.
+    void tick(state::time_point now);
+    /// A call failed outright: no connection, connection lost, silence or wrong bytes.
+    void on_failure(engine_slot slot, state::time_point now);
+
+    /// Returns a replica that is due for a probe, as an index into the engines of the
+    /// view. The caller sends it one request and reports that with `on_probe_sent`.
+    std::optional<std::uint32_t> probe_due(std::span<const std::uint32_t> candidates,
+                                           state::time_point now) const;
+    void on_probe_sent(engine_slot slot, state::time_point now);
+
+    /// Whether a call has waited several times the usual time for its next token.
+    bool is_stalled(const call_load& call, state::time_point now) const;
+    health state_of(engine_slot slot) const;
+    std::size_t ejected() const { return this->ejected_count; }
+    /// Engines that may be ejected at the same time.
+    std::size_t allowed() const;
+
+private:
+    struct record
+    {
+        backend_health machine;
+        std::uint32_t generation = 0;
+        std::uint32_t samples_seen = 0;
+        /// Value of `samples` when the engine was ejected or probed.
+        std::uint32_t samples_at_change = 0;
+        bool stalled = false;
+        state::time_point changed{};
+    };
+
+    record& record_of(engine_slot slot);
+    void judge(engine_slot slot, state::time_point now);
+    void judge_probe(engine_slot slot, record& item, state::time_point now);
+    bool is_slow(const engine_load& engine) const;
+    void apply(engine_slot slot, record& item, health before, state::time_point now);
+    void spare_excess(state::time_point now);
+    void count_ejected();
+
+    local_load& load;
+    slow_engine_limits limits;
+    std::vector<record> records;
+    std::size_t ejected_count = 0;
+    std::size_t serving = 0;
+};
+
+} // namespace pomelorouter::coordination
