Read on over records with broken characters; tell slow clients so

A log record cut within a UTF-8 character made the whole page of the log invalid JSON for the reader, so that every node would have stopped at that record. The page now admits any bytes in strings; the record itself is still checked and skipped.

The time limit of a Beast stream closes the socket when it expires, so a slow client got no answer where a 408 is promised. The read of a request now has a timer of its own that cancels the read and keeps the socket open.

--- a/src/libs/protocol/platform_api.cpp
+++ b/src/libs/protocol/platform_api.cpp
@@ -90,7 +90,9 @@
 
 log_page_body parse_log_page(std::string_view body)
 {
-    const auto value = state::parse_json(body, "log page", {max_page_bytes, 32});
+    // A record cut within a character must not make the whole page unreadable; the
+    // record itself is checked by the reader of the stream.
+    const auto value = state::parse_json(body, "log page", {max_page_bytes, 32, true});
     json_reader reader(value, "log page");
     log_page_body page;
     page.first = reader.get_uint64("first");
--- a/src/libs/state/json_reader.cpp
+++ b/src/libs/state/json_reader.cpp
@@ -20,6 +20,7 @@
     }
     boost::json::parse_options options;
     options.max_depth = limits.max_depth;
+    options.allow_invalid_utf8 = limits.any_bytes;
     boost::json::stream_parser parser({}, options);
     boost::json::error_code failure;
     std::size_t consumed = parser.write_some(text.data(), text.size(), failure);
--- a/src/libs/state/json_reader.hpp
+++ b/src/libs/state/json_reader.hpp
@@ -18,6 +18,8 @@
 {
     std::size_t max_bytes = 4 * 1024 * 1024;
     std::size_t max_depth = 32;
+    /// Lets strings hold any bytes; for texts that carry what others wrote.
+    bool any_bytes = false;
 };
 
 /// Parses `text`; throws `error` naming `place` if it is not JSON or is too large.
--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -65,10 +66,19 @@
 
 class http_server::session : public http_exchange
 {
+    /// Time limit of the request that is being read; outlives the session.
+    struct read_limit
+    {
+        std::uint64_t request_number = 0;
+        bool active = false;
+        bool expired = false;
+    };
+
 public:
     session(std::shared_ptr<shared_state> server, asio::ip::tcp::socket socket)
         : shared(std::move(server)),
           stream(std::move(socket)),
+          limit_timer(this->shared->loop),
           number(++this->shared->last_connection)
     {
         this->shared->sessions.insert(this);
@@ -78,6 +88,7 @@
 
     ~session() override
     {
+        this->limit->active = false;
         this->shared->sessions.erase(this);
         this->shared->open_connections.set(
             static_cast<std::int64_t>(this->shared->sessions.size()));
@@ -165,9 +176,7 @@
             if (failure)
                 co_return false;
         }
-        this->stream.expires_after(this->shared->limits.io_timeout);
-        co_await http::async_read(this->stream, this->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, failure));
+        co_await this->read_request(parser, failure);
         if (failure)
         {
             co_await this->refuse_bad_request(failure);
@@ -182,6 +191,39 @@
         co_return completed&& this->keep_alive;
     }
 
+    /// Reads one request within the time limit. The time limit of the stream itself would
+    /// close the socket, so that a slow client could not be told.
+    asio::awaitable<void> read_request(http::request_parser<http::string_body>& parser,
+                                       boost::system::error_code& failure)
+    {
+        this->stream.expires_never();
+        this->start_read_limit();
+        co_await http::async_read(this->stream, this->buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, failure));
+        this->limit->active = false;
+        this->limit_timer.cancel();
+        if (failure && this->limit->expired)
+            failure = beast::error::timeout;
+    }
+
+    void start_read_limit()
+    {
+        this->limit->active = true;
+        this->limit->expired = false;
+        const std::uint64_t request_number = ++this->limit->request_number;
+        this->limit_timer.expires_after(this->shared->limits.io_timeout);
+        this->limit_timer.async_wait(
+            [this, shared_limit = this->limit, request_number](boost::system::error_code)
+            {
+                // The wait may end after its request, or after the session.
+                if (!shared_limit->active ||
+                    shared_limit->request_number != request_number)
+                    return;
+                shared_limit->expired = true;
+                this->stream.cancel();
+            });
+    }
+
     asio::awaitable<void> read_first_bytes(boost::system::error_code& failure)
     {
         constexpr std::size_t read_bytes = 4096;
@@ -288,6 +330,8 @@
     std::shared_ptr<shared_state> shared;
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    asio::steady_timer limit_timer;
+    std::shared_ptr<read_limit> limit = std::make_shared<read_limit>();
     http_request current_request;
     std::uint64_t number;
     bool idle = true;
