--- a/src/tools/engine_stand_in/engine_handler.hpp
+++ b/src/tools/engine_stand_in/engine_handler.hpp
@@ -54,6 +54,11 @@
 
     boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
     void add_stats(boost::json::object& stats) const override;
+    const slot_queue& load() const { return this->slots; }
+    const std::vector<state::engine_inventory::order_status>& orders() const
+    {
+        return this->memory.inventory().orders;
+    }
 
 private:
     boost::asio::awaitable<void> complete(transport::http_exchange& exchange);
--- a/tests/scenario_runner/runner.hpp
+++ b/tests/scenario_runner/runner.hpp
@@ -64,7 +64,10 @@
                     const std::function<std::string()>& unmet);
     std::string first_node(statement& line);
     std::string settings_body(statement& line, std::uint64_t base);
+    /// Version that the node routes by.
     std::uint64_t settings_version(const std::string& address);
+    /// Version that an operator reads; may be ahead of the one that the node routes by.
+    std::uint64_t base_version(const std::string& address);
 
     std::string script_folder;
     std::uint64_t seed;
--- a/tests/scenario_runner/runner_work.cpp
+++ b/tests/scenario_runner/runner_work.cpp
@@ -55,6 +55,15 @@
     return status.at("settings_version").to_number<std::uint64_t>();
 }
 
+std::uint64_t runner::base_version(const std::string& address)
+{
+    const boost::json::value settings =
+        this->processes.agent().get_json(address, "/admin/settings");
+    if (!settings.is_object())
+        return 0;
+    return settings.at("version").to_number<std::uint64_t>();
+}
+
 std::string runner::settings_body(statement& line, std::uint64_t base)
 {
     std::string tree = line.word("settings as JSON or @file");
@@ -66,7 +75,7 @@
 void runner::apply_settings(statement& line)
 {
     const std::string node = this->first_node(line);
-    const std::string body = this->settings_body(line, this->settings_version(node));
+    const std::string body = this->settings_body(line, this->base_version(node));
     const auto answer =
         this->processes.agent().fetch(node, verb::post, "/admin/settings", body);
     if (!answer)
@@ -80,7 +89,7 @@
     const auto nodes = this->processes.live(state::instance_kind::node);
     if (nodes.size() < 2)
         line.fail("two nodes have to run");
-    const std::uint64_t base = this->settings_version(this->first_node(line));
+    const std::uint64_t base = this->base_version(this->first_node(line));
     const std::string bodies[] = {this->settings_body(line, base),
                                   this->settings_body(line, base)};
     std::future<std::optional<transport::http_response>> answers[2];
