--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <atomic>
 #include <optional>
 #include <set>
 #include <utility>
@@ -57,7 +58,8 @@
     state::counter& refused_connections;
     state::counter& open_connections;
     std::set<session*> sessions;
-    std::size_t in_flight = 0;
+    /// Read by other threads during a planned stop.
+    std::atomic<std::size_t> in_flight = 0;
     bool closing = false;
     bool accepting = true;
 };
@@ -91,12 +93,6 @@
         this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
 
-    void close_if_idle()
-    {
-        if (this->idle)
-            this->stream.close();
-    }
-
     const http_request& request() const override { return this->current_request; }
     bool has_responded() const override { return this->responded; }
 
@@ -143,6 +139,23 @@
     }
 
 private:
+    /// Counts a request from its first byte on, so that a planned stop waits for one that
+    /// is arriving.
+    class in_flight_guard
+    {
+    public:
+        explicit in_flight_guard(std::atomic<std::size_t>& counted) : count(counted)
+        {
+            ++this->count;
+        }
+        ~in_flight_guard() { --this->count; }
+        in_flight_guard(const in_flight_guard&) = delete;
+        in_flight_guard& operator=(const in_flight_guard&) = delete;
+
+    private:
+        std::atomic<std::size_t>& count;
+    };
+
     /// Returns whether the connection stays open for another request.
     asio::awaitable<bool> serve_one()
     {
@@ -154,13 +167,12 @@
         boost::system::error_code failure;
         if (this->buffer.size() == 0)
         {
-            this->idle = true;
             this->stream.expires_after(this->shared->limits.idle_timeout);
             co_await this->read_first_bytes(failure);
-            this->idle = false;
             if (failure)
                 co_return false;
         }
+        const in_flight_guard guard(this->shared->in_flight);
         this->stream.expires_after(this->shared->limits.io_timeout);
         co_await http::async_read(this->stream, this->buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, failure));
@@ -172,9 +184,7 @@
         this->shared->requests.add();
         this->current_request = parser.release();
         this->stream.expires_never();
-        ++this->shared->in_flight;
         const bool completed = co_await this->call_handler();
-        --this->shared->in_flight;
         co_return completed&& this->keep_alive;
     }
 
@@ -285,7 +295,6 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     http_request current_request;
-    bool idle = true;
     bool responded = false;
     bool keep_alive = true;
 };
@@ -330,9 +339,6 @@
     this->shared->accepting = false;
     boost::system::error_code ignored;
     this->shared->acceptor.close(ignored);
-    const std::set<session*> open = this->shared->sessions;
-    for (session* item : open)
-        item->close_if_idle();
 }
 
 std::size_t http_server::requests_in_flight() const
