--- a/tests/scenario_runner/child_process.cpp
+++ b/tests/scenario_runner/child_process.cpp
@@ -72,11 +72,12 @@
 
 void child_process::read_address()
 {
-    const std::string mark = "listening ";
+    // At the start of a line: nodes also print the line "peer_listening ip:port".
+    const std::string mark = "\nlistening ";
     const auto deadline = std::chrono::steady_clock::now() + start_limit;
     while (std::chrono::steady_clock::now() < deadline)
     {
-        const std::string output = state::read_file(this->log_path);
+        const std::string output = "\n" + state::read_file(this->log_path);
         const std::size_t start = output.find(mark);
         const std::size_t end = output.find('\n', start);
         if (start != std::string::npos && end != std::string::npos)
