--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -189,14 +189,20 @@
 {
     const std::string type = protocol::parse_backend_error(body);
     if (type == "model_not_resident")
+    {
+        this->chooser.on_not_resident(this->request, this->engine.slot, now());
         return attempt_result::not_resident;
+    }
     if (type == "leaving")
     {
         this->chooser.engine_loads().at(this->engine.slot).leaving = true;
         return attempt_result::leaving;
     }
     if (type == "queue_full")
+    {
+        this->chooser.on_full(this->engine.slot, now());
         return attempt_result::queue_full;
+    }
     // An error that is not one of the refusals does not say that nothing was run.
     this->request.may_have_run = true;
     this->counters.failed.add();
--- a/src/app/node/engine_chooser.cpp
+++ b/src/app/node/engine_chooser.cpp
@@ -11,6 +11,21 @@
 using state::attribute;
 using state::routing_policy_kind;
 
+namespace
+{
+
+// About the time in which an engine with 16 slots ends a request.
+constexpr state::milliseconds full_pause{100};
+// Views follow the engines' inventories, which are read every load_poll_ms.
+constexpr state::milliseconds missing_pause{500};
+
+std::string replica_key(const completion_state& request)
+{
+    return request.model_key + ":" + request.completion.adapter;
+}
+
+} // namespace
+
 engine_chooser::engine_chooser(const view_cell& view_source,
                                state::counter_registry& counters)
     : views(view_source),
@@ -72,15 +87,16 @@
 
 coordination::routing_query engine_chooser::make_query(const completion_state& request,
                                                        const state::replica_set& replicas,
-                                                       state::time_point now) const
+                                                       state::time_point now)
 {
+    this->collect_excluded(request, request.tried, now);
     coordination::routing_query query;
     query.candidates = replicas.engines;
     query.engines = this->view->engines;
     query.load = &this->load;
     query.prefixes = &this->prefixes;
     query.prompt = &request.prompt;
-    query.tried = request.tried;
+    query.tried = this->excluded;
     query.expected_tokens = request.expected_tokens;
     query.long_work = request.long_work;
     query.long_share_percent = request.attributes.get(attribute::long_work_share_percent);
@@ -137,7 +153,8 @@
         choice.failure = choice_failure::no_room;
         return choice;
     }
-    query.tried = request.not_resident;
+    this->collect_excluded(request, request.not_resident, now);
+    query.tried = this->excluded;
     if (this->policy_of(request).choose(query, this->random))
         choice.failure = choice_failure::all_tried;
     return choice;
@@ -199,6 +216,38 @@
     this->detector.on_failure(slot, now);
 }
 
+void engine_chooser::on_full(engine_slot slot, state::time_point now)
+{
+    this->load.at(slot).full_until = now + full_pause;
+}
+
+void engine_chooser::on_not_resident(const completion_state& request, engine_slot slot,
+                                     state::time_point now)
+{
+    std::erase_if(this->missing,
+                  [now](const missing_replica& item) { return item.until <= now; });
+    missing_replica item;
+    item.slot = slot;
+    item.model = replica_key(request);
+    item.until = now + missing_pause;
+    this->missing.push_back(std::move(item));
+}
+
+void engine_chooser::collect_excluded(const completion_state& request,
+                                      const std::vector<engine_slot>& tried,
+                                      state::time_point now)
+{
+    this->excluded.assign(tried.begin(), tried.end());
+    if (this->missing.empty())
+        return;
+    const std::string key = replica_key(request);
+    for (const missing_replica& item : this->missing)
+    {
+        if (now < item.until && item.model == key)
+            this->excluded.push_back(item.slot);
+    }
+}
+
 void engine_chooser::on_finished(const completion_state& request)
 {
     this->estimator.record(request.model_key, request.completion.max_tokens,
--- a/src/app/node/engine_chooser.hpp
+++ b/src/app/node/engine_chooser.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pomelorouter::app
 {
@@ -71,6 +72,11 @@
     void on_tokens(const completion_state& request, coordination::call_number call,
                    std::int64_t tokens, state::time_point now);
     void on_failure(coordination::engine_slot slot, state::time_point now);
+    /// The engine refused a request because it has no room.
+    void on_full(coordination::engine_slot slot, state::time_point now);
+    /// The engine refused a request because it does not have the model, as the view says.
+    void on_not_resident(const completion_state& request, coordination::engine_slot slot,
+                         state::time_point now);
     void on_finished(const completion_state& request);
     /// Whether a call hangs on an engine that is suspect while others serve.
     bool should_move(coordination::call_number call, state::time_point now) const;
@@ -79,10 +85,22 @@
     coordination::random_source& random_numbers() { return this->random; }
 
 private:
+    /// An engine that does not have a model although the view says so.
+    struct missing_replica
+    {
+        coordination::engine_slot slot = 0;
+        std::string model;
+        state::time_point until{};
+    };
+
+    /// Adds the missing replicas of the request's model to the engines in `excluded`.
+    void collect_excluded(const completion_state& request,
+                          const std::vector<coordination::engine_slot>& tried,
+                          state::time_point now);
     const state::replica_set* find_replicas(const completion_state& request) const;
     coordination::routing_query make_query(const completion_state& request,
                                            const state::replica_set& replicas,
-                                           state::time_point now) const;
+                                           state::time_point now);
     std::optional<std::uint32_t> choose_index(const completion_state& request,
                                               const coordination::routing_query& query);
     coordination::routing_policy& policy_of(const completion_state& request);
@@ -95,6 +113,9 @@
     coordination::prefix_index prefixes;
     coordination::work_estimator estimator;
     coordination::random_source random;
+    std::vector<missing_replica> missing;
+    /// Engines that the present choice leaves out; kept for its memory.
+    std::vector<coordination::engine_slot> excluded;
     std::array<std::unique_ptr<coordination::routing_policy>, 4> policies;
     state::counter& probes;
     state::counter& ejected;
--- a/src/libs/coordination/expected_wait_policy.cpp
+++ b/src/libs/coordination/expected_wait_policy.cpp
@@ -18,27 +18,27 @@
 constexpr double default_first_token_us = 200'000.0;
 
 std::optional<std::uint32_t> draw(const routing_query& query, random_source& random,
-                                  bool with_ejected)
+                                  bool with_avoided)
 {
     const auto count = static_cast<std::uint32_t>(query.candidates.size());
     for (std::uint32_t i = 0; i < draws_per_sample; ++i)
     {
         const std::uint32_t candidate = query.candidates[random.below(count)];
-        if (is_eligible(query, candidate, with_ejected))
+        if (is_eligible(query, candidate, with_avoided))
             return candidate;
     }
     const std::uint32_t first = random.below(count);
     for (std::uint32_t step = 0; step < count; ++step)
     {
         const std::uint32_t candidate = query.candidates[(first + step) % count];
-        if (is_eligible(query, candidate, with_ejected))
+        if (is_eligible(query, candidate, with_avoided))
             return candidate;
     }
     return std::nullopt;
 }
 
 std::optional<std::uint32_t> draw_near(const routing_query& query, random_source& random,
-                                       bool with_ejected)
+                                       bool with_avoided)
 {
     const auto count = static_cast<std::uint32_t>(query.candidates.size());
     std::optional<std::uint32_t> nearest;
@@ -48,7 +48,7 @@
         if (nearest &&
             query.engines[candidate].distance_us >= query.engines[*nearest].distance_us)
             continue;
-        if (is_eligible(query, candidate, with_ejected))
+        if (is_eligible(query, candidate, with_avoided))
             nearest = candidate;
     }
     return nearest;
@@ -79,13 +79,13 @@
 {
     if (query.candidates.empty())
         return std::nullopt;
-    // An ejected engine is better than none: every model stays reachable.
-    bool with_ejected = false;
-    std::optional<std::uint32_t> best = draw(query, random, with_ejected);
+    // An avoided engine is better than none: every model stays reachable.
+    bool with_avoided = false;
+    std::optional<std::uint32_t> best = draw(query, random, with_avoided);
     if (!best)
     {
-        with_ejected = true;
-        best = draw(query, random, with_ejected);
+        with_avoided = true;
+        best = draw(query, random, with_avoided);
     }
     if (!best || query.candidates.size() == 1)
         return best;
@@ -101,8 +101,8 @@
         best = candidate;
     };
     for (std::uint32_t i = 1; i < samples; ++i)
-        consider(draw(query, random, with_ejected), 0.0);
-    consider(draw_near(query, random, with_ejected), 0.0);
+        consider(draw(query, random, with_avoided), 0.0);
+    consider(draw_near(query, random, with_avoided), 0.0);
     if (query.prefixes == nullptr || query.prompt == nullptr)
         return best;
     const prefix_match match = query.prefixes->find(*query.prompt);
@@ -112,7 +112,7 @@
         const bool is_replica =
             std::find(query.candidates.begin(), query.candidates.end(), index) !=
             query.candidates.end();
-        if (is_replica && is_eligible(query, index, with_ejected))
+        if (is_replica && is_eligible(query, index, with_avoided))
             consider(index, match.covered);
     }
     return best;
--- a/src/libs/coordination/local_load.hpp
+++ b/src/libs/coordination/local_load.hpp
@@ -38,6 +38,9 @@
     bool retired = false;
     /// Set by `slow_engine_detector`: gets no new work but probes.
     bool ejected = false;
+    /// Gets no new work until then while others can serve: it refused work as full. An
+    /// engine that refuses has few requests and would otherwise attract the next ones.
+    state::time_point full_until{};
     /// Set when the engine itself refused work because it is leaving.
     bool leaving = false;
 };
--- a/src/libs/coordination/retry_budget.cpp
+++ b/src/libs/coordination/retry_budget.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-// A fifth of the share stays unearned. It pays for the tokens that were saved up before
+// A quarter of the share stays unearned. It pays for the tokens that were saved up before
 // a window began, so that the bound holds over windows and not only from the start.
-constexpr double earned_part = 0.8;
+constexpr double earned_part = 0.75;
 constexpr double percent = 100.0;
 // Ten additions of 0.1 sum to slightly less than 1.
 constexpr double rounding = 1e-9;
--- a/src/libs/coordination/routing_policy.cpp
+++ b/src/libs/coordination/routing_policy.cpp
@@ -41,12 +41,14 @@
     return static_cast<std::int64_t>(load.long_requests) < most;
 }
 
-bool is_eligible(const routing_query& query, std::uint32_t candidate, bool with_ejected)
+bool is_eligible(const routing_query& query, std::uint32_t candidate, bool with_avoided)
 {
     const engine_slot slot = query.load->slot_of(candidate);
     const engine_load& load = query.load->at(slot);
     const state::backend_view& engine = query.engines[candidate];
-    if (engine.leaving || load.leaving || (load.ejected && !with_ejected))
+    if (engine.leaving || load.leaving)
+        return false;
+    if (!with_avoided && (load.ejected || query.now < load.full_until))
         return false;
     if (query.long_work &&
         !has_room_for_long_work(load, engine.load.slots, query.long_share_percent))
--- a/src/libs/coordination/routing_policy.hpp
+++ b/src/libs/coordination/routing_policy.hpp
@@ -32,9 +32,9 @@
     state::time_point now{};
 };
 
-/// Whether an engine may get the request at all. `with_ejected` also allows the engines
-/// that the slow engine detector has ejected.
-bool is_eligible(const routing_query& query, std::uint32_t candidate, bool with_ejected);
+/// Whether an engine may get the request at all. `with_avoided` also allows the engines
+/// that the slow engine detector has ejected and those that are full.
+bool is_eligible(const routing_query& query, std::uint32_t candidate, bool with_avoided);
 
 /// Whether an engine may get one more request of long work: this node gives at most
 /// `share_percent` of the slots, and at least one, to long work.
--- a/tests/auto/coordination/tst_routing_policy.cpp
+++ b/tests/auto/coordination/tst_routing_policy.cpp
@@ -56,6 +56,24 @@
     CHECK(policy->choose(fixture.query(), random));
 }
 
+// Guards against a full engine that attracts requests because it has none of them.
+TEST_CASE("an engine that refused work as full is avoided for a while")
+{
+    engine_fixture fixture(2);
+    const auto policy = make_routing_policy(routing_policy_kind::expected_wait);
+    random_source random(7);
+    fixture.load.at(fixture.load.slot_of(0)).full_until =
+        start_time + state::milliseconds(100);
+    routing_query query = fixture.query();
+    for (int i = 0; i < 100; ++i)
+        CHECK(policy->choose(query, random) == 1U);
+    query.now = start_time + state::milliseconds(100);
+    int first = 0;
+    for (int i = 0; i < 100; ++i)
+        first += policy->choose(query, random) == 0U ? 1 : 0;
+    CHECK(first > 0);
+}
+
 // Guards against long work that takes all slots of an engine and blocks short work.
 TEST_CASE("long work holds at most its share of an engine's slots")
 {
