--- a/src/app/node/caller_output.hpp
+++ b/src/app/node/caller_output.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/node/completion_state.hpp"
+#include "app/node/token_sink.hpp"
 #include "protocol/refusal.hpp"
 #include "transport/http_server.hpp"
 
@@ -10,14 +11,13 @@
 {
 
 /// Collects or streams the tokens for the caller.
-class caller_output
+class caller_output : public token_sink
 {
 public:
     caller_output(transport::http_exchange& exchange, const completion_state& request);
 
-    /// Adds a token; a streamed one is written by `flush`.
-    void add(const std::string& text);
-    boost::asio::awaitable<void> flush();
+    void add(const std::string& text) override;
+    boost::asio::awaitable<void> flush() override;
     boost::asio::awaitable<void> finish();
     /// Ends a stream that has begun with an error event, or refuses the request.
     boost::asio::awaitable<void> fail(const protocol::refusal& refusal);
--- a/src/app/node/completion_proxy.cpp
+++ b/src/app/node/completion_proxy.cpp
@@ -4,6 +4,8 @@
 #include "app/node/completion_limits.hpp"
 #include "state/error.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -52,8 +54,16 @@
 
 } // namespace
 
+/// Drops the tokens of a probe.
+class completion_proxy::discarded_output : public token_sink
+{
+public:
+    void add(const std::string&) override {}
+    asio::awaitable<void> flush() override { co_return; }
+};
+
 /// What the requests of one node share.
-struct completion_proxy::core
+struct completion_proxy::core : std::enable_shared_from_this<core>
 {
     core(std::string node, const view_cell& views, transport::http_client& http,
          asio::any_io_executor loop_executor, state::counter_registry& counters)
@@ -62,7 +72,8 @@
           executor(std::move(loop_executor)),
           chooser(views, counters),
           gate(executor),
-          attempts(counters),
+          attempts("completion", counters),
+          probe_attempts("probe", counters),
           completions(counters.count("completions_total", "completions fully delivered")),
           refused(counters.count("completions_refused_total",
                                  "completions refused or given up")),
@@ -76,6 +87,10 @@
     }
 
     void tick(state::time_point time);
+    void send_probes(state::time_point time);
+    static asio::awaitable<void> probe(std::shared_ptr<core> shared,
+                                       std::shared_ptr<completion_state> request,
+                                       chosen_engine engine);
     void check(active_request& request, state::time_point time, bool check_caller);
 
     std::string node_id;
@@ -85,6 +100,7 @@
     admission_gate gate;
     coordination::retry_budget budget;
     attempt_counters attempts;
+    attempt_counters probe_attempts;
     request_id_source ids;
     std::set<active_request*> active;
     int ticks_until_caller_check = 0;
@@ -140,6 +156,34 @@
         this->ticks_until_caller_check = ticks_per_caller_check;
     for (active_request* request : this->active)
         this->check(*request, time, check_caller);
+    this->send_probes(time);
+}
+
+void completion_proxy::core::send_probes(state::time_point time)
+{
+    for (;;)
+    {
+        auto request = std::make_shared<completion_state>();
+        auto engine = this->chooser.begin_probe(*request, time);
+        if (!engine)
+            return;
+        request->identity.id = this->ids.next();
+        asio::co_spawn(this->executor,
+                       probe(this->shared_from_this(), std::move(request), *engine),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void>
+completion_proxy::core::probe(std::shared_ptr<core> shared,
+                              std::shared_ptr<completion_state> request,
+                              chosen_engine engine)
+{
+    // A request of the node's own, so that no caller waits for an engine that is slow.
+    discarded_output output;
+    engine_attempt attempt(*request, engine, shared->chooser, shared->client, output,
+                           shared->probe_attempts);
+    co_await attempt.run(shared->executor);
 }
 
 void completion_proxy::core::check(active_request& request, state::time_point time,
--- a/src/app/node/completion_proxy.hpp
+++ b/src/app/node/completion_proxy.hpp
@@ -39,6 +39,7 @@
 private:
     struct core;
     class active_request;
+    class discarded_output;
 
     static boost::asio::awaitable<void> serve(core& shared, active_request& active);
 
--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -64,22 +64,23 @@
 
 } // namespace
 
-attempt_counters::attempt_counters(state::counter_registry& counters)
-    : sent(counters.count("completion_attempts_total", "attempts on engines")),
-      failed(counters.count("completion_attempts_failed_total",
+attempt_counters::attempt_counters(const std::string& kind,
+                                   state::counter_registry& counters)
+    : sent(counters.count(kind + "_attempts_total", "attempts on engines")),
+      failed(counters.count(kind + "_attempts_failed_total",
                             "attempts on an engine that ended before the last token")),
-      tokens(counters.count("completion_tokens_total", "tokens delivered to callers")),
-      wrong_chunks(counters.count("completion_wrong_chunks_total",
+      tokens(counters.count(kind + "_tokens_total", "tokens received from engines")),
+      wrong_chunks(counters.count(kind + "_wrong_chunks_total",
                                   "chunks that are malformed, of another request or at "
                                   "a wrong index")),
-      cancelled(counters.count("completion_cancels_total",
+      cancelled(counters.count(kind + "_cancels_total",
                                "requests that engines were told to stop"))
 {
 }
 
 engine_attempt::engine_attempt(completion_state& request_ref, const chosen_engine& chosen,
                                engine_chooser& engines, transport::http_client& http,
-                               caller_output& caller, attempt_counters& attempt_counts)
+                               token_sink& caller, attempt_counters& attempt_counts)
     : request(request_ref),
       engine(chosen),
       chooser(engines),
--- a/src/app/node/engine_attempt.hpp
+++ b/src/app/node/engine_attempt.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "app/node/caller_output.hpp"
 #include "app/node/completion_state.hpp"
 #include "app/node/engine_chooser.hpp"
+#include "app/node/token_sink.hpp"
 #include "state/counters.hpp"
 #include "transport/http_client.hpp"
 
@@ -10,6 +10,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace pomelorouter::app
@@ -18,7 +19,8 @@
 /// Counters of attempts on engines.
 struct attempt_counters
 {
-    explicit attempt_counters(state::counter_registry& counters);
+    /// `kind` begins the names of the counters.
+    attempt_counters(const std::string& kind, state::counter_registry& counters);
 
     state::counter& sent;
     state::counter& failed;
@@ -46,7 +48,7 @@
 public:
     engine_attempt(completion_state& request, const chosen_engine& engine,
                    engine_chooser& chooser, transport::http_client& client,
-                   caller_output& output, attempt_counters& counters);
+                   token_sink& output, attempt_counters& counters);
     ~engine_attempt();
     engine_attempt(const engine_attempt&) = delete;
     engine_attempt& operator=(const engine_attempt&) = delete;
@@ -71,7 +73,7 @@
     chosen_engine engine;
     engine_chooser& chooser;
     transport::http_client& client;
-    caller_output& output;
+    token_sink& output;
     attempt_counters& counters;
     boost::asio::cancellation_signal cancellation;
     std::optional<coordination::call_number> call;
--- a/src/app/node/engine_chooser.cpp
+++ b/src/app/node/engine_chooser.cpp
@@ -19,6 +19,9 @@
 // Views follow the engines' inventories, which are read every load_poll_ms.
 constexpr state::milliseconds missing_pause{500};
 
+// One token more than the detector needs to call an engine healthy.
+constexpr std::int64_t probe_tokens = 4;
+
 std::string replica_key(const completion_state& request)
 {
     return request.model_key + ":" + request.completion.adapter;
@@ -32,7 +35,8 @@
       detector(load),
       random(std::random_device{}()),
       probes(counters.count("engine_probes_total",
-                            "requests sent to an ejected engine to see if it recovered")),
+                            "short requests of the node's own to ejected engines, to see "
+                            "if they recovered")),
       ejected(counters.gauge("engines_ejected", "engines that get no new work because "
                                                 "their calls are slow or fail"))
 {
@@ -109,27 +113,6 @@
     return *this->policies[static_cast<std::size_t>(request.attributes.policy())];
 }
 
-std::optional<std::uint32_t>
-engine_chooser::choose_index(const completion_state& request,
-                             const coordination::routing_query& query)
-{
-    // The other policies are baselines that take no notice of slow engines.
-    const bool may_probe =
-        request.attributes.policy() == routing_policy_kind::expected_wait &&
-        query.candidates.size() > 1;
-    if (may_probe)
-    {
-        const auto probe = this->detector.probe_due(query.candidates, query.now);
-        if (probe && coordination::is_eligible(query, *probe, true))
-        {
-            this->detector.on_probe_sent(this->load.slot_of(*probe), query.now);
-            this->probes.add();
-            return probe;
-        }
-    }
-    return this->policy_of(request).choose(query, this->random);
-}
-
 engine_choice engine_chooser::choose(const completion_state& request,
                                      state::time_point now)
 {
@@ -139,7 +122,7 @@
     if (replicas == nullptr || replicas->engines.empty())
         return choice;
     coordination::routing_query query = this->make_query(request, *replicas, now);
-    const auto index = this->choose_index(request, query);
+    const auto index = this->policy_of(request).choose(query, this->random);
     if (index)
     {
         const state::backend_view& engine = this->view->engines[*index];
@@ -192,6 +175,36 @@
     return state::microseconds(static_cast<std::int64_t>(least));
 }
 
+std::optional<chosen_engine> engine_chooser::begin_probe(completion_state& request,
+                                                         state::time_point now)
+{
+    this->refresh();
+    const auto slot = this->detector.next_probe(now);
+    if (!slot || !this->view->current_settings)
+        return std::nullopt;
+    // Also if the engine has no model to probe with: the next one may then have its turn.
+    this->detector.on_probe_sent(*slot, now);
+    const std::uint32_t index = this->load.at(*slot).view_index;
+    for (const auto& [key, model] : this->view->models)
+    {
+        const auto& engines = model.replicas.engines;
+        if (std::find(engines.begin(), engines.end(), index) == engines.end())
+            continue;
+        request.model_key = key;
+        request.service = model.settings->service;
+        request.version = model.settings->version;
+        request.attributes = model.settings->attributes;
+        request.completion.model = model.settings->name;
+        request.completion.prompt = "probe";
+        request.completion.max_tokens = probe_tokens;
+        request.expected_tokens = probe_tokens;
+        this->probes.add();
+        const state::backend_view& engine = this->view->engines[index];
+        return chosen_engine{*slot, engine.id, engine.address};
+    }
+    return std::nullopt;
+}
+
 coordination::call_number engine_chooser::begin_call(const completion_state& request,
                                                      engine_slot slot,
                                                      state::time_point now)
--- a/src/app/node/engine_chooser.hpp
+++ b/src/app/node/engine_chooser.hpp
@@ -66,6 +66,11 @@
     state::microseconds expected_wait(const completion_state& request,
                                       state::time_point now);
 
+    /// Prepares a probe of an ejected engine: a short request for a model that it has.
+    /// Returns the engine, or nothing if no probe is due.
+    std::optional<chosen_engine> begin_probe(completion_state& request,
+                                             state::time_point now);
+
     coordination::call_number begin_call(const completion_state& request,
                                          coordination::engine_slot slot,
                                          state::time_point now);
@@ -101,8 +106,6 @@
     coordination::routing_query make_query(const completion_state& request,
                                            const state::replica_set& replicas,
                                            state::time_point now);
-    std::optional<std::uint32_t> choose_index(const completion_state& request,
-                                              const coordination::routing_query& query);
     coordination::routing_policy& policy_of(const completion_state& request);
 
     const view_cell& views;
--- a/src/libs/coordination/slow_engine_detector.cpp
+++ b/src/libs/coordination/slow_engine_detector.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Enough doublings to reach the longest interval of probes from the shortest.
+constexpr std::uint32_t most_repeats = 16;
+
 double as_us(state::time_point::duration time)
 {
     return std::chrono::duration<double, std::micro>(time).count();
@@ -158,6 +161,14 @@
     this->load.at(slot).ejected = is_out(after);
     if (before == after)
         return;
+    if (after == health::ejected)
+    {
+        const bool was_calm =
+            !is_out(before) && now - item.recovered > this->limits.calm_time;
+        item.repeats = was_calm ? 0 : std::min(item.repeats + 1, most_repeats);
+    }
+    if (is_out(before) && !is_out(after))
+        item.recovered = now;
     item.changed = now;
     item.samples_at_change = this->load.at(slot).samples;
     if (is_out(after) && !is_out(before))
@@ -205,18 +216,27 @@
     }
 }
 
-std::optional<std::uint32_t>
-slow_engine_detector::probe_due(std::span<const std::uint32_t> candidates,
-                                state::time_point now) const
+bool slow_engine_detector::is_probe_due(engine_slot slot, state::time_point now) const
+{
+    const engine_load& engine = this->load.at(slot);
+    if (this->state_of(slot) != health::ejected || engine.leaving ||
+        engine.view_index == no_index)
+        return false;
+    const record& item = this->records[slot];
+    state::milliseconds interval = this->limits.probe_interval;
+    for (std::uint32_t i = 0; i < item.repeats; ++i)
+        interval = std::min(interval * 2, this->limits.longest_probe_interval);
+    return now - item.changed >= interval;
+}
+
+std::optional<engine_slot> slow_engine_detector::next_probe(state::time_point now) const
 {
     if (this->ejected_count == 0)
         return std::nullopt;
-    for (const std::uint32_t candidate : candidates)
+    for (engine_slot slot = 0; slot < this->records.size(); ++slot)
     {
-        const engine_slot slot = this->load.slot_of(candidate);
-        if (this->state_of(slot) == health::ejected && !this->load.at(slot).leaving &&
-            now - this->records[slot].changed >= this->limits.probe_interval)
-            return candidate;
+        if (this->is_probe_due(slot, now))
+            return slot;
     }
     return std::nullopt;
 }
--- a/src/libs/coordination/slow_engine_detector.hpp
+++ b/src/libs/coordination/slow_engine_detector.hpp
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <span>
 #include <vector>
 
 namespace pomelorouter::coordination
@@ -23,7 +22,11 @@
     state::milliseconds first_token_floor{200};
     /// Measurements that an ejected engine needs to be healthy again.
     std::uint32_t recovery_samples = 3;
+    /// Doubled after each probe that finds the engine slow, up to the longest one.
     state::milliseconds probe_interval{500};
+    state::milliseconds longest_probe_interval{4000};
+    /// An engine ejected again within this time goes on with its last interval.
+    state::milliseconds calm_time{10000};
     /// Engines that must have been measured before any is ejected for being slow.
     std::size_t least_measured = 3;
     /// At most one engine in this many is ejected.
@@ -44,10 +47,10 @@
     /// A call failed outright: no connection, connection lost, silence or wrong bytes.
     void on_failure(engine_slot slot, state::time_point now);
 
-    /// Returns a replica that is due for a probe, as an index into the engines of the
-    /// view. The caller sends it one request and reports that with `on_probe_sent`.
-    std::optional<std::uint32_t> probe_due(std::span<const std::uint32_t> candidates,
-                                           state::time_point now) const;
+    /// Returns an engine of the view that is due for a probe. The caller sends it one
+    /// request and reports that with `on_probe_sent`.
+    std::optional<engine_slot> next_probe(state::time_point now) const;
+    bool is_probe_due(engine_slot slot, state::time_point now) const;
     void on_probe_sent(engine_slot slot, state::time_point now);
 
     /// Whether a call has waited several times the usual time for its next token.
@@ -66,7 +69,10 @@
         /// Value of `samples` when the engine was ejected or probed.
         std::uint32_t samples_at_change = 0;
         bool stalled = false;
+        /// Ejections in a row, which lengthen the interval of probes.
+        std::uint32_t repeats = 0;
         state::time_point changed{};
+        state::time_point recovered{};
     };
 
     record& record_of(engine_slot slot);
--- a/tests/auto/coordination/tst_slow_engine_detector.cpp
+++ b/tests/auto/coordination/tst_slow_engine_detector.cpp
@@ -94,8 +94,7 @@
         {
             if (this->is_ejected(engine))
             {
-                const std::uint32_t only[] = {engine};
-                if (!this->detector.probe_due(only, this->now))
+                if (!this->detector.is_probe_due(slot, this->now))
                     return;
                 this->detector.on_probe_sent(slot, this->now);
             }
@@ -208,6 +207,38 @@
     CHECK(run.detector.state_of(slot) == health::ejected);
 }
 
+// Guards against an engine that passes its probes, fails its callers and is tried again
+// twice a second forever.
+TEST_CASE("the interval of probes grows with each ejection in a row")
+{
+    engine_fixture fixture(6);
+    slow_engine_detector detector(fixture.load);
+    detector.tick(start_time);
+    state::time_point now = start_time;
+    const engine_slot slot = fixture.load.slot_of(0);
+    milliseconds expected(500);
+    for (int round = 0; round < 6; ++round)
+    {
+        CAPTURE(round);
+        detector.on_failure(slot, now);
+        CHECK_FALSE(detector.is_probe_due(slot, now + expected - milliseconds(1)));
+        CHECK(detector.is_probe_due(slot, now + expected));
+        CHECK(detector.next_probe(now + expected) == slot);
+        now += expected;
+        detector.on_probe_sent(slot, now);
+        CHECK_FALSE(detector.next_probe(now + std::chrono::hours(1)));
+        const call_number call = fixture.load.start(slot, 4, false, now);
+        fixture.load.progress(call, 4, now);
+        fixture.load.finish(call);
+        detector.tick(now);
+        CHECK_FALSE(fixture.load.at(slot).ejected);
+        expected = std::min(expected * 2, milliseconds(4000));
+    }
+    now += std::chrono::seconds(11);
+    detector.on_failure(slot, now);
+    CHECK(detector.is_probe_due(slot, now + milliseconds(500)));
+}
+
 // Guards against the ejection of most engines at once, for example when the node's own
 // network is at fault.
 TEST_CASE("at most a bounded share of the engines is ejected")
