Treat small differences in engine speed as noise

In a trial one of six equal engines got 13 of 300 requests, since one unlucky measurement made it look slower than the others. Differences up to a quarter of the median no longer count. A caller that closes its end after the response is not counted as gone.

--- a/src/app/node/completion_proxy.cpp
+++ b/src/app/node/completion_proxy.cpp
@@ -144,6 +144,8 @@
     /// The next attempt is paid already, by the move of a call that hung.
     bool is_paid = false;
     bool is_late = false;
+    /// The final response is being written; the caller may close its end after it.
+    bool is_answering = false;
 };
 
 void completion_proxy::core::tick(state::time_point time)
@@ -190,6 +192,8 @@
                                    bool check_caller)
 {
     completion_state& state = request.state;
+    if (request.is_answering)
+        return;
     if (check_caller && !state.caller_gone && request.exchange.client_has_closed())
     {
         state.caller_gone = true;
@@ -264,6 +268,7 @@
         protocol::refusal refusal(
             error(entry.reason, request.model_key, "less load or a later deadline"));
         refusal.retry_after = entry.retry_after;
+        active.is_answering = true;
         co_await active.output.fail(refusal);
         co_return;
     }
@@ -309,6 +314,7 @@
         {
             shared.chooser.on_finished(request);
             shared.completions.add();
+            active.is_answering = true;
             co_await active.output.finish();
             co_return;
         }
@@ -340,6 +346,7 @@
         error(reason, request.model_key, "an engine that answers in time"));
     refusal.run = request.may_have_run ? run_state::unknown : run_state::not_run;
     refusal.retry_after = default_retry_after;
+    active.is_answering = true;
     co_await active.output.fail(refusal);
 }
 
--- a/src/libs/coordination/expected_wait_policy.cpp
+++ b/src/libs/coordination/expected_wait_policy.cpp
@@ -66,12 +66,10 @@
     // The measured first token includes queueing, which the wait counts already; the
     // median stands for the cost of the prompt.
     const double prompt_us = usual_first * (1.0 - cached_part);
-    const double gap =
-        own.token_gap_us > 0.0 ? own.token_gap_us : query.load->median_token_gap_us();
     const double distance_us =
         2.0 * static_cast<double>(query.engines[candidate].distance_us);
     return expected_wait_us(query, candidate) + prompt_us + distance_us +
-           gap * static_cast<double>(query.expected_tokens);
+           expected_gap_us(query, own) * static_cast<double>(query.expected_tokens);
 }
 
 std::optional<std::uint32_t> expected_wait_policy::choose(const routing_query& query,
--- a/src/libs/coordination/routing_policy.cpp
+++ b/src/libs/coordination/routing_policy.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace pomelorouter::coordination
 {
@@ -21,6 +22,9 @@
 // A measurement counts half after this long: engines slow down for moments, and one that
 // gets no requests would otherwise be avoided forever.
 constexpr double speed_half_life_us = 5'000'000.0;
+// Differences up to this part of the median are noise. Following them would send all
+// requests of a lightly loaded node to the engine with the luckiest measurements.
+constexpr double usual_spread = 0.25;
 // A load report counts half after this long. Nodes that trusted an old report fully would
 // all move to the same engine.
 constexpr double report_half_life_us = 500'000.0;
@@ -56,18 +60,24 @@
     return std::find(query.tried.begin(), query.tried.end(), slot) == query.tried.end();
 }
 
+double expected_gap_us(const routing_query& query, const engine_load& own)
+{
+    const double usual = query.load->median_token_gap_us() > 0.0
+                             ? query.load->median_token_gap_us()
+                             : default_gap_us;
+    const double difference = own.token_gap_us - usual;
+    if (own.token_gap_us <= 0.0 || std::abs(difference) < usual_spread * usual)
+        return usual;
+    const double known =
+        1.0 / (1.0 + elapsed_us(own.last_progress, query.now) / speed_half_life_us);
+    return usual + difference * known;
+}
+
 double expected_wait_us(const routing_query& query, std::uint32_t candidate)
 {
     const state::backend_view& engine = query.engines[candidate];
     const engine_load& own = query.load->at_index(candidate);
-    const double usual_gap = query.load->median_token_gap_us() > 0.0
-                                 ? query.load->median_token_gap_us()
-                                 : default_gap_us;
-    const double known =
-        1.0 / (1.0 + elapsed_us(own.last_progress, query.now) / speed_half_life_us);
-    const double gap = own.token_gap_us > 0.0
-                           ? usual_gap + (own.token_gap_us - usual_gap) * known
-                           : usual_gap;
+    const double gap = expected_gap_us(query, own);
     const double slots =
         static_cast<double>(engine.load.slots > 0 ? engine.load.slots : default_slots);
     const double report_age_us =
--- a/src/libs/coordination/routing_policy.hpp
+++ b/src/libs/coordination/routing_policy.hpp
@@ -41,6 +41,9 @@
 bool has_room_for_long_work(const engine_load& load, std::int64_t slots,
                             std::int64_t share_percent);
 
+/// Expected time between tokens of an engine, in microseconds.
+double expected_gap_us(const routing_query& query, const engine_load& own);
+
 /// Estimated time until an engine would start on a new request, in microseconds.
 double expected_wait_us(const routing_query& query, std::uint32_t candidate);
 
