Judge engines by means, single waits only above a larger floor

At 40 requests at once on six engines with 10 ms between tokens, one engine was ejected and 9 calls were moved although none was slow. Samples are clipped against the mean, and a single wait counts from 50 ms (first token: 200 ms).

--- a/src/libs/coordination/local_load.cpp
+++ b/src/libs/coordination/local_load.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// A single sample counts at most this many times the mean, so that one late packet does
+// not make an engine look slow; three slow samples in a row do.
+constexpr double most_per_sample = 4.0;
 // A sample moves the mean by a fifth: ten normal samples after a tenfold slowdown bring
 // it back under twice the usual value.
 constexpr double sample_weight = 0.2;
@@ -20,7 +23,10 @@
 
 void add_sample(double& mean, double sample)
 {
-    mean = mean <= 0.0 ? sample : mean + sample_weight * (sample - mean);
+    if (mean <= 0.0)
+        mean = sample;
+    else
+        mean += sample_weight * (std::min(sample, most_per_sample * mean) - mean);
 }
 
 double median_of(std::vector<double>& values)
--- a/src/libs/coordination/slow_engine_detector.cpp
+++ b/src/libs/coordination/slow_engine_detector.cpp
@@ -79,8 +79,9 @@
         call.has_first_token
             ? this->limits.gap_factor * this->load.median_token_gap_us()
             : this->limits.first_token_factor * this->load.median_first_token_us();
-    const double floor = as_us(call.has_first_token ? this->limits.gap_floor
-                                                    : this->limits.first_token_floor);
+    const double floor =
+        as_us(call.has_first_token ? this->limits.stalled_gap_floor
+                                   : this->limits.stalled_first_token_floor);
     return usual > 0.0 && as_us(now - call.waiting_since) > std::max(usual, floor);
 }
 
--- a/src/libs/coordination/slow_engine_detector.hpp
+++ b/src/libs/coordination/slow_engine_detector.hpp
@@ -17,9 +17,12 @@
     /// An engine is slow if it takes this many times the median of those serving.
     double gap_factor = 3.0;
     double first_token_factor = 4.0;
-    /// Differences below these times are no reason to eject an engine.
-    state::milliseconds gap_floor{20};
-    state::milliseconds first_token_floor{200};
+    /// Means below these times are no reason to eject an engine.
+    state::milliseconds gap_floor{5};
+    state::milliseconds first_token_floor{50};
+    /// A single wait below these times may be noise of this node or of the network.
+    state::milliseconds stalled_gap_floor{50};
+    state::milliseconds stalled_first_token_floor{200};
     /// Measurements that an ejected engine needs to be healthy again.
     std::uint32_t recovery_samples = 3;
     /// Doubled after each probe that finds the engine slow, up to the longest one.
