Hedge the first token within hedge_percent and the retry budget

A request whose first token is later than twice the median is sent to a second engine as well; the attempt that is first to send a token goes on and the other one is cancelled. The shared state and the periodic checks of the completions are a class of their own. A call that is given up counts as a measurement, since hedges would otherwise hide a hanging engine; the added case fails without it.

--- /dev/null
+++ b/src/app/node/completion_core.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "app/node/admission_gate.hpp"
+#include "app/node/caller_output.hpp"
+#include "app/node/engine_attempt.hpp"
+#include "app/node/engine_chooser.hpp"
+#include "app/node/request_id.hpp"
+#include "coordination/retry_budget.hpp"
+#include "state/counters.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+class active_completion;
+
+/// What the requests of one node share.
+struct completion_core : std::enable_shared_from_this<completion_core>
+{
+    completion_core(std::string node, const view_cell& views,
+                    transport::http_client& http,
+                    boost::asio::any_io_executor loop_executor,
+                    state::counter_registry& counters);
+
+    /// Judges the engines and looks after the requests in flight.
+    void tick(state::time_point time);
+    void send_probes(state::time_point time);
+    static boost::asio::awaitable<void> probe(std::shared_ptr<completion_core> shared,
+                                              std::shared_ptr<completion_state> request,
+                                              chosen_engine engine);
+    void check(active_completion& request, state::time_point time, bool check_caller);
+    void move_if_hanging(active_completion& request, state::time_point time);
+    void hedge_if_late(active_completion& request, state::time_point time);
+    static boost::asio::awaitable<void> run_hedge(std::shared_ptr<completion_core> shared,
+                                                  active_completion& request);
+
+    std::string node_id;
+    transport::http_client& client;
+    boost::asio::any_io_executor executor;
+    engine_chooser chooser;
+    admission_gate gate;
+    coordination::retry_budget budget;
+    coordination::retry_budget hedge_budget;
+    attempt_counters attempts;
+    attempt_counters probe_attempts;
+    request_id_source ids;
+    std::set<active_completion*> active;
+    int ticks_until_caller_check = 0;
+    /// Set when the proxy is destroyed; requests that end later change nothing.
+    bool is_closed = false;
+    state::counter& completions;
+    state::counter& refused;
+    state::counter& retries;
+    state::counter& moves;
+    state::counter& hedges;
+    state::counter& abandoned;
+};
+
+/// One request in flight, as the periodic checks see it.
+class active_completion
+{
+public:
+    active_completion(completion_core& shared, transport::http_exchange& exchange);
+    ~active_completion();
+    active_completion(const active_completion&) = delete;
+    active_completion& operator=(const active_completion&) = delete;
+
+    /// Cancels the attempts that wait for an engine; returns whether there was one.
+    bool cancel();
+
+    completion_core& shared;
+    transport::http_exchange& exchange;
+    completion_state state;
+    caller_output output;
+    std::optional<engine_attempt> attempt;
+    /// Second attempt that runs beside the first one.
+    std::optional<engine_attempt> hedge;
+    coordination::engine_slot hedge_slot = 0;
+    std::optional<attempt_result> hedge_result;
+    /// Its wait is cancelled when the hedge has ended.
+    boost::asio::steady_timer hedge_ended;
+    coordination::engine_slot attempt_slot = 0;
+    coordination::admission_limits limits;
+    bool is_admitted = false;
+    /// The next attempt is paid already, by the move of a call that hung.
+    bool is_paid = false;
+    bool is_late = false;
+    /// The final response is being written; the caller may close its end after it.
+    bool is_answering = false;
+};
+
+} // namespace pomelorouter::app
--- a/src/app/node/completion_proxy.hpp
+++ b/src/app/node/completion_proxy.hpp
@@ -1,13 +1,8 @@
 #pragma once
 
-#include "app/node/admission_gate.hpp"
+#include "app/node/completion_core.hpp"
 #include "app/node/control_component.hpp"
 #include "app/node/control_loop.hpp"
-#include "app/node/engine_attempt.hpp"
-#include "app/node/engine_chooser.hpp"
-#include "app/node/request_id.hpp"
-#include "coordination/retry_backoff.hpp"
-#include "coordination/retry_budget.hpp"
 #include "protocol/caller_api.hpp"
 #include "state/counters.hpp"
 #include "transport/http_client.hpp"
@@ -37,14 +32,14 @@
                                         protocol::completion_form form);
 
 private:
-    struct core;
-    class active_request;
-    class discarded_output;
-
-    static boost::asio::awaitable<void> serve(core& shared, active_request& active);
+    /// Waits for the end of a hedge; returns the result of the attempt that counts.
+    static boost::asio::awaitable<attempt_result> join_hedge(active_completion& active,
+                                                             attempt_result first);
+    static boost::asio::awaitable<void> serve(completion_core& shared,
+                                              active_completion& active);
 
     /// Also owned by each request in flight: their ends refer to it.
-    std::shared_ptr<core> shared;
+    std::shared_ptr<completion_core> shared;
     std::unique_ptr<transport::timer_subscription> ticks;
 };
 
--- a/src/app/node/completion_state.hpp
+++ b/src/app/node/completion_state.hpp
@@ -35,6 +35,9 @@
     /// Whether a byte of the request may have reached an engine that did not refuse it.
     bool may_have_run = false;
     bool caller_gone = false;
+    /// The attempt whose tokens go to the caller: of a hedged request the one that was
+    /// first to send any. Null until then.
+    const void* sender = nullptr;
     /// Engines that get this request no more.
     std::vector<coordination::engine_slot> tried;
     /// Those of `tried` that refused it because the model was not resident.
--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -106,6 +106,8 @@
         asio::bind_cancellation_slot(this->cancellation.slot(), asio::use_awaitable);
     const attempt_result result =
         co_await asio::co_spawn(executor, std::move(serving), std::move(token));
+    if (this->is_cancelled && !this->request.caller_gone)
+        this->chooser.engine_loads().give_up(*this->call, now());
     this->chooser.engine_loads().finish(*this->call);
     this->call.reset();
     const bool may_run_on =
@@ -137,6 +139,16 @@
            this->chooser.should_move(*this->call, at);
 }
 
+bool engine_attempt::is_late(state::time_point at) const
+{
+    return this->call && !this->is_cancelled && this->chooser.is_late(*this->call, at);
+}
+
+bool engine_attempt::has_lost() const
+{
+    return this->request.sender != nullptr && this->request.sender != this;
+}
+
 transport::http_request engine_attempt::make_request() const
 {
     protocol::engine_completion body;
@@ -220,7 +232,7 @@
     this->request.may_have_run = this->request.may_have_run || left;
     if (this->request.caller_gone)
         return attempt_result::caller_gone;
-    if (!this->request.finish_reason.empty())
+    if (this->request.sender == this && !this->request.finish_reason.empty())
         return attempt_result::finished; // only the end of the body is missing
     this->counters.failed.add();
     if (this->is_cancelled)
@@ -247,6 +259,9 @@
     protocol::sse_parser parser;
     while (auto piece = co_await answer.read_some())
     {
+        if (this->has_lost())
+            co_return attempt_result::failed;
+        this->request.sender = this;
         std::int64_t tokens = 0;
         bool is_expected = true;
         parser.feed(*piece);
--- a/src/app/node/engine_attempt.hpp
+++ b/src/app/node/engine_attempt.hpp
@@ -57,6 +57,10 @@
     /// Ends the attempt if it waits for the engine. Returns whether it did so.
     bool cancel();
     bool was_cancelled() const { return this->is_cancelled; }
+    /// Whether the first token is later than usual.
+    bool is_late(state::time_point now) const;
+    /// Whether another attempt was first to send a token.
+    bool has_lost() const;
     /// Whether the call hangs and another engine should go on with it.
     bool should_move(state::time_point now) const;
 
--- a/src/app/node/engine_chooser.cpp
+++ b/src/app/node/engine_chooser.cpp
@@ -1,6 +1,7 @@
 #include "app/node/engine_chooser.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 #include <random>
 
@@ -19,6 +20,10 @@
 // Views follow the engines' inventories, which are read every load_poll_ms.
 constexpr state::milliseconds missing_pause{500};
 
+// Hedging before this many times the usual first token would mostly hedge requests that
+// are about to be answered.
+constexpr double hedge_factor = 2.0;
+constexpr state::milliseconds least_hedge_delay{20};
 // One token more than the detector needs to call an engine healthy.
 constexpr std::int64_t probe_tokens = 4;
 
@@ -267,6 +272,16 @@
                            request.delivered);
 }
 
+bool engine_chooser::is_late(coordination::call_number call, state::time_point now) const
+{
+    const coordination::call_load& state = this->load.calls()[call];
+    const auto usual = std::chrono::duration<double, std::micro>(
+        this->load.median_first_token_us() * hedge_factor);
+    const state::time_point::duration waited = now - state.waiting_since;
+    return state.waiting && !state.has_first_token && waited > least_hedge_delay &&
+           waited > usual;
+}
+
 bool engine_chooser::should_move(coordination::call_number call,
                                  state::time_point now) const
 {
--- a/src/app/node/engine_chooser.hpp
+++ b/src/app/node/engine_chooser.hpp
@@ -83,6 +83,8 @@
     void on_not_resident(const completion_state& request, coordination::engine_slot slot,
                          state::time_point now);
     void on_finished(const completion_state& request);
+    /// Whether a call has waited for its first token longer than usual.
+    bool is_late(coordination::call_number call, state::time_point now) const;
     /// Whether a call hangs on an engine that is suspect while others serve.
     bool should_move(coordination::call_number call, state::time_point now) const;
 
--- a/src/libs/coordination/local_load.cpp
+++ b/src/libs/coordination/local_load.cpp
@@ -159,6 +159,18 @@
     this->active_calls[number].waiting_since = now;
 }
 
+void local_load::give_up(call_number number, state::time_point now)
+{
+    const call_load& call = this->active_calls[number];
+    engine_load& engine = this->engines[call.slot];
+    double& mean = call.has_first_token ? engine.token_gap_us : engine.first_token_us;
+    const double waited_us = as_us(now - call.waiting_since);
+    if (!call.waiting || waited_us <= mean)
+        return;
+    add_sample(mean, waited_us);
+    ++engine.samples;
+}
+
 void local_load::finish(call_number number)
 {
     call_load& call = this->active_calls[number];
--- a/src/libs/coordination/local_load.hpp
+++ b/src/libs/coordination/local_load.hpp
@@ -89,6 +89,9 @@
     void progress(call_number call, std::int64_t tokens, state::time_point now);
     /// Records that the node waits for the engine again after writing to the caller.
     void wait_again(call_number call, state::time_point now);
+    /// Records that the node gave up waiting for the engine. The time it waited counts as
+    /// a measurement if it is longer than usual.
+    void give_up(call_number call, state::time_point now);
     void finish(call_number call);
 
     /// Medians over the engines that have been measured; 0 if none has.
--- a/tests/auto/coordination/tst_slow_engine_detector.cpp
+++ b/tests/auto/coordination/tst_slow_engine_detector.cpp
@@ -191,6 +191,25 @@
     CHECK(detector.ejected() == 1);
 }
 
+// Guards against a hanging engine that is never found out because each of its calls is
+// given up, after a hedge has won, before it counts as hanging.
+TEST_CASE("calls that are given up count as slow")
+{
+    simulation run(6, 6);
+    run.run(milliseconds(3000));
+    const engine_slot slot = run.fixture.load.slot_of(0);
+    run.slowdown[0] = 1e6;
+    CHECK_FALSE(run.is_ejected(0));
+    for (int i = 0; i < 20 && !run.is_ejected(0); ++i)
+    {
+        const call_number call = run.fixture.load.start(slot, 10, false, run.now);
+        run.fixture.load.give_up(call, run.now + milliseconds(1200));
+        run.fixture.load.finish(call);
+        run.detector.tick(run.now);
+    }
+    CHECK(run.is_ejected(0));
+}
+
 // Guards against a probe that is not judged: with few engines the probed one, whose speed
 // is unknown for the moment, left too few to compare with.
 TEST_CASE("a probe that hangs is found out when there are only three engines")
