--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -64,22 +64,23 @@
 
 } // namespace
 
-attempt_counters::attempt_counters(state::counter_registry& counters)
-    : sent(counters.count("completion_attempts_total", "attempts on engines")),
-      failed(counters.count("completion_attempts_failed_total",
+attempt_counters::attempt_counters(const std::string& kind,
+                                   state::counter_registry& counters)
+    : sent(counters.count(kind + "_attempts_total", "attempts on engines")),
+      failed(counters.count(kind + "_attempts_failed_total",
                             "attempts on an engine that ended before the last token")),
-      tokens(counters.count("completion_tokens_total", "tokens delivered to callers")),
-      wrong_chunks(counters.count("completion_wrong_chunks_total",
+      tokens(counters.count(kind + "_tokens_total", "tokens received from engines")),
+      wrong_chunks(counters.count(kind + "_wrong_chunks_total",
                                   "chunks that are malformed, of another request or at "
                                   "a wrong index")),
-      cancelled(counters.count("completion_cancels_total",
+      cancelled(counters.count(kind + "_cancels_total",
                                "requests that engines were told to stop"))
 {
 }
 
 engine_attempt::engine_attempt(completion_state& request_ref, const chosen_engine& chosen,
                                engine_chooser& engines, transport::http_client& http,
-                               caller_output& caller, attempt_counters& attempt_counts)
+                               token_sink& caller, attempt_counters& attempt_counts)
     : request(request_ref),
       engine(chosen),
       chooser(engines),
@@ -105,6 +106,8 @@
         asio::bind_cancellation_slot(this->cancellation.slot(), asio::use_awaitable);
     const attempt_result result =
         co_await asio::co_spawn(executor, std::move(serving), std::move(token));
+    if (this->is_cancelled && !this->request.caller_gone)
+        this->chooser.engine_loads().give_up(*this->call, now());
     this->chooser.engine_loads().finish(*this->call);
     this->call.reset();
     const bool may_run_on =
@@ -136,6 +139,16 @@
            this->chooser.should_move(*this->call, at);
 }
 
+bool engine_attempt::is_late(state::time_point at) const
+{
+    return this->call && !this->is_cancelled && this->chooser.is_late(*this->call, at);
+}
+
+bool engine_attempt::has_lost() const
+{
+    return this->request.sender != nullptr && this->request.sender != this;
+}
+
 transport::http_request engine_attempt::make_request() const
 {
     protocol::engine_completion body;
@@ -189,14 +202,20 @@
 {
     const std::string type = protocol::parse_backend_error(body);
     if (type == "model_not_resident")
+    {
+        this->chooser.on_not_resident(this->request, this->engine.slot, now());
         return attempt_result::not_resident;
+    }
     if (type == "leaving")
     {
         this->chooser.engine_loads().at(this->engine.slot).leaving = true;
         return attempt_result::leaving;
     }
     if (type == "queue_full")
+    {
+        this->chooser.on_full(this->engine.slot, now());
         return attempt_result::queue_full;
+    }
     // An error that is not one of the refusals does not say that nothing was run.
     this->request.may_have_run = true;
     this->counters.failed.add();
@@ -213,7 +232,7 @@
     this->request.may_have_run = this->request.may_have_run || left;
     if (this->request.caller_gone)
         return attempt_result::caller_gone;
-    if (!this->request.finish_reason.empty())
+    if (this->request.sender == this && !this->request.finish_reason.empty())
         return attempt_result::finished; // only the end of the body is missing
     this->counters.failed.add();
     if (this->is_cancelled)
@@ -240,6 +259,9 @@
     protocol::sse_parser parser;
     while (auto piece = co_await answer.read_some())
     {
+        if (this->has_lost())
+            co_return attempt_result::failed;
+        this->request.sender = this;
         std::int64_t tokens = 0;
         bool is_expected = true;
         parser.feed(*piece);
--- a/src/app/node/engine_chooser.cpp
+++ b/src/app/node/engine_chooser.cpp
@@ -1,6 +1,7 @@
 #include "app/node/engine_chooser.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 #include <random>
 
@@ -11,13 +12,36 @@
 using state::attribute;
 using state::routing_policy_kind;
 
+namespace
+{
+
+// About the time in which an engine with 16 slots ends a request.
+constexpr state::milliseconds full_pause{100};
+// Views follow the engines' inventories, which are read every load_poll_ms.
+constexpr state::milliseconds missing_pause{500};
+
+// Hedging before this many times the usual first token would mostly hedge requests that
+// are about to be answered.
+constexpr double hedge_factor = 2.0;
+constexpr state::milliseconds least_hedge_delay{20};
+// One token more than the detector needs to call an engine healthy.
+constexpr std::int64_t probe_tokens = 4;
+
+std::string replica_key(const completion_state& request)
+{
+    return request.model_key + ":" + request.completion.adapter;
+}
+
+} // namespace
+
 engine_chooser::engine_chooser(const view_cell& view_source,
                                state::counter_registry& counters)
     : views(view_source),
       detector(load),
       random(std::random_device{}()),
       probes(counters.count("engine_probes_total",
-                            "requests sent to an ejected engine to see if it recovered")),
+                            "short requests of the node's own to ejected engines, to see "
+                            "if they recovered")),
       ejected(counters.gauge("engines_ejected", "engines that get no new work because "
                                                 "their calls are slow or fail"))
 {
@@ -72,15 +96,16 @@
 
 coordination::routing_query engine_chooser::make_query(const completion_state& request,
                                                        const state::replica_set& replicas,
-                                                       state::time_point now) const
+                                                       state::time_point now)
 {
+    this->collect_excluded(request, request.tried, now);
     coordination::routing_query query;
     query.candidates = replicas.engines;
     query.engines = this->view->engines;
     query.load = &this->load;
     query.prefixes = &this->prefixes;
     query.prompt = &request.prompt;
-    query.tried = request.tried;
+    query.tried = this->excluded;
     query.expected_tokens = request.expected_tokens;
     query.long_work = request.long_work;
     query.long_share_percent = request.attributes.get(attribute::long_work_share_percent);
@@ -93,27 +118,6 @@
     return *this->policies[static_cast<std::size_t>(request.attributes.policy())];
 }
 
-std::optional<std::uint32_t>
-engine_chooser::choose_index(const completion_state& request,
-                             const coordination::routing_query& query)
-{
-    // The other policies are baselines that take no notice of slow engines.
-    const bool may_probe =
-        request.attributes.policy() == routing_policy_kind::expected_wait &&
-        query.candidates.size() > 1;
-    if (may_probe)
-    {
-        const auto probe = this->detector.probe_due(query.candidates, query.now);
-        if (probe && coordination::is_eligible(query, *probe, true))
-        {
-            this->detector.on_probe_sent(this->load.slot_of(*probe), query.now);
-            this->probes.add();
-            return probe;
-        }
-    }
-    return this->policy_of(request).choose(query, this->random);
-}
-
 engine_choice engine_chooser::choose(const completion_state& request,
                                      state::time_point now)
 {
@@ -123,7 +127,7 @@
     if (replicas == nullptr || replicas->engines.empty())
         return choice;
     coordination::routing_query query = this->make_query(request, *replicas, now);
-    const auto index = this->choose_index(request, query);
+    const auto index = this->policy_of(request).choose(query, this->random);
     if (index)
     {
         const state::backend_view& engine = this->view->engines[*index];
@@ -137,7 +141,8 @@
         choice.failure = choice_failure::no_room;
         return choice;
     }
-    query.tried = request.not_resident;
+    this->collect_excluded(request, request.not_resident, now);
+    query.tried = this->excluded;
     if (this->policy_of(request).choose(query, this->random))
         choice.failure = choice_failure::all_tried;
     return choice;
@@ -175,6 +180,36 @@
     return state::microseconds(static_cast<std::int64_t>(least));
 }
 
+std::optional<chosen_engine> engine_chooser::begin_probe(completion_state& request,
+                                                         state::time_point now)
+{
+    this->refresh();
+    const auto slot = this->detector.next_probe(now);
+    if (!slot || !this->view->current_settings)
+        return std::nullopt;
+    // Also if the engine has no model to probe with: the next one may then have its turn.
+    this->detector.on_probe_sent(*slot, now);
+    const std::uint32_t index = this->load.at(*slot).view_index;
+    for (const auto& [key, model] : this->view->models)
+    {
+        const auto& engines = model.replicas.engines;
+        if (std::find(engines.begin(), engines.end(), index) == engines.end())
+            continue;
+        request.model_key = key;
+        request.service = model.settings->service;
+        request.version = model.settings->version;
+        request.attributes = model.settings->attributes;
+        request.completion.model = model.settings->name;
+        request.completion.prompt = "probe";
+        request.completion.max_tokens = probe_tokens;
+        request.expected_tokens = probe_tokens;
+        this->probes.add();
+        const state::backend_view& engine = this->view->engines[index];
+        return chosen_engine{*slot, engine.id, engine.address};
+    }
+    return std::nullopt;
+}
+
 coordination::call_number engine_chooser::begin_call(const completion_state& request,
                                                      engine_slot slot,
                                                      state::time_point now)
@@ -199,12 +234,54 @@
     this->detector.on_failure(slot, now);
 }
 
+void engine_chooser::on_full(engine_slot slot, state::time_point now)
+{
+    this->load.at(slot).full_until = now + full_pause;
+}
+
+void engine_chooser::on_not_resident(const completion_state& request, engine_slot slot,
+                                     state::time_point now)
+{
+    std::erase_if(this->missing,
+                  [now](const missing_replica& item) { return item.until <= now; });
+    missing_replica item;
+    item.slot = slot;
+    item.model = replica_key(request);
+    item.until = now + missing_pause;
+    this->missing.push_back(std::move(item));
+}
+
+void engine_chooser::collect_excluded(const completion_state& request,
+                                      const std::vector<engine_slot>& tried,
+                                      state::time_point now)
+{
+    this->excluded.assign(tried.begin(), tried.end());
+    if (this->missing.empty())
+        return;
+    const std::string key = replica_key(request);
+    for (const missing_replica& item : this->missing)
+    {
+        if (now < item.until && item.model == key)
+            this->excluded.push_back(item.slot);
+    }
+}
+
 void engine_chooser::on_finished(const completion_state& request)
 {
     this->estimator.record(request.model_key, request.completion.max_tokens,
                            request.delivered);
 }
 
+bool engine_chooser::is_late(coordination::call_number call, state::time_point now) const
+{
+    const coordination::call_load& state = this->load.calls()[call];
+    const auto usual = std::chrono::duration<double, std::micro>(
+        this->load.median_first_token_us() * hedge_factor);
+    const state::time_point::duration waited = now - state.waiting_since;
+    return state.waiting && !state.has_first_token && waited > least_hedge_delay &&
+           waited > usual;
+}
+
 bool engine_chooser::should_move(coordination::call_number call,
                                  state::time_point now) const
 {
--- a/src/app/node/engine_chooser.hpp
+++ b/src/app/node/engine_chooser.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pomelorouter::app
 {
@@ -65,13 +66,25 @@
     state::microseconds expected_wait(const completion_state& request,
                                       state::time_point now);
 
+    /// Prepares a probe of an ejected engine: a short request for a model that it has.
+    /// Returns the engine, or nothing if no probe is due.
+    std::optional<chosen_engine> begin_probe(completion_state& request,
+                                             state::time_point now);
+
     coordination::call_number begin_call(const completion_state& request,
                                          coordination::engine_slot slot,
                                          state::time_point now);
     void on_tokens(const completion_state& request, coordination::call_number call,
                    std::int64_t tokens, state::time_point now);
     void on_failure(coordination::engine_slot slot, state::time_point now);
+    /// The engine refused a request because it has no room.
+    void on_full(coordination::engine_slot slot, state::time_point now);
+    /// The engine refused a request because it does not have the model, as the view says.
+    void on_not_resident(const completion_state& request, coordination::engine_slot slot,
+                         state::time_point now);
     void on_finished(const completion_state& request);
+    /// Whether a call has waited for its first token longer than usual.
+    bool is_late(coordination::call_number call, state::time_point now) const;
     /// Whether a call hangs on an engine that is suspect while others serve.
     bool should_move(coordination::call_number call, state::time_point now) const;
 
@@ -79,12 +92,22 @@
     coordination::random_source& random_numbers() { return this->random; }
 
 private:
+    /// An engine that does not have a model although the view says so.
+    struct missing_replica
+    {
+        coordination::engine_slot slot = 0;
+        std::string model;
+        state::time_point until{};
+    };
+
+    /// Adds the missing replicas of the request's model to the engines in `excluded`.
+    void collect_excluded(const completion_state& request,
+                          const std::vector<coordination::engine_slot>& tried,
+                          state::time_point now);
     const state::replica_set* find_replicas(const completion_state& request) const;
     coordination::routing_query make_query(const completion_state& request,
                                            const state::replica_set& replicas,
-                                           state::time_point now) const;
-    std::optional<std::uint32_t> choose_index(const completion_state& request,
-                                              const coordination::routing_query& query);
+                                           state::time_point now);
     coordination::routing_policy& policy_of(const completion_state& request);
 
     const view_cell& views;
@@ -95,6 +118,9 @@
     coordination::prefix_index prefixes;
     coordination::work_estimator estimator;
     coordination::random_source random;
+    std::vector<missing_replica> missing;
+    /// Engines that the present choice leaves out; kept for its memory.
+    std::vector<coordination::engine_slot> excluded;
     std::array<std::unique_ptr<coordination::routing_policy>, 4> policies;
     state::counter& probes;
     state::counter& ejected;
--- a/src/libs/coordination/local_load.cpp
+++ b/src/libs/coordination/local_load.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// A single sample counts at most this many times the mean, so that one late packet does
+// not make an engine look slow; three slow samples in a row do.
+constexpr double most_per_sample = 4.0;
 // A sample moves the mean by a fifth: ten normal samples after a tenfold slowdown bring
 // it back under twice the usual value.
 constexpr double sample_weight = 0.2;
@@ -20,7 +23,10 @@
 
 void add_sample(double& mean, double sample)
 {
-    mean = mean <= 0.0 ? sample : mean + sample_weight * (sample - mean);
+    if (mean <= 0.0)
+        mean = sample;
+    else
+        mean += sample_weight * (std::min(sample, most_per_sample * mean) - mean);
 }
 
 double median_of(std::vector<double>& values)
@@ -153,6 +159,18 @@
     this->active_calls[number].waiting_since = now;
 }
 
+void local_load::give_up(call_number number, state::time_point now)
+{
+    const call_load& call = this->active_calls[number];
+    engine_load& engine = this->engines[call.slot];
+    double& mean = call.has_first_token ? engine.token_gap_us : engine.first_token_us;
+    const double waited_us = as_us(now - call.waiting_since);
+    if (!call.waiting || waited_us <= mean)
+        return;
+    add_sample(mean, waited_us);
+    ++engine.samples;
+}
+
 void local_load::finish(call_number number)
 {
     call_load& call = this->active_calls[number];
--- a/src/libs/coordination/local_load.hpp
+++ b/src/libs/coordination/local_load.hpp
@@ -38,6 +38,9 @@
     bool retired = false;
     /// Set by `slow_engine_detector`: gets no new work but probes.
     bool ejected = false;
+    /// Gets no new work until then while others can serve: it refused work as full. An
+    /// engine that refuses has few requests and would otherwise attract the next ones.
+    state::time_point full_until{};
     /// Set when the engine itself refused work because it is leaving.
     bool leaving = false;
 };
@@ -86,6 +89,9 @@
     void progress(call_number call, std::int64_t tokens, state::time_point now);
     /// Records that the node waits for the engine again after writing to the caller.
     void wait_again(call_number call, state::time_point now);
+    /// Records that the node gave up waiting for the engine. The time it waited counts as
+    /// a measurement if it is longer than usual.
+    void give_up(call_number call, state::time_point now);
     void finish(call_number call);
 
     /// Medians over the engines that have been measured; 0 if none has.
--- a/tests/auto/coordination/tst_slow_engine_detector.cpp
+++ b/tests/auto/coordination/tst_slow_engine_detector.cpp
@@ -94,8 +94,7 @@
         {
             if (this->is_ejected(engine))
             {
-                const std::uint32_t only[] = {engine};
-                if (!this->detector.probe_due(only, this->now))
+                if (!this->detector.is_probe_due(slot, this->now))
                     return;
                 this->detector.on_probe_sent(slot, this->now);
             }
@@ -192,6 +191,25 @@
     CHECK(detector.ejected() == 1);
 }
 
+// Guards against a hanging engine that is never found out because each of its calls is
+// given up, after a hedge has won, before it counts as hanging.
+TEST_CASE("calls that are given up count as slow")
+{
+    simulation run(6, 6);
+    run.run(milliseconds(3000));
+    const engine_slot slot = run.fixture.load.slot_of(0);
+    run.slowdown[0] = 1e6;
+    CHECK_FALSE(run.is_ejected(0));
+    for (int i = 0; i < 20 && !run.is_ejected(0); ++i)
+    {
+        const call_number call = run.fixture.load.start(slot, 10, false, run.now);
+        run.fixture.load.give_up(call, run.now + milliseconds(1200));
+        run.fixture.load.finish(call);
+        run.detector.tick(run.now);
+    }
+    CHECK(run.is_ejected(0));
+}
+
 // Guards against a probe that is not judged: with few engines the probed one, whose speed
 // is unknown for the moment, left too few to compare with.
 TEST_CASE("a probe that hangs is found out when there are only three engines")
@@ -208,6 +226,38 @@
     CHECK(run.detector.state_of(slot) == health::ejected);
 }
 
+// Guards against an engine that passes its probes, fails its callers and is tried again
+// twice a second forever.
+TEST_CASE("the interval of probes grows with each ejection in a row")
+{
+    engine_fixture fixture(6);
+    slow_engine_detector detector(fixture.load);
+    detector.tick(start_time);
+    state::time_point now = start_time;
+    const engine_slot slot = fixture.load.slot_of(0);
+    milliseconds expected(500);
+    for (int round = 0; round < 6; ++round)
+    {
+        CAPTURE(round);
+        detector.on_failure(slot, now);
+        CHECK_FALSE(detector.is_probe_due(slot, now + expected - milliseconds(1)));
+        CHECK(detector.is_probe_due(slot, now + expected));
+        CHECK(detector.next_probe(now + expected) == slot);
+        now += expected;
+        detector.on_probe_sent(slot, now);
+        CHECK_FALSE(detector.next_probe(now + std::chrono::hours(1)));
+        const call_number call = fixture.load.start(slot, 4, false, now);
+        fixture.load.progress(call, 4, now);
+        fixture.load.finish(call);
+        detector.tick(now);
+        CHECK_FALSE(fixture.load.at(slot).ejected);
+        expected = std::min(expected * 2, milliseconds(4000));
+    }
+    now += std::chrono::seconds(11);
+    detector.on_failure(slot, now);
+    CHECK(detector.is_probe_due(slot, now + milliseconds(500)));
+}
+
 // Guards against the ejection of most engines at once, for example when the node's own
 // network is at fault.
 TEST_CASE("at most a bounded share of the engines is ejected")
