Read the address of a started program from the start of a line

Cause: the runner took the port of peer_listening for that of the callers, so all scenarios failed once nodes printed both lines.

--- a/tests/scenario_runner/child_process.cpp
+++ b/tests/scenario_runner/child_process.cpp
@@ -79,7 +79,8 @@
     {
         const std::string output = "\n" + state::read_file(this->log_path);
         const std::size_t start = output.find(mark);
-        const std::size_t end = output.find('\n', start);
+        const std::size_t end =
+            start == std::string::npos ? start : output.find('\n', start + mark.size());
         if (start != std::string::npos && end != std::string::npos)
         {
             this->listen_address =
