--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -38,6 +38,11 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void MemberEntry::__set_suspect(const bool val) {
+  this->suspect = val;
+__isset.suspect = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberEntry& obj)
 {
   obj.printTo(out);
@@ -110,6 +115,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspect);
+          this->__isset.suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -156,6 +169,11 @@
     xfer += oprot->writeBool(this->leaving);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.suspect) {
+    xfer += oprot->writeFieldBegin("suspect", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->suspect);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -168,6 +186,7 @@
   swap(a.counter, b.counter);
   swap(a.ready, b.ready);
   swap(a.leaving, b.leaving);
+  swap(a.suspect, b.suspect);
   swap(a.__isset, b.__isset);
 }
 
@@ -177,6 +196,7 @@
   counter = other0.counter;
   ready = other0.ready;
   leaving = other0.leaving;
+  suspect = other0.suspect;
   __isset = other0.__isset;
 }
 MemberEntry& MemberEntry::operator=(const MemberEntry& other1) {
@@ -185,6 +205,7 @@
   counter = other1.counter;
   ready = other1.ready;
   leaving = other1.leaving;
+  suspect = other1.suspect;
   __isset = other1.__isset;
   return *this;
 }
@@ -196,6 +217,7 @@
   out << ", " << "counter=" << to_string(counter);
   out << ", " << "ready=" << to_string(ready);
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "suspect="; (__isset.suspect ? (out << to_string(suspect)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -38,8 +38,9 @@
 class Envelope;
 
 typedef struct _MemberEntry__isset {
-  _MemberEntry__isset() : leaving(false) {}
+  _MemberEntry__isset() : leaving(false), suspect(false) {}
   bool leaving :1;
+  bool suspect :1;
 } _MemberEntry__isset;
 
 class MemberEntry : public virtual ::apache::thrift::TBase {
@@ -52,7 +53,8 @@
                 incarnation(0),
                 counter(0),
                 ready(0),
-                leaving(0) {
+                leaving(0),
+                suspect(0) {
   }
 
   virtual ~MemberEntry() noexcept;
@@ -61,6 +63,7 @@
   int64_t counter;
   bool ready;
   bool leaving;
+  bool suspect;
 
   _MemberEntry__isset __isset;
 
@@ -74,6 +77,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_suspect(const bool val);
+
   bool operator == (const MemberEntry & rhs) const
   {
     if (!(node == rhs.node))
@@ -88,6 +93,10 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (__isset.suspect != rhs.__isset.suspect)
+      return false;
+    else if (__isset.suspect && !(suspect == rhs.suspect))
+      return false;
     return true;
   }
   bool operator != (const MemberEntry &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -8,6 +8,8 @@
   3: required i64 counter
   4: required bool ready
   5: optional bool leaving
+  // The node did not answer after this counter.
+  6: optional bool suspect
 }
 
 // A backend server that was seen leaving.
--- /dev/null
+++ b/src/libs/protocol/peer_messages.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pomelorouter::protocol
+{
+
+/// What one node says, or has heard, of a node.
+struct member_entry
+{
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::uint64_t counter = 0;
+    bool ready = false;
+    /// The node is on its way to a planned stop.
+    bool leaving = false;
+    /// The node did not answer after this counter; whoever knows a higher one refutes it.
+    bool suspect = false;
+
+    bool operator==(const member_entry&) const = default;
+};
+
+/// A backend server that was seen leaving.
+struct leaving_backend
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const leaving_backend&) const = default;
+};
+
+/// Requests of a service that a node received in its last interval.
+struct service_demand
+{
+    std::string service;
+    std::int32_t requests = 0;
+
+    bool operator==(const service_demand&) const = default;
+};
+
+struct heartbeat
+{
+    member_entry origin;
+    std::uint64_t settings_offset = 0;
+    std::uint64_t settings_version = 0;
+    std::int32_t peers_heard = 0;
+    std::vector<member_entry> others;
+    std::vector<leaving_backend> leaving;
+    std::vector<service_demand> demand;
+    /// Where the origin accepts peers; empty in an answer.
+    std::string peer_address;
+
+    bool operator==(const heartbeat&) const = default;
+};
+
+/// Asks for the folded settings if they reach beyond `offset`.
+struct settings_pull
+{
+    std::uint64_t offset = 0;
+
+    bool operator==(const settings_pull&) const = default;
+};
+
+/// The folded settings as a `settings_snapshot` record.
+struct settings_state
+{
+    std::string snapshot;
+
+    bool operator==(const settings_state&) const = default;
+};
+
+using peer_message = std::variant<heartbeat, settings_pull, settings_state>;
+
+/// A message with the node id of its sender.
+struct peer_envelope
+{
+    std::string sender;
+    peer_message message;
+
+    bool operator==(const peer_envelope&) const = default;
+};
+
+} // namespace pomelorouter::protocol
