--- a/src/libs/protocol/peer_messages.hpp
+++ b/src/libs/protocol/peer_messages.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -29,7 +30,12 @@
     std::string id;
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const leaving_backend&) const = default;
+    bool operator==(const leaving_backend&) const = default;
+    bool operator<(const leaving_backend& other) const
+    {
+        return std::tie(this->id, this->incarnation) <
+               std::tie(other.id, other.incarnation);
+    }
 };
 
 /// Requests of a service that a node received in its last interval.
--- /dev/null
+++ b/tests/auto/coordination/tst_membership.cpp
@@ -0,0 +1,371 @@
+#include "coordination/membership.hpp"
+
+#include "protocol/peer_codec.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using coordination::membership;
+using coordination::membership_event;
+using coordination::own_health;
+using state::milliseconds;
+using state::time_point;
+
+constexpr milliseconds step{100};
+constexpr milliseconds latency{20};
+const coordination::membership_times times;
+// One IPv4 and TCP header without options for a frame, and one for its acknowledgement.
+constexpr std::size_t packet_overhead_bytes = 2 * 40;
+
+std::string name_of(std::size_t index)
+{
+    return "hn-1-node-" + std::to_string(1000 + index);
+}
+
+/// Nodes in virtual time with a network that can be cut one way, and a list that lags.
+class cluster
+{
+public:
+    cluster(std::size_t size, std::uint64_t seed) : random(seed), nodes(size)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            this->start(i);
+            this->list.push_back(this->instance_of(i));
+        }
+        for (auto& item : this->nodes)
+            item.part->on_list(this->list, this->now);
+    }
+
+    struct node
+    {
+        std::unique_ptr<membership> part;
+        std::uint64_t incarnation = 0;
+        bool paused = false;
+        bool dead = false;
+        /// Last moment at which the node was listed or unlisted by the peer.
+        std::map<std::string, time_point> unlisted_at;
+        std::size_t bytes_sent = 0;
+    };
+
+    void start(std::size_t index)
+    {
+        node& item = this->nodes[index];
+        item.incarnation = ++this->last_incarnation;
+        item.part = std::make_unique<membership>(
+            name_of(index), item.incarnation, name_of(index) + ":7000", this->random());
+        item.part->set_own({true, false, 0, 0});
+        item.part->on_list(this->list, this->now);
+        item.paused = item.dead = false;
+        item.unlisted_at.clear();
+    }
+
+    state::instance instance_of(std::size_t index) const
+    {
+        state::instance result;
+        result.id = name_of(index);
+        result.address = name_of(index) + ":80";
+        result.peer_address = name_of(index) + ":7000";
+        return result;
+    }
+
+    void run(milliseconds duration)
+    {
+        for (const time_point end = this->now + duration; this->now < end;)
+        {
+            this->now += step;
+            for (std::size_t i = 0; i < this->nodes.size(); ++i)
+                this->run_node(i);
+        }
+    }
+
+    bool hears_all(std::size_t index) const
+    {
+        return std::ranges::all_of(
+            this->nodes,
+            [&](const node& other)
+            {
+                const auto peer = static_cast<std::size_t>(&other - this->nodes.data());
+                return other.dead || this->nodes[index].part->is_live(name_of(peer));
+            });
+    }
+
+    /// Direction from, to.
+    std::map<std::pair<std::size_t, std::size_t>, bool> cuts;
+    std::mt19937_64 random;
+    std::vector<node> nodes;
+    std::vector<state::instance> list;
+    time_point now{};
+    std::size_t fast_returns = 0;
+    std::size_t false_unlistings = 0;
+
+private:
+    struct delivery
+    {
+        time_point at;
+        std::size_t from;
+        protocol::heartbeat message;
+        bool needs_answer;
+    };
+
+    void run_node(std::size_t index)
+    {
+        node& item = this->nodes[index];
+        if (item.dead || item.paused)
+            return;
+        std::vector<delivery> due = std::exchange(this->inbox[index], {});
+        for (delivery& message : due)
+        {
+            if (message.at > this->now)
+            {
+                this->inbox[index].push_back(std::move(message));
+                continue;
+            }
+            item.part->on_heartbeat(message.message, this->now);
+            if (message.needs_answer)
+                this->send(index, message.from, item.part->answer(), false);
+        }
+        for (const auto& sent : item.part->tick(this->now))
+        {
+            const auto target = static_cast<std::size_t>(
+                std::stoul(sent.node.substr(sent.node.rfind('-') + 1)) - 1000);
+            this->send(index, target, sent.message, true);
+        }
+        this->check_events(item);
+    }
+
+    void send(std::size_t from, std::size_t to, const protocol::heartbeat& message,
+              bool needs_answer)
+    {
+        this->nodes[from].bytes_sent +=
+            protocol::encode_peer_frame({name_of(from), message}).size() +
+            packet_overhead_bytes;
+        if (!this->cuts[{from, to}] && !this->nodes[to].dead)
+            this->inbox[to].push_back({this->now + latency, from, message, needs_answer});
+    }
+
+    void check_events(node& item)
+    {
+        for (const membership_event& event : item.part->take_events())
+        {
+            if (event.kind == membership_event::change::unlisted)
+            {
+                item.unlisted_at[event.node] = this->now;
+                ++this->false_unlistings;
+            }
+            if (event.kind != membership_event::change::listed)
+                continue;
+            const auto left = item.unlisted_at.find(event.node);
+            if (left != item.unlisted_at.end() &&
+                this->now - left->second < times.rejoin_after)
+                ++this->fast_returns;
+        }
+    }
+
+    std::uint64_t last_incarnation = 0;
+    std::map<std::size_t, std::vector<delivery>> inbox;
+};
+
+/// Rounds of the detector: finding a silent peer, spreading the suspicion, refuting it.
+milliseconds detection_bound(std::size_t size)
+{
+    std::int64_t rounds = 1;
+    for (std::size_t reached = 1; reached < size; reached *= membership::fan_out)
+        ++rounds;
+    return times.suspect_after + 2 * rounds * times.heartbeat;
+}
+
+} // namespace
+
+// Guards against a silent node that callers are still sent to, in any mix of pauses,
+// one-way cuts, restarts and a lagging list, and against nodes that do not find back.
+TEST_CASE("600 random schedules keep the bounds of the failure detector")
+{
+    constexpr std::size_t schedules = 600;
+    constexpr std::size_t size = 7;
+    for (std::size_t schedule = 0; schedule < schedules; ++schedule)
+    {
+        CAPTURE(schedule);
+        cluster nodes(size, 41000 + schedule); // stated seed
+        nodes.run(milliseconds(10000));
+        for (std::size_t i = 0; i < size; ++i)
+            REQUIRE(nodes.hears_all(i));
+        REQUIRE(nodes.false_unlistings == 0);
+
+        const std::size_t victim = nodes.random() % size;
+        const std::uint64_t old_process = nodes.nodes[victim].incarnation;
+        const bool is_restart = nodes.random() % 2 == 0;
+        for (std::size_t cut = nodes.random() % 3; cut > 0; --cut)
+            nodes.cuts[{nodes.random() % size, nodes.random() % size}] = true;
+        (is_restart ? nodes.nodes[victim].dead : nodes.nodes[victim].paused) = true;
+        // The victim misses a change of the settings.
+        for (std::size_t i = 0; i < size; ++i)
+            nodes.nodes[i].part->set_own({true, false, i == victim ? 1U : 2U, 1});
+        nodes.run(detection_bound(size));
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            if (i != victim)
+                CHECK_FALSE(nodes.nodes[i].part->is_live(name_of(victim)));
+        }
+        nodes.run(milliseconds(nodes.random() % 8000));
+        if (is_restart)
+            nodes.start(victim);
+        nodes.nodes[victim].paused = false;
+        const auto lag = milliseconds(nodes.random() % 5000);
+        nodes.run(lag);
+        nodes.cuts.clear();
+        nodes.run(detection_bound(size) + times.rejoin_after);
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            const membership& part = *nodes.nodes[i].part;
+            CHECK(nodes.hears_all(i));
+            CHECK(part.health() == (i == victim && !is_restart ? own_health::catching_up
+                                                               : own_health::healthy));
+            if (i != victim)
+                CHECK(part.is_known_dead(name_of(victim), old_process) == is_restart);
+        }
+        nodes.nodes[victim].part->on_log_read(nodes.now);
+        nodes.run(step);
+        CHECK(nodes.nodes[victim].part->health() == own_health::healthy);
+        // A pause that ends while the peers give the node up.
+        nodes.nodes[victim].paused = true;
+        nodes.run(milliseconds(3000 + nodes.random() % 4000));
+        nodes.nodes[victim].paused = false;
+        nodes.run(detection_bound(size) + times.rejoin_after);
+        for (std::size_t i = 0; i < size; ++i)
+            CHECK(nodes.hears_all(i));
+        CHECK(nodes.fast_returns == 0);
+    }
+}
+
+// Guards against a single lost link that takes a healthy node out.
+TEST_CASE("one-way cuts of single links take no node out")
+{
+    for (std::uint64_t seed = 0; seed < 50; ++seed)
+    {
+        CAPTURE(seed);
+        cluster nodes(7, seed);
+        nodes.cuts[{0, 1}] = true;
+        nodes.cuts[{2, 3}] = nodes.cuts[{3, 2}] = true;
+        nodes.run(milliseconds(60000));
+        CHECK(nodes.false_unlistings == 0);
+    }
+}
+
+// Guards against a node that serves although it is cut off, and against small clusters
+// that find themselves isolated.
+TEST_CASE("a node is isolated when it hears fewer than half of its region")
+{
+    struct row
+    {
+        std::size_t size;
+        std::size_t unheard;
+        own_health expected;
+    };
+    const std::vector<row> rows{
+        {1, 0, own_health::healthy},  {2, 1, own_health::healthy},
+        {3, 2, own_health::isolated}, {4, 2, own_health::healthy},
+        {6, 3, own_health::healthy},  {7, 3, own_health::healthy},
+        {7, 4, own_health::isolated}, {7, 6, own_health::isolated},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.size);
+        CAPTURE(item.unheard);
+        cluster nodes(item.size, 5);
+        nodes.run(milliseconds(10000));
+        for (std::size_t i = 1; i <= item.unheard; ++i)
+            nodes.nodes[i].paused = true;
+        nodes.run(detection_bound(item.size));
+        CHECK(nodes.nodes[0].part->health() == item.expected);
+    }
+}
+
+// Guards against a list that is behind, and against memory that is released while the
+// process that reserved it may still run.
+TEST_CASE("the list removes a silent node and keeps one that is heard")
+{
+    cluster nodes(4, 9);
+    nodes.run(milliseconds(5000));
+    membership& part = *nodes.nodes[0].part;
+    auto shorter = nodes.list;
+    shorter.pop_back();
+    part.on_list(shorter, nodes.now);
+    CHECK(part.is_live(name_of(3)));
+    CHECK_FALSE(part.members().back().live);
+    CHECK_FALSE(part.is_known_dead(name_of(3), nodes.nodes[3].incarnation));
+    nodes.nodes[3].paused = true;
+    nodes.run(detection_bound(4));
+    CHECK_FALSE(part.is_known_dead(name_of(3), nodes.nodes[3].incarnation));
+    part.on_list(shorter, nodes.now);
+    CHECK(part.is_known_dead(name_of(3), nodes.nodes[3].incarnation));
+    CHECK_FALSE(part.is_known_dead(name_of(1), nodes.nodes[1].incarnation));
+    CHECK_FALSE(part.is_known_dead("unlisted-node", 1));
+}
+
+// Guards against two holders that think they are the first in rank.
+TEST_CASE("nodes that hear each other agree on all ranks")
+{
+    cluster nodes(7, 13);
+    nodes.run(milliseconds(5000));
+    for (const char* key : {"placement/hanoi", "settings", "claims"})
+    {
+        std::vector<std::size_t> ranks;
+        for (const auto& item : nodes.nodes)
+            ranks.push_back(item.part->rank(key));
+        std::ranges::sort(ranks);
+        for (std::size_t i = 0; i < ranks.size(); ++i)
+            CHECK(ranks[i] == i);
+    }
+}
+
+// Guards against new work for a leaving backend server at nodes whose list lags.
+TEST_CASE("a leaving flag reaches every node")
+{
+    cluster nodes(7, 17);
+    nodes.run(milliseconds(5000));
+    nodes.nodes[0].part->note_leaving({"engine-4", 2}, nodes.now);
+    nodes.run(milliseconds(4000));
+    for (const auto& item : nodes.nodes)
+    {
+        CHECK(item.part->is_leaving({"engine-4", 2}));
+        CHECK_FALSE(item.part->is_leaving({"engine-4", 3}));
+    }
+}
+
+// Guards against traffic that grows with the number of nodes (target: 2 KB/s at 360) and
+// against a detector that no longer works at that size.
+TEST_CASE("at 360 nodes the traffic of a node is within its budget")
+{
+    constexpr std::size_t size = 360;
+    constexpr std::size_t budget_bytes_per_s = 2048;
+    constexpr std::int64_t seconds = 20;
+    cluster nodes(size, 23);
+    nodes.run(milliseconds(60000));
+    for (std::size_t i = 0; i < size; ++i)
+        CHECK(nodes.hears_all(i));
+    for (auto& item : nodes.nodes)
+        item.bytes_sent = 0;
+    nodes.nodes[100].dead = true;
+    nodes.run(std::max(milliseconds(1000 * seconds), detection_bound(size)));
+    std::size_t total = 0;
+    std::size_t heard_dead = 0;
+    for (const auto& item : nodes.nodes)
+    {
+        total += item.bytes_sent;
+        heard_dead += !item.dead && item.part->is_live(name_of(100)) ? 1 : 0;
+    }
+    const std::size_t mean = total / (size * seconds);
+    MESSAGE("bytes/s sent by a node: " << mean);
+    CHECK(mean <= budget_bytes_per_s);
+    CHECK(heard_dead == 0);
+    CHECK(nodes.false_unlistings == size - 1);
+}
