--- a/src/app/node/control_component.hpp
+++ b/src/app/node/control_component.hpp
@@ -19,6 +19,7 @@
     virtual void on_instances(const instances_listed& /*event*/) {}
     virtual void on_engine(const engine_reported& /*event*/) {}
     virtual void on_engine_unreachable(const engine_unreachable& /*event*/) {}
+    virtual void on_peer(const peer_received& /*event*/) {}
     virtual void on_tick(state::time_point /*now*/) {}
     /// Adds this component's part to the next snapshot. Components contribute in the
     /// order in which they were added.
--- a/src/app/node/control_event.hpp
+++ b/src/app/node/control_event.hpp
@@ -3,6 +3,7 @@
 #include "state/error.hpp"
 #include "state/fleet.hpp"
 #include "transport/log_service.hpp"
+#include "transport/peer_port.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -55,6 +56,12 @@
     std::string engine;
 };
 
+/// A message of another node.
+struct peer_received
+{
+    transport::peer_delivery delivery;
+};
+
 /// Work for the control thread that a component has scheduled for itself, for example
 /// when an append has ended.
 struct control_task
@@ -65,6 +72,6 @@
 /// All that other threads send to the control thread.
 using control_event =
     std::variant<stream_page, stream_truncated, stream_unavailable, instances_listed,
-                 engine_reported, engine_unreachable, control_task>;
+                 engine_reported, engine_unreachable, peer_received, control_task>;
 
 } // namespace pomelorouter::app
--- a/src/app/node/control_loop.cpp
+++ b/src/app/node/control_loop.cpp
@@ -71,6 +71,7 @@
             { to_all(&control_component::on_engine, item); },
             [&](const engine_unreachable& item)
             { to_all(&control_component::on_engine_unreachable, item); },
+            [&](const peer_received& item) { to_all(&control_component::on_peer, item); },
             [](const control_task& item) { item.run(); },
         },
         event);
--- /dev/null
+++ b/src/app/node/membership_component.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "app/node/control_component.hpp"
+#include "app/node/control_loop.hpp"
+#include "app/node/settings_component.hpp"
+#include "coordination/membership.hpp"
+#include "transport/peer_port.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::app
+{
+
+/// Exchanges heartbeats and settings with the other nodes, and puts the nodes and this
+/// node's readiness into the snapshot. Must be added after the components whose backend
+/// servers it marks as leaving.
+class membership_component : public control_component
+{
+public:
+    membership_component(const node_identity& identity, control_loop& loop,
+                         settings_component& settings, transport::peer_port& peers,
+                         state::event_log& events, std::uint64_t seed);
+
+    void set_seeds(std::vector<std::string> addresses);
+    /// Tells the peers at once that this node is on its way to a planned stop.
+    void announce_leaving();
+    const coordination::membership& members() const { return this->part; }
+    /// Marks a backend server as leaving here and at the peers.
+    void note_leaving(const protocol::leaving_backend& backend, state::time_point now);
+
+    void on_page(const stream_page& event) override;
+    void on_instances(const instances_listed& event) override;
+    void on_peer(const peer_received& event) override;
+    void on_tick(state::time_point now) override;
+    void contribute(state::node_view& view) override;
+
+private:
+    void on_heartbeat(const transport::peer_delivery& delivery,
+                      const protocol::heartbeat& message, state::time_point now);
+    void on_pull(const transport::peer_delivery& delivery,
+                 const protocol::settings_pull& message);
+    void on_state(const std::string& peer, const protocol::settings_state& message);
+    void pull_if_behind(const std::string& peer, const std::string& address,
+                        std::uint64_t peer_offset, state::time_point now);
+    void send_all(const std::vector<coordination::outgoing_heartbeat>& messages);
+    void update_own();
+    void contribute_nodes(state::node_view& view) const;
+    protocol::peer_envelope envelope(protocol::peer_message message) const;
+
+    const node_identity& identity;
+    control_loop& loop;
+    settings_component& settings;
+    transport::peer_port& peers;
+    state::event_log& events;
+    coordination::membership part;
+    coordination::own_health last_health = coordination::own_health::healthy;
+    bool is_leaving = false;
+    /// Since when a peer has been ahead while this node's position stood still.
+    std::optional<state::time_point> behind_since;
+    std::uint64_t last_offset = 0;
+    std::optional<state::time_point> last_pull;
+};
+
+} // namespace pomelorouter::app
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -6,7 +6,8 @@
 #include "app/node/control_loop.hpp"
 #include "app/node/engine_poller.hpp"
 #include "app/node/fleet_component.hpp"
-#include "app/node/node_list_component.hpp"
+#include "app/node/lifecycle_component.hpp"
+#include "app/node/membership_component.hpp"
 #include "app/node/platform_client.hpp"
 #include "app/node/service_proxy.hpp"
 #include "app/node/settings_component.hpp"
@@ -15,10 +16,12 @@
 #include "state/log.hpp"
 #include "transport/duty_thread.hpp"
 #include "transport/http_server.hpp"
+#include "transport/peer_network.hpp"
 #include "transport/thread_timer_service.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -32,11 +35,30 @@
 
 constexpr state::milliseconds list_poll_period{1000};
 
-std::uint64_t random_incarnation()
+// Random bits that tell two starts within the same millisecond apart.
+constexpr unsigned incarnation_random_bits = 20;
+
+std::uint64_t random_seed()
 {
-    // Fits a signed 64-bit number, which is what peers and JSON readers can carry.
     std::random_device device;
-    return ((static_cast<std::uint64_t>(device()) << 32U) | device()) >> 1U;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::uint64_t make_incarnation()
+{
+    // Begins with the time of the start, so that peers can tell which of two processes
+    // with the same node id is the later one. Fits a signed 64-bit number, which is what
+    // peers and JSON readers can carry.
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto now = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<state::milliseconds>(since_epoch).count());
+    constexpr std::uint64_t random_mask = (1ULL << incarnation_random_bits) - 1;
+    return (now << incarnation_random_bits) | (random_seed() & random_mask);
+}
+
+control_event received_event(transport::peer_delivery delivery)
+{
+    return peer_received{std::move(delivery)};
 }
 
 transport::http_server_limits server_limits(const state::process_settings& settings)
@@ -53,7 +75,7 @@
 {
 public:
     explicit node_process(const state::process_settings& settings)
-        : identity{settings.node_id, random_incarnation(), settings.zone, settings.listen,
+        : identity{settings.node_id, make_incarnation(), settings.zone, settings.listen,
                    settings.peer_listen},
           events(identity.id, identity.incarnation,
                  static_cast<std::size_t>(settings.timeline_events)),
@@ -61,20 +83,33 @@
           platform(platform_thread.context(), settings.platform, control.mailbox(),
                    counters),
           poller(fleet_thread.context(), control.mailbox(), counters),
+          peers(
+              peer_thread.context(),
+              [this](transport::peer_delivery delivery)
+              // A full ring is counted; a lost heartbeat is followed by another.
+              { this->control.mailbox().try_push(received_event(std::move(delivery))); },
+              counters),
           settings_part(identity, control, platform, events, counters),
           fleet_part(identity, control, poller, events),
-          nodes_part(identity, control),
+          members_part(this->listen_for_peers(), control, settings_part, peers, events,
+                       random_seed()),
           client(serving_thread.executor()),
           completions(settings.node_id, control.views(), client,
                       serving_thread.executor(), timers, counters),
           services(control.views(), client, counters),
           admin(identity, control.views(), control.mailbox(), settings_part, events),
           api(control.views(), completions, services, admin, counters),
-          server(serving_thread.context(), server_limits(settings), api, counters)
+          server(serving_thread.context(), server_limits(settings), api, counters),
+          lifecycle_part(control, members_part, server, serving_thread.context(), events,
+                         [this] { this->signal_loop.stop(); })
     {
         this->control.add(this->settings_part);
         this->control.add(this->fleet_part);
-        this->control.add(this->nodes_part);
+        this->control.add(this->members_part);
+        this->control.add(this->lifecycle_part);
+        this->members_part.set_seeds(settings.seed_peers);
+        this->settings_part.set_rank_source(
+            [this] { return this->members_part.members().rank("settings"); });
         this->identity.address = this->server.listen(settings.listen);
     }
 
@@ -86,6 +121,7 @@
         this->events.record("node_started", {{"address", this->identity.address},
                                              {"zone", this->identity.zone}});
         // Scripts that let the kernel choose the port read it from this line.
+        std::cout << "peer_address " << this->identity.peer_address << "\n";
         std::cout << "listening " << this->identity.address << std::endl;
         for (transport::duty_thread* thread : this->threads())
             thread->start();
@@ -96,40 +132,65 @@
     }
 
 private:
-    std::array<transport::duty_thread*, 4> threads()
+    std::array<transport::duty_thread*, 5> threads()
     {
         return {&this->serving_thread, &this->fleet_thread, &this->platform_thread,
-                &this->control_thread};
+                &this->peer_thread, &this->control_thread};
     }
 
     void wait_for_signal()
     {
-        boost::asio::io_context loop;
-        boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
-        signals.async_wait([](boost::system::error_code, int) {});
-        loop.run();
+        this->wait_for_next_signal();
+        this->signal_loop.run();
+    }
+
+    void wait_for_next_signal()
+    {
+        this->signals.async_wait(
+            [this](boost::system::error_code failure, int)
+            {
+                if (failure)
+                    return;
+                control_event stop =
+                    control_task{[this] { this->lifecycle_part.request_stop(); }};
+                // A control thread that takes nothing more cannot carry out a stop.
+                if (!this->control.mailbox().try_push(std::move(stop)))
+                    this->signal_loop.stop();
+                this->wait_for_next_signal();
+            });
+    }
+
+    const node_identity& listen_for_peers()
+    {
+        this->identity.peer_address = this->peers.listen(this->identity.peer_address);
+        return this->identity;
     }
 
     node_identity identity;
+    boost::asio::io_context signal_loop;
+    boost::asio::signal_set signals{signal_loop, SIGTERM, SIGINT};
     state::counter_registry counters;
     state::event_log events;
     transport::thread_timer_service timers;
     transport::duty_thread control_thread{"control"};
     transport::duty_thread platform_thread{"platform"};
     transport::duty_thread fleet_thread{"fleet"};
+    transport::duty_thread peer_thread{"peer"};
     transport::duty_thread serving_thread{"serving"};
     control_loop control;
     platform_client platform;
     engine_poller poller;
+    transport::peer_network peers;
     settings_component settings_part;
     fleet_component fleet_part;
-    node_list_component nodes_part;
+    membership_component members_part;
     transport::http_client client;
     completion_proxy completions;
     service_proxy services;
     admin_api admin;
     caller_api api;
     transport::http_server server;
+    lifecycle_component lifecycle_part;
 };
 
 } // namespace
--- a/src/app/node/settings_component.cpp
+++ b/src/app/node/settings_component.cpp
@@ -59,6 +59,25 @@
                           { this->on_appended(id, result); });
 }
 
+bool settings_component::adopt(const protocol::settings_snapshot& snapshot,
+                               const std::string& peer)
+{
+    if (!this->state_fold.adopt(snapshot))
+        return false;
+    this->events.record("settings_adopted",
+                        {{"peer", peer}, {"version", std::to_string(snapshot.version)}});
+    // Reading goes on behind the adopted state. If the log no longer reaches back so far,
+    // the truncation tells.
+    this->platform.follow(stream_name, this->state_fold.next_offset());
+    this->loop.mark_changed();
+    return true;
+}
+
+void settings_component::set_rank_source(std::function<std::size_t()> source)
+{
+    this->rank_source = std::move(source);
+}
+
 void settings_component::on_page(const stream_page& event)
 {
     if (event.stream != stream_name)
@@ -75,6 +94,7 @@
     }
     for (const transport::log_record& record : event.page.records)
         this->apply(record);
+    this->snapshots.on_range(event.page.first, event.page.next);
 }
 
 void settings_component::on_truncated(const stream_truncated& event)
@@ -87,6 +107,7 @@
 
 void settings_component::on_tick(state::time_point now)
 {
+    this->write_snapshot_if_due(now);
     std::vector<std::string> expired;
     for (const auto& [id, proposal] : this->waiting)
     {
@@ -119,6 +140,7 @@
         const auto result = this->state_fold.apply(record.offset, record.data);
         if (result)
             this->finish(*result);
+        this->note_snapshot(record);
     }
     catch (const error& failure)
     {
@@ -131,6 +153,35 @@
     this->loop.mark_changed();
 }
 
+void settings_component::note_snapshot(const transport::log_record& record)
+{
+    // Most records are proposals; only a likely snapshot is parsed a second time.
+    if (record.data.find("settings_snapshot") == std::string::npos)
+        return;
+    const auto parsed = protocol::parse_settings_record(record.data);
+    if (const auto* snapshot = std::get_if<protocol::settings_snapshot>(&parsed))
+        this->snapshots.on_snapshot(record.offset, snapshot->upto);
+}
+
+void settings_component::write_snapshot_if_due(state::time_point now)
+{
+    // A node that does not know the state of the whole prefix must not write it.
+    if (!this->state_fold.is_known() || this->state_fold.next_offset() == 0)
+        return;
+    const auto max_records = static_cast<std::uint64_t>(
+        this->state_fold.resolved()->attributes.get(state::attribute::snapshot_records));
+    const std::size_t rank = this->rank_source ? this->rank_source() : 0;
+    if (!this->snapshots.take_due(now, max_records, rank))
+        return;
+    protocol::settings_snapshot snapshot = this->state_fold.snapshot();
+    snapshot.header.writer = this->identity.id;
+    snapshot.header.incarnation = this->identity.incarnation;
+    snapshot.header.sequence = this->next_sequence++;
+    this->events.record("settings_snapshot", {{"upto", std::to_string(snapshot.upto)}});
+    this->platform.append(stream_name, protocol::format_settings_record(snapshot),
+                          [](const append_result& /*result*/) {});
+}
+
 void settings_component::finish(const protocol::proposal_result& result)
 {
     this->events.record("settings_verdict",
--- a/src/app/node/settings_component.hpp
+++ b/src/app/node/settings_component.hpp
@@ -4,6 +4,7 @@
 #include "app/node/control_loop.hpp"
 #include "app/node/platform_client.hpp"
 #include "coordination/settings_fold.hpp"
+#include "coordination/snapshot_schedule.hpp"
 #include "state/counters.hpp"
 #include "state/event_log.hpp"
 
@@ -49,6 +50,10 @@
     /// Proposes a tree; `done` is called on the control thread once the verdict is known.
     void propose(std::uint64_t base_version, std::string author, boost::json::value tree,
                  settings_callback done);
+    /// Takes the state that a peer has sent if it is newer; returns whether.
+    bool adopt(const protocol::settings_snapshot& snapshot, const std::string& peer);
+    /// Sets what tells this node's rank among the writers of snapshots.
+    void set_rank_source(std::function<std::size_t()> source);
     const coordination::settings_fold& fold() const { return this->state_fold; }
 
     void on_page(const stream_page& event) override;
@@ -64,6 +69,8 @@
     };
 
     void apply(const transport::log_record& record);
+    void note_snapshot(const transport::log_record& record);
+    void write_snapshot_if_due(state::time_point now);
     void finish(const protocol::proposal_result& result);
     void on_appended(const std::string& id, const append_result& result);
 
@@ -73,6 +80,8 @@
     state::event_log& events;
     state::counter& skipped_records;
     coordination::settings_fold state_fold;
+    coordination::snapshot_schedule snapshots;
+    std::function<std::size_t()> rank_source;
     std::map<std::string, waiting_proposal> waiting;
     std::uint64_t next_sequence = 0;
 };
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -22,6 +22,8 @@
 constexpr state::seconds list_absence_proof{120};
 // Keeps the flag of a backend server while the list still lags behind it.
 constexpr state::seconds leaving_flag_life{120};
+// The first read that ends after a pause may have begun before it.
+constexpr std::size_t reads_to_catch_up = 2;
 // Bounds the memory that a restart loop of a peer can take.
 constexpr std::size_t max_retired = 64;
 
@@ -140,7 +142,7 @@
 void membership::on_log_read(time_point now)
 {
     this->note_time(now);
-    this->log_read_since = true;
+    ++this->reads_since_pause;
 }
 
 void membership::note_leaving(const leaving_backend& backend, time_point now)
@@ -276,7 +278,7 @@
 void membership::resume(time_point now)
 {
     this->is_catching_up = true;
-    this->log_read_since = false;
+    this->reads_since_pause = 0;
     this->highest_offset_heard = 0;
     this->resumed = now;
     this->record(membership_event::change::paused, this->id);
@@ -309,8 +311,9 @@
                                   }));
         // During an outage of the log the peers' positions tell whether anything was
         // missed.
-        const bool has_caught_up = this->log_read_since || this->own.settings_offset >=
-                                                               this->highest_offset_heard;
+        const bool has_caught_up =
+            this->reads_since_pause >= reads_to_catch_up ||
+            this->own.settings_offset >= this->highest_offset_heard;
         if (has_caught_up && heard >= std::min(fan_out, (monitored + 1) / 2))
             this->is_catching_up = false;
     }
--- a/src/libs/coordination/membership.hpp
+++ b/src/libs/coordination/membership.hpp
@@ -105,7 +105,7 @@
     void on_list(const std::vector<state::instance>& instances, state::time_point now);
     /// Takes a heartbeat that came from its origin.
     void on_heartbeat(const protocol::heartbeat& message, state::time_point now);
-    /// The log was read up to its present end.
+    /// A read of the log has ended.
     void on_log_read(state::time_point now);
     /// Marks a backend server as leaving, for this node and its peers.
     void note_leaving(const protocol::leaving_backend& backend, state::time_point now);
@@ -216,7 +216,7 @@
     std::optional<state::time_point> last_time;
     state::time_point next_round{};
     bool is_catching_up = false;
-    bool log_read_since = false;
+    std::size_t reads_since_pause = 0;
     state::time_point resumed{};
     std::uint64_t highest_offset_heard = 0;
     std::vector<membership_event> events;
--- a/src/libs/state/attributes.cpp
+++ b/src/libs/state/attributes.cpp
@@ -82,6 +82,8 @@
      root, "appends of idempotency claims over all nodes"},
     {attribute::snapshot_records, "snapshot_records", "records", 500, 5, 1000000, root,
      "a snapshot is appended after this many records of a stream"},
+    {attribute::drain_limit_s, "drain_limit_s", "s", 600, 1, 86400, root,
+     "longest time a planned stop of a node waits for requests in flight"},
 }};
 
 constexpr bool rows_are_in_order()
--- a/src/libs/state/attributes.hpp
+++ b/src/libs/state/attributes.hpp
@@ -47,9 +47,10 @@
     load_poll_ms,
     claim_appends_per_s,
     snapshot_records,
+    drain_limit_s,
 };
 
-inline constexpr std::size_t attribute_count = 30;
+inline constexpr std::size_t attribute_count = 31;
 
 /// Values of `attribute::policy`.
 enum class routing_policy_kind
--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -20,6 +20,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <atomic>
 #include <optional>
 #include <set>
 #include <utility>
@@ -58,7 +59,8 @@
     state::counter& refused_connections;
     state::counter& open_connections;
     std::set<session*> sessions;
-    std::size_t in_flight = 0;
+    /// Read by other threads during a planned stop.
+    std::atomic<std::size_t> in_flight = 0;
     std::uint64_t last_connection = 0;
     bool closing = false;
     bool accepting = true;
@@ -105,12 +107,6 @@
         this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
 
-    void close_if_idle()
-    {
-        if (this->idle)
-            this->stream.close();
-    }
-
     const http_request& request() const override { return this->current_request; }
     std::uint64_t connection() const override { return this->number; }
     bool has_responded() const override { return this->responded; }
@@ -158,6 +154,23 @@
     }
 
 private:
+    /// Counts a request from its first byte on, so that a planned stop waits for one that
+    /// is arriving.
+    class in_flight_guard
+    {
+    public:
+        explicit in_flight_guard(std::atomic<std::size_t>& counted) : count(counted)
+        {
+            ++this->count;
+        }
+        ~in_flight_guard() { --this->count; }
+        in_flight_guard(const in_flight_guard&) = delete;
+        in_flight_guard& operator=(const in_flight_guard&) = delete;
+
+    private:
+        std::atomic<std::size_t>& count;
+    };
+
     /// Returns whether the connection stays open for another request.
     asio::awaitable<bool> serve_one()
     {
@@ -169,13 +182,12 @@
         boost::system::error_code failure;
         if (this->buffer.size() == 0)
         {
-            this->idle = true;
             this->stream.expires_after(this->shared->limits.idle_timeout);
             co_await this->read_first_bytes(failure);
-            this->idle = false;
             if (failure)
                 co_return false;
         }
+        const in_flight_guard guard(this->shared->in_flight);
         co_await this->read_request(parser, failure);
         if (failure)
         {
@@ -185,9 +197,7 @@
         this->shared->requests.add();
         this->current_request = parser.release();
         this->stream.expires_never();
-        ++this->shared->in_flight;
         const bool completed = co_await this->call_handler();
-        --this->shared->in_flight;
         co_return completed&& this->keep_alive;
     }
 
@@ -334,7 +344,6 @@
     std::shared_ptr<read_limit> limit = std::make_shared<read_limit>();
     http_request current_request;
     std::uint64_t number;
-    bool idle = true;
     bool responded = false;
     bool keep_alive = true;
 };
@@ -379,9 +388,6 @@
     this->shared->accepting = false;
     boost::system::error_code ignored;
     this->shared->acceptor.close(ignored);
-    const std::set<session*> open = this->shared->sessions;
-    for (session* item : open)
-        item->close_if_idle();
 }
 
 std::size_t http_server::requests_in_flight() const
--- a/src/libs/transport/http_server.hpp
+++ b/src/libs/transport/http_server.hpp
@@ -71,9 +71,11 @@
     std::string listen(const std::string& address);
     /// From now on each response asks the client to close the connection.
     void announce_close();
-    /// Closes the listener and all idle connections; requests in flight go on.
+    /// Closes the listener. Open connections are served on, since a request may be
+    /// arriving on any of them; each response then closes its connection.
     void stop_accepting();
-    /// Requests that have been received and not yet fully answered.
+    /// Requests of which a byte was received and that are not yet fully answered. May be
+    /// called on any thread.
     std::size_t requests_in_flight() const;
 
 private:
--- a/tests/auto/coordination/tst_membership.cpp
+++ b/tests/auto/coordination/tst_membership.cpp
@@ -232,6 +232,10 @@
             if (i != victim)
                 CHECK(part.is_known_dead(name_of(victim), old_process) == is_restart);
         }
+        // The first read may have begun before the pause.
+        nodes.nodes[victim].part->on_log_read(nodes.now);
+        nodes.run(step);
+        CHECK((nodes.nodes[victim].part->health() == own_health::healthy) == is_restart);
         nodes.nodes[victim].part->on_log_read(nodes.now);
         nodes.run(step);
         CHECK(nodes.nodes[victim].part->health() == own_health::healthy);
