--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -518,7 +518,9 @@
         if (!this->counts_for_isolation(item))
             continue;
         ++expected;
-        heard += item.is_heard() && !item.suspected ? 1 : 0;
+        // Peers count until they are given up, so that a stall of a second or two does
+        // not take this node out.
+        heard += item.is_heard() && (item.live || !item.suspected) ? 1 : 0;
     }
     return 2 * heard < expected ? own_health::isolated : own_health::healthy;
 }
--- a/tests/auto/coordination/tst_membership.cpp
+++ b/tests/auto/coordination/tst_membership.cpp
@@ -288,6 +288,8 @@
         nodes.run(milliseconds(10000));
         for (std::size_t i = 1; i <= item.unheard; ++i)
             nodes.nodes[i].paused = true;
+        nodes.run(times.suspect_after / 2);
+        CHECK(nodes.nodes[0].part->health() == own_health::healthy);
         nodes.run(detection_bound(item.size));
         CHECK(nodes.nodes[0].part->health() == item.expected);
     }
