Make the test of silent links tell silence from a full queue

The case passed with the silence limit switched off, and with the bound of the queue switched off: it sent so often that either mechanism closed the link. Heartbeats now go out at intervals and the counters are compared.

Conclusion: the test is stricter than before.

--- a/tests/auto/transport/tst_peer_network.cpp
+++ b/tests/auto/transport/tst_peer_network.cpp
@@ -129,14 +129,20 @@
     const std::string address = transport::format_address(silent.local_endpoint());
     sender.network.send(address, pull(1));
     REQUIRE(sender.run_until([&] { return accepted.size() == 1; }));
-    // The condition is asked again and again, so that the sender is seen to act on the
-    // lack of an answer.
+    // Heartbeats at intervals, few enough that the queue is not what closes the link.
+    auto next = std::chrono::steady_clock::now();
     CHECK(sender.run_until(
         [&]
         {
-            sender.network.send(address, pull(2));
+            if (std::chrono::steady_clock::now() >= next)
+            {
+                sender.network.send(address, pull(2));
+                next += std::chrono::milliseconds(200);
+            }
             return accepted.size() >= 2;
         }));
+    CHECK(sender.counters.value("peer_silent_connections_total") == 1);
+    CHECK(sender.counters.value("peer_queue_overflows_total") == 0);
     const protocol::peer_envelope large{
         "node-1", protocol::settings_state{std::string(1000000, 'x')}};
     for (int i = 0; i < 200; ++i)
