--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -121,7 +121,7 @@
         this->events.record("node_started", {{"address", this->identity.address},
                                              {"zone", this->identity.zone}});
         // Scripts that let the kernel choose the port read it from this line.
-        std::cout << "peer_listening " << this->identity.peer_address << "\n";
+        std::cout << "peer_address " << this->identity.peer_address << "\n";
         std::cout << "listening " << this->identity.address << std::endl;
         for (transport::duty_thread* thread : this->threads())
             thread->start();
