--- /dev/null
+++ b/src/libs/coordination/claims_fold.cpp
@@ -0,0 +1,225 @@
+#include "coordination/claims_fold.hpp"
+
+#include "state/error.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+// Clocks of nodes differ, and a claim may wait in its writer while the log is down; an
+// expired claim is kept this much longer, so that a late claim still finds it.
+constexpr std::int64_t forget_margin_s = 3600;
+// A second copy of a batch can only be as late as its writer sends it again; this is far
+// longer.
+constexpr std::int64_t writer_lifetime_s = 24 * 3600;
+
+std::int64_t expires_s(const protocol::key_claim& claim)
+{
+    return claim.time_s + claim.lifetime_s;
+}
+
+} // namespace
+
+void claims_fold::begin_at(std::uint64_t first)
+{
+    if (first == 0 && !this->known && this->next == 0)
+    {
+        this->known = true;
+        return;
+    }
+    if (this->known && first <= this->next)
+        return;
+    // Claims between the state and `first` have expired unread.
+    this->known = false;
+    this->unread_begin = first;
+    this->unread.clear();
+}
+
+std::optional<folded_batch> claims_fold::apply(std::uint64_t offset,
+                                               std::string_view data)
+{
+    if (offset < this->next)
+        return std::nullopt;
+    if (this->known)
+        return this->apply_known(offset, data);
+    this->look_for_snapshot(offset, data);
+    return std::nullopt;
+}
+
+const claim_state* claims_fold::find(std::string_view key, std::int64_t now_s) const
+{
+    const auto found = this->claims.find(key);
+    if (found == this->claims.end() || now_s >= expires_s(found->second.claim))
+        return nullptr;
+    return &found->second;
+}
+
+std::uint64_t claims_fold::last_sequence(const std::string& writer,
+                                         std::uint64_t incarnation) const
+{
+    const auto found = this->writers.find({writer, incarnation});
+    return found == this->writers.end() ? 0 : found->second.sequence;
+}
+
+protocol::claims_snapshot claims_fold::snapshot() const
+{
+    protocol::claims_snapshot result;
+    result.upto = this->next == 0 ? 0 : this->next - 1;
+    result.time_s = this->latest_s;
+    for (const auto& [key, item] : this->claims)
+    {
+        result.claims.push_back({item.claim, item.writer, item.incarnation});
+        if (item.outcome)
+            result.outcomes.push_back(*item.outcome);
+    }
+    for (const auto& [id, writer] : this->writers)
+        result.writers.push_back({id.first, id.second, writer.sequence, writer.time_s});
+    return result;
+}
+
+std::optional<folded_batch> claims_fold::apply_known(std::uint64_t offset,
+                                                     std::string_view data)
+{
+    // A malformed record is skipped by every node alike, so the position moves on first.
+    this->next = offset + 1;
+    const protocol::claim_record record = protocol::parse_claim_record(data);
+    const auto* batch = std::get_if<protocol::claim_batch>(&record);
+    if (batch == nullptr)
+    {
+        this->since_snapshot = 0;
+        return std::nullopt;
+    }
+    ++this->since_snapshot;
+    const auto id = std::make_pair(batch->header.writer, batch->header.incarnation);
+    const auto writer = this->writers.find(id);
+    // The second copy of a batch whose append response was lost.
+    if (writer != this->writers.end() &&
+        batch->header.sequence <= writer->second.sequence)
+        return std::nullopt;
+    folded_batch result = this->apply_batch(*batch);
+    this->writers[id] = {batch->header.sequence, this->latest_s};
+    this->prune();
+    return result;
+}
+
+folded_batch claims_fold::apply_batch(const protocol::claim_batch& batch)
+{
+    folded_batch result;
+    result.writer = batch.header.writer;
+    result.incarnation = batch.header.incarnation;
+    result.sequence = batch.header.sequence;
+    // Outcomes first: one of them may free the key of a claim in the same batch.
+    for (const protocol::key_outcome& outcome : batch.outcomes)
+        this->apply_outcome(batch, outcome);
+    for (const protocol::key_claim& claim : batch.claims)
+    {
+        const auto found = this->claims.find(claim.key);
+        // Judged by the times in the records only, so that all nodes agree.
+        if (found != this->claims.end() && claim.time_s < expires_s(found->second.claim))
+        {
+            result.lost.push_back(claim.key);
+            continue;
+        }
+        claim_state item;
+        item.claim = claim;
+        item.writer = batch.header.writer;
+        item.incarnation = batch.header.incarnation;
+        this->claims.insert_or_assign(claim.key, std::move(item));
+        this->expiry.emplace(expires_s(claim) + forget_margin_s, claim.key);
+        this->latest_s = std::max(this->latest_s, claim.time_s);
+        result.won.push_back(claim.key);
+    }
+    return result;
+}
+
+void claims_fold::apply_outcome(const protocol::claim_batch& batch,
+                                const protocol::key_outcome& outcome)
+{
+    const auto found = this->claims.find(outcome.key);
+    // Only the holder of a claim can say how its request ended, and only once.
+    if (found == this->claims.end() || found->second.outcome ||
+        found->second.writer != batch.header.writer ||
+        found->second.incarnation != batch.header.incarnation)
+        return;
+    if (outcome.result == protocol::outcome_result::not_run)
+        this->claims.erase(found);
+    else
+        found->second.outcome = outcome;
+}
+
+void claims_fold::look_for_snapshot(std::uint64_t offset, std::string_view data)
+{
+    this->unread.push_back({offset, std::string(data)});
+    const protocol::claim_record record = protocol::parse_claim_record(data);
+    const auto* snapshot = std::get_if<protocol::claims_snapshot>(&record);
+    if (snapshot == nullptr)
+        return;
+    // A snapshot that was taken before the first record still kept would lose the claims
+    // between the two.
+    if (snapshot->upto + 1 >= this->unread_begin && snapshot->upto + 1 >= this->next)
+        this->adopt(*snapshot);
+}
+
+void claims_fold::adopt(const protocol::claims_snapshot& snapshot)
+{
+    this->claims.clear();
+    this->expiry.clear();
+    this->writers.clear();
+    for (const protocol::held_claim& held : snapshot.claims)
+    {
+        claim_state item;
+        item.claim = held.claim;
+        item.writer = held.writer;
+        item.incarnation = held.incarnation;
+        this->claims.insert_or_assign(held.claim.key, std::move(item));
+        this->expiry.emplace(expires_s(held.claim) + forget_margin_s, held.claim.key);
+    }
+    for (const protocol::key_outcome& outcome : snapshot.outcomes)
+    {
+        const auto found = this->claims.find(outcome.key);
+        if (found != this->claims.end())
+            found->second.outcome = outcome;
+    }
+    for (const protocol::claim_writer& writer : snapshot.writers)
+        this->writers[{writer.writer, writer.incarnation}] = {writer.sequence,
+                                                              writer.time_s};
+    this->latest_s = snapshot.time_s;
+    this->next = snapshot.upto + 1;
+    this->since_snapshot = 0;
+    this->known = true;
+    for (const unread_record& record : std::exchange(this->unread, {}))
+    {
+        if (record.offset < this->next)
+            continue;
+        try
+        {
+            this->apply_known(record.offset, record.data);
+        }
+        catch (const state::error&)
+        {
+            // Reported when the record was read first.
+        }
+    }
+}
+
+void claims_fold::prune()
+{
+    while (!this->expiry.empty() && this->expiry.begin()->first <= this->latest_s)
+    {
+        const auto found = this->claims.find(this->expiry.begin()->second);
+        // The key may have been claimed anew since.
+        if (found != this->claims.end() &&
+            expires_s(found->second.claim) + forget_margin_s <= this->latest_s)
+            this->claims.erase(found);
+        this->expiry.erase(this->expiry.begin());
+    }
+    std::erase_if(this->writers, [this](const auto& entry)
+                  { return entry.second.time_s + writer_lifetime_s < this->latest_s; });
+}
+
+} // namespace pomelorouter::coordination
--- a/src/libs/protocol/refusal.cpp
+++ b/src/libs/protocol/refusal.cpp
@@ -58,6 +58,7 @@
     case error_code::version_conflict:
     case error_code::key_in_use:
     case error_code::outcome_unknown:
+    case error_code::answer_not_kept:
         return conflict;
     case error_code::too_large:
         return payload_too_large;
--- a/src/libs/state/error.cpp
+++ b/src/libs/state/error.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::array<enum_name<error_code>, 34> error_names{{
+constexpr std::array<enum_name<error_code>, 35> error_names{{
     {error_code::invalid_argument, "invalid_argument"},
     {error_code::invalid_json, "invalid_json"},
     {error_code::unknown_key, "unknown_key"},
@@ -43,6 +43,7 @@
     {error_code::key_reused, "key_reused"},
     {error_code::key_expired, "key_expired"},
     {error_code::outcome_unknown, "outcome_unknown"},
+    {error_code::answer_not_kept, "answer_not_kept"},
     {error_code::io_error, "io_error"},
     {error_code::internal, "internal"},
 }};
--- a/src/libs/state/error.hpp
+++ b/src/libs/state/error.hpp
@@ -42,6 +42,7 @@
     key_reused,
     key_expired,
     outcome_unknown,
+    answer_not_kept,
     io_error,
     internal,
 };
