Run requests with an idempotency key at most once

The service proxy sent every request once and left the caller to guess. A caller-chosen key is now claimed in the log before its request runs, an issued key runs only in the process that handed it out, and the answer is replayed to a later request with the same key. GET and HEAD are sent again once. GET /v1/addresses?keys=N hands out keys.

--- a/src/app/node/caller_api.cpp
+++ b/src/app/node/caller_api.cpp
@@ -1,5 +1,6 @@
 #include "app/node/caller_api.hpp"
 
+#include "app/node/process_clock.hpp"
 #include "protocol/caller_api.hpp"
 #include "protocol/refusal.hpp"
 #include "state/error.hpp"
@@ -40,14 +41,16 @@
 
 } // namespace
 
-caller_api::caller_api(const view_cell& view_source, completion_proxy& completion,
-                       service_proxy& service, admin_api& admin_handler,
+caller_api::caller_api(const node_identity& identity, const view_cell& view_source,
+                       completion_proxy& completion, service_proxy& service,
+                       admin_api& admin_handler,
                        const state::counter_registry& counter_source)
     : views(view_source),
       completions(completion),
       services(service),
       admin(admin_handler),
-      counters(counter_source)
+      counters(counter_source),
+      keys(identity)
 {
 }
 
@@ -67,7 +70,7 @@
     else if (path.starts_with(admin_prefix))
         co_await this->admin.handle(exchange);
     else if (path == "/v1/addresses")
-        co_await exchange.respond(this->address_response());
+        co_await exchange.respond(this->address_response(request.target()));
     else if (path == "/v1/models")
         co_await exchange.respond(this->models_response());
     else if (path == "/healthz")
@@ -83,7 +86,7 @@
     }
 }
 
-http_response caller_api::address_response() const
+http_response caller_api::address_response(std::string_view target)
 {
     const auto view = this->views.load();
     protocol::address_response response;
@@ -96,6 +99,7 @@
         if (node.ready)
             response.addresses.push_back({node.address, node.zone});
     }
+    response.keys = this->keys.make(parse_key_count(target), process_wall_s());
     return json_response(status::ok, protocol::format_addresses(response));
 }
 
--- a/src/app/node/caller_api.hpp
+++ b/src/app/node/caller_api.hpp
@@ -3,6 +3,7 @@
 #include "app/node/admin_api.hpp"
 #include "app/node/completion_proxy.hpp"
 #include "app/node/control_loop.hpp"
+#include "app/node/issued_key_source.hpp"
 #include "app/node/service_proxy.hpp"
 #include "state/counters.hpp"
 #include "transport/http_server.hpp"
@@ -14,14 +15,14 @@
 class caller_api : public transport::http_handler
 {
 public:
-    caller_api(const view_cell& views, completion_proxy& completions,
-               service_proxy& services, admin_api& admin,
+    caller_api(const node_identity& identity, const view_cell& views,
+               completion_proxy& completions, service_proxy& services, admin_api& admin,
                const state::counter_registry& counters);
 
     boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
 
 private:
-    transport::http_response address_response() const;
+    transport::http_response address_response(std::string_view target);
     transport::http_response models_response() const;
     transport::http_response ready_response() const;
 
@@ -30,6 +31,7 @@
     service_proxy& services;
     admin_api& admin;
     const state::counter_registry& counters;
+    issued_key_source keys;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -2,12 +2,14 @@
 
 #include "app/node/admin_api.hpp"
 #include "app/node/caller_api.hpp"
+#include "app/node/claims_component.hpp"
 #include "app/node/completion_proxy.hpp"
 #include "app/node/control_loop.hpp"
 #include "app/node/engine_poller.hpp"
 #include "app/node/fleet_component.hpp"
 #include "app/node/node_list_component.hpp"
 #include "app/node/platform_client.hpp"
+#include "app/node/process_clock.hpp"
 #include "app/node/service_proxy.hpp"
 #include "app/node/settings_component.hpp"
 #include "state/counters.hpp"
@@ -64,23 +66,28 @@
           settings_part(identity, control, platform, events, counters),
           fleet_part(identity, control, poller, events),
           nodes_part(identity, control),
+          claims_part(identity, control, platform, timers, control_thread.executor(),
+                      process_wall_s, events, counters),
           client(serving_thread.executor()),
           completions(settings.node_id, control.views(), client,
                       serving_thread.executor(), timers, counters),
-          services(control.views(), client, counters),
+          services(identity, control.views(), client, control.mailbox(), claims_part,
+                   counters),
           admin(identity, control.views(), control.mailbox(), settings_part, events),
-          api(control.views(), completions, services, admin, counters),
+          api(identity, control.views(), completions, services, admin, counters),
           server(serving_thread.context(), server_limits(settings), api, counters)
     {
         this->control.add(this->settings_part);
         this->control.add(this->fleet_part);
         this->control.add(this->nodes_part);
+        this->control.add(this->claims_part);
         this->identity.address = this->server.listen(settings.listen);
     }
 
     void run()
     {
         this->settings_part.start();
+        this->claims_part.start();
         this->platform.poll_instances(list_poll_period);
         this->control.start();
         this->events.record("node_started", {{"address", this->identity.address},
@@ -124,6 +131,7 @@
     settings_component settings_part;
     fleet_component fleet_part;
     node_list_component nodes_part;
+    claims_component claims_part;
     transport::http_client client;
     completion_proxy completions;
     service_proxy services;
--- /dev/null
+++ b/src/app/node/service_sender.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "protocol/refusal.hpp"
+#include "state/clock.hpp"
+#include "state/counters.hpp"
+#include "state/node_view.hpp"
+#include "transport/http_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace pomelorouter::app
+{
+
+/// A request to be sent to the backend servers of a plain service.
+struct service_send
+{
+    std::shared_ptr<const state::node_view> view;
+    const state::service_view* service = nullptr;
+    /// Must outlive the sending.
+    const transport::http_request* request = nullptr;
+    state::time_point deadline{};
+    /// Whether the request may be sent again when it may have been run.
+    bool idempotent = false;
+    /// Whether the request has an idempotency key; only for the text of the refusal.
+    bool keyed = false;
+};
+
+/// How the sending of a request ended.
+struct service_result
+{
+    /// The answer, unless there was none.
+    std::optional<transport::http_response> response;
+    protocol::refusal failure;
+
+    bool is_not_run() const
+    {
+        return !this->response && this->failure.run == protocol::run_state::not_run;
+    }
+};
+
+/// Time until a deadline, at least 1 ms.
+state::milliseconds remaining_until(state::time_point deadline);
+
+/// Sends requests to the backend servers of plain services, in rotation. A request is
+/// sent to another backend server if the first one certainly did not run it.
+class service_sender
+{
+public:
+    service_sender(transport::http_client& client, state::counter_registry& counters);
+
+    boost::asio::awaitable<service_result> send(service_send call);
+
+private:
+    boost::asio::awaitable<service_result> send_to(const service_send& call,
+                                                   const state::backend_view& backend);
+    const state::backend_view* choose(const service_send& call);
+
+    transport::http_client& client;
+    std::uint64_t rotation = 0;
+    state::counter& calls;
+    state::counter& retries;
+};
+
+} // namespace pomelorouter::app
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -87,6 +87,8 @@
     link.parser.emplace();
     link.parser->header_limit(max_head_bytes);
     link.parser->body_limit(this->options.max_body_bytes);
+    // The answer to HEAD has the length of a body that does not follow.
+    link.parser->skip(request.method() == verb::head);
     try
     {
         link.stream.expires_after(this->options.progress_timeout);
