Bound repeats of service calls and settle a truncated claims stream

Repeats of GET and HEAD, and of requests that a backend server refused, are paid for by coordination::retry_budget with backoff; a connection that was not made costs nothing and each backend server is tried once. A backend server that failed is passed over for a second while there are others.

Batches now carry the wall time of their append, and the state is known once every claim before the first record read has expired. The time of a claim cannot be used for this: it may be much earlier than its append.

--- a/src/app/node/claims_component.cpp
+++ b/src/app/node/claims_component.cpp
@@ -171,6 +171,7 @@
     }
     for (const transport::log_record& record : event.page.records)
         this->apply(record);
+    this->state_fold.settle(this->wall_s());
     this->resolve_batch();
     this->write_snapshot();
     this->pump();
@@ -191,6 +192,7 @@
 void claims_component::on_tick(state::time_point now)
 {
     this->read_settings();
+    this->state_fold.settle(this->wall_s());
     if (this->is_log_stuck(now))
         this->refuse_waiting();
     this->pump();
@@ -234,6 +236,7 @@
     record.header.writer = this->identity.id;
     record.header.incarnation = this->identity.incarnation;
     record.header.sequence = batch.sequence;
+    record.time_s = this->wall_s();
     record.claims = batch.claims;
     record.outcomes = batch.outcomes;
     this->platform.append(stream_name, protocol::format_claim_record(record),
--- a/src/app/node/service_sender.cpp
+++ b/src/app/node/service_sender.cpp
@@ -4,7 +4,11 @@
 #include "state/error.hpp"
 #include "transport/http_error.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace pomelorouter::app
@@ -20,8 +24,9 @@
 {
 
 constexpr state::milliseconds default_retry_after{1000};
-// To be replaced by coordination::retry_budget and retry_backoff.
-constexpr int idempotent_retries = 1;
+// A backend server that could not be reached is passed over for this time while there are
+// others.
+constexpr state::milliseconds avoid_time{1000};
 
 bool is_backend_refusal(const http_response& response)
 {
@@ -46,6 +51,7 @@
 service_sender::service_sender(transport::http_client& http,
                                state::counter_registry& counters)
     : client(http),
+      random(std::random_device{}()),
       calls(counters.count("service_calls_total", "calls sent to plain services")),
       retries(counters.count("service_retries_total",
                              "calls to plain services that were sent again"))
@@ -54,29 +60,41 @@
 
 asio::awaitable<service_result> service_sender::send(service_send call)
 {
+    const state::attribute_values& attributes = call.service->settings->attributes;
+    this->budget.on_request(attributes.get(attribute::retry_percent));
+    coordination::retry_backoff backoff(attributes);
     service_result result;
     result.failure.code = error_code::no_backend_server;
     result.failure.message = "no live backend server of the service; not run";
     result.failure.retry_after = default_retry_after;
     bool may_have_run = false;
-    int repeats_left = call.idempotent ? idempotent_retries : 0;
-    const std::size_t tries = std::max<std::size_t>(call.service->backends.size(), 1) +
-                              static_cast<std::size_t>(repeats_left);
-    for (std::size_t attempt = 0; attempt < tries; ++attempt)
+    std::size_t free_tries = call.service->backends.size();
+    for (bool is_first = true;; is_first = false)
     {
         const state::backend_view* backend = this->choose(call);
-        if (backend == nullptr ||
-            (attempt > 0 && std::chrono::steady_clock::now() >= call.deadline))
+        if (backend == nullptr)
             break;
-        if (attempt > 0)
+        if (!is_first)
             this->retries.add();
         result = co_await this->send_to(call, *backend);
         if (result.response)
             break;
         // An earlier attempt may have been run although this one certainly was not.
         may_have_run = may_have_run || !result.is_not_run();
-        // A backend server that certainly did not run the request costs no repeat.
-        if (!result.is_not_run() && repeats_left-- <= 0)
+        if (may_have_run && !call.idempotent)
+            break;
+        // A connection that was not made is no load for the backend server, so each of
+        // them may be tried once; every other attempt is paid for.
+        const bool is_free = result.failure.code == error_code::connect_failed &&
+                             result.is_not_run() && free_tries > 1;
+        if (is_free)
+        {
+            --free_tries;
+            if (std::chrono::steady_clock::now() >= call.deadline)
+                break;
+            continue;
+        }
+        if (!co_await this->wait_for_retry(call, backoff))
             break;
     }
     if (may_have_run)
@@ -84,6 +102,23 @@
     co_return result;
 }
 
+asio::awaitable<bool> service_sender::wait_for_retry(const service_send& call,
+                                                     coordination::retry_backoff& backoff)
+{
+    if (!this->budget.try_take())
+        co_return false;
+    const auto delay =
+        backoff.next(std::chrono::steady_clock::now(), call.deadline, this->random);
+    if (!delay)
+    {
+        this->budget.give_back();
+        co_return false;
+    }
+    asio::steady_timer timer(co_await asio::this_coro::executor, *delay);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_return true;
+}
+
 asio::awaitable<service_result>
 service_sender::send_to(const service_send& call, const state::backend_view& backend)
 {
@@ -115,6 +150,7 @@
     }
     catch (const transport::http_error& failure)
     {
+        this->avoid_until[backend.id] = std::chrono::steady_clock::now() + avoid_time;
         result.failure.code = failure.code();
         result.failure.message = failure.what();
         if (failure.request_may_have_left())
@@ -143,13 +179,21 @@
 const state::backend_view* service_sender::choose(const service_send& call)
 {
     const std::vector<std::uint32_t>& backends = call.service->backends;
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(this->avoid_until,
+                  [&](const auto& entry) { return entry.second <= now; });
+    const state::backend_view* avoided = nullptr;
     for (std::size_t step = 0; step < backends.size(); ++step)
     {
         const auto index = backends[this->rotation++ % backends.size()];
-        if (!call.view->services[index].leaving)
-            return &call.view->services[index];
+        const state::backend_view& backend = call.view->services[index];
+        if (backend.leaving)
+            continue;
+        if (!this->avoid_until.contains(backend.id))
+            return &backend;
+        avoided = &backend;
     }
-    return nullptr;
+    return avoided;
 }
 
 } // namespace pomelorouter::app
--- a/src/app/node/service_sender.hpp
+++ b/src/app/node/service_sender.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "coordination/random_source.hpp"
+#include "coordination/retry_backoff.hpp"
+#include "coordination/retry_budget.hpp"
 #include "protocol/refusal.hpp"
 #include "state/clock.hpp"
 #include "state/counters.hpp"
@@ -9,8 +12,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace pomelorouter::app
 {
@@ -57,9 +62,16 @@
 private:
     boost::asio::awaitable<service_result> send_to(const service_send& call,
                                                    const state::backend_view& backend);
+    /// Waits before a repeat; returns false if the budget or the deadline forbids it.
+    boost::asio::awaitable<bool> wait_for_retry(const service_send& call,
+                                                coordination::retry_backoff& backoff);
     const state::backend_view* choose(const service_send& call);
 
     transport::http_client& client;
+    coordination::retry_budget budget;
+    coordination::random_source random;
+    /// Backend servers that failed a short time ago, by id.
+    std::map<std::string, state::time_point> avoid_until;
     std::uint64_t rotation = 0;
     state::counter& calls;
     state::counter& retries;
--- a/src/libs/coordination/claims_fold.cpp
+++ b/src/libs/coordination/claims_fold.cpp
@@ -17,6 +17,11 @@
 // A second copy of a batch can only be as late as its writer sends it again; this is far
 // longer.
 constexpr std::int64_t writer_lifetime_s = 24 * 3600;
+// Assumed of claims that have expired unread if no other claim tells their lifetime.
+constexpr std::int64_t default_lifetime_s = 24 * 3600;
+// Covers the difference between the clocks of nodes and the time that an append is under
+// way, where a claim that was not read counts as expired.
+constexpr std::int64_t clock_margin_s = 300;
 
 std::int64_t expires_s(const protocol::key_claim& claim)
 {
@@ -38,6 +43,28 @@
     this->known = false;
     this->unread_begin = first;
     this->unread.clear();
+    this->unread_since_s.reset();
+    this->unread_lifetime_s = 0;
+}
+
+void claims_fold::settle(std::int64_t now_s)
+{
+    // Offset 0 of an unread stream needs no waiting, and is told by begin_at.
+    if (this->known || this->unread_begin == 0)
+        return;
+    if (!this->unread_since_s)
+        this->unread_since_s = now_s;
+    const std::int64_t lifetime_s =
+        this->unread_lifetime_s > 0 ? this->unread_lifetime_s : default_lifetime_s;
+    if (now_s < *this->unread_since_s + lifetime_s + clock_margin_s)
+        return;
+    this->claims.clear();
+    this->expiry.clear();
+    this->writers.clear();
+    this->latest_s = 0;
+    this->next = this->unread_begin;
+    this->known = true;
+    this->fold_unread();
 }
 
 std::optional<folded_batch> claims_fold::apply(std::uint64_t offset,
@@ -158,7 +185,18 @@
     const protocol::claim_record record = protocol::parse_claim_record(data);
     const auto* snapshot = std::get_if<protocol::claims_snapshot>(&record);
     if (snapshot == nullptr)
+    {
+        const auto& batch = std::get<protocol::claim_batch>(record);
+        // Only the first batch tells when the claims before it were made; the time of a
+        // claim may be much earlier than its append.
+        if (!this->unread_since_s)
+            this->unread_since_s = batch.time_s;
+        for (const protocol::key_claim& claim : batch.claims)
+        {
+            this->unread_lifetime_s = std::max(this->unread_lifetime_s, claim.lifetime_s);
+        }
         return;
+    }
     // A snapshot that was taken before the first record still kept would lose the claims
     // between the two.
     if (snapshot->upto + 1 >= this->unread_begin && snapshot->upto + 1 >= this->next)
@@ -192,6 +230,11 @@
     this->next = snapshot.upto + 1;
     this->since_snapshot = 0;
     this->known = true;
+    this->fold_unread();
+}
+
+void claims_fold::fold_unread()
+{
     for (const unread_record& record : std::exchange(this->unread, {}))
     {
         if (record.offset < this->next)
--- a/src/libs/coordination/claims_fold.hpp
+++ b/src/libs/coordination/claims_fold.hpp
@@ -42,6 +42,9 @@
     /// Tells that the next record comes from `first`. The state stays unknown until a
     /// snapshot reaches back this far.
     void begin_at(std::uint64_t first);
+    /// Makes the state known without a snapshot once every claim made before the first
+    /// record read has expired at wall time `now_s`. Call at intervals.
+    void settle(std::int64_t now_s);
     /// Applies one record. Returns what a batch did, or nothing for a snapshot and for
     /// the second copy of a batch. Throws `state::error` if the record cannot be read; it
     /// is then skipped for good.
@@ -80,6 +83,7 @@
                        const protocol::key_outcome& outcome);
     void look_for_snapshot(std::uint64_t offset, std::string_view data);
     void adopt(const protocol::claims_snapshot& snapshot);
+    void fold_unread();
     void prune();
 
     bool known = false;
@@ -93,6 +97,10 @@
     std::map<std::pair<std::string, std::uint64_t>, writer_state> writers;
     std::uint64_t unread_begin = 0;
     std::vector<unread_record> unread;
+    /// While the state is unknown: no later than this were the claims before `unread`.
+    std::optional<std::int64_t> unread_since_s;
+    /// Longest lifetime of a claim read while the state is unknown.
+    std::int64_t unread_lifetime_s = 0;
 };
 
 } // namespace pomelorouter::coordination
--- a/src/libs/protocol/claim_records.cpp
+++ b/src/libs/protocol/claim_records.cpp
@@ -118,6 +118,7 @@
         record.claims.push_back(parse_claim(item));
     }
     record.outcomes = parse_outcomes(reader);
+    record.time_s = reader.get_int("time_s", 0, max_time_s);
     return record;
 }
 
@@ -163,6 +164,7 @@
 {
     boost::json::object object = format_header(record.header);
     object["type"] = batch_type;
+    object["time_s"] = record.time_s;
     boost::json::array claims;
     for (const key_claim& claim : record.claims)
         claims.push_back(format_claim(claim));
--- a/src/libs/protocol/claim_records.hpp
+++ b/src/libs/protocol/claim_records.hpp
@@ -62,6 +62,8 @@
 struct claim_batch
 {
     record_header header;
+    /// Wall time of the append, in seconds; a batch that is sent again has a new one.
+    std::int64_t time_s = 0;
     std::vector<key_claim> claims;
     std::vector<key_outcome> outcomes;
 };
--- a/tests/auto/coordination/tst_claims_fold.cpp
+++ b/tests/auto/coordination/tst_claims_fold.cpp
@@ -19,6 +19,7 @@
     record.header.writer = writer;
     record.header.incarnation = 1;
     record.header.sequence = sequence;
+    record.time_s = time_s;
     if (!key.empty())
         record.claims.push_back({key, "request", time_s, lifetime_s});
     return record;
@@ -155,3 +156,26 @@
     CHECK(fold.next_offset() == 1);
     CHECK(fold.apply(1, text(batch("n1", 1, "k")))->won.size() == 1);
 }
+
+// Guards against a node that finds no usable snapshot never running a key again, and
+// against it running one whose claim is alive but was not read.
+TEST_CASE("a truncated stream is known once all unread claims have expired")
+{
+    const auto reader_at = [](std::int64_t now_s)
+    {
+        claims_fold reader;
+        reader.begin_at(5);
+        // The claim waited long for its append, which says nothing of the ones before it.
+        protocol::claim_batch late = batch("n1", 4, "k", 100);
+        late.time_s = 1000;
+        reader.apply(5, text(late));
+        reader.apply(6, text(batch("n1", 5, "l", 1390)));
+        reader.settle(now_s);
+        return reader;
+    };
+    CHECK_FALSE(reader_at(1000 + lifetime_s + 299).is_known());
+    const claims_fold reader = reader_at(1000 + lifetime_s + 300);
+    REQUIRE(reader.is_known());
+    CHECK(reader.find("l", 1400) != nullptr);
+    CHECK(reader.last_sequence("n1", 1) == 5);
+}
