Add the settings, status and timeline commands

Operators could change settings only by hand-written HTTP requests. GET /admin/settings/history lists the proposals that were read from the log. status and timeline ask one or all of the nodes named.

--- /dev/null
+++ b/src/app/commands/status_command.cpp
@@ -0,0 +1,42 @@
+#include "app/commands/status_command.hpp"
+
+#include "app/commands/node_client.hpp"
+#include "state/json_reader.hpp"
+#include "state/json_text.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+namespace pomelorouter::app
+{
+
+namespace options = boost::program_options;
+
+exit_code status_command(const std::vector<std::string>& arguments)
+{
+    options::options_description description(
+        "usage: pomelorouter status --node ADDRESS [--node ADDRESS ...]\n\n"
+        "Prints as JSON what the first node that answers knows: its readiness, the "
+        "settings\nversion, nodes, engines and models with their copies. Compare "
+        "settings_version\nbetween nodes to see whether a change is in force "
+        "everywhere.\n\noptions");
+    description.add_options()("help,h", "show this help")(
+        "node,n", options::value<std::vector<std::string>>()->composing()->required(),
+        "ip:port of a node; several are tried in this order");
+    options::variables_map values;
+    options::store(options::command_line_parser(arguments).options(description).run(),
+                   values);
+    if (values.count("help") > 0)
+    {
+        std::cout << description;
+        return exit_code::success;
+    }
+    options::notify(values);
+    node_client client(values["node"].as<std::vector<std::string>>());
+    std::cout << state::format_pretty(
+        read_answer(client.get("/admin/status"), "/admin/status"));
+    return exit_code::success;
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/commands/timeline_command.cpp
@@ -0,0 +1,154 @@
+#include "app/commands/timeline_command.hpp"
+
+#include "app/commands/node_client.hpp"
+#include "state/error.hpp"
+#include "state/json_reader.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <iostream>
+#include <tuple>
+
+namespace pomelorouter::app
+{
+
+namespace options = boost::program_options;
+
+namespace
+{
+
+constexpr const char* place = "/admin/timeline";
+constexpr std::int64_t us_per_s = 1'000'000;
+
+struct event_order
+{
+    std::int64_t wall_time_us;
+    std::string node;
+    std::uint64_t incarnation;
+    std::uint64_t sequence;
+    std::size_t index;
+
+    bool operator<(const event_order& other) const
+    {
+        return std::tie(this->wall_time_us, this->node, this->incarnation,
+                        this->sequence) < std::tie(other.wall_time_us, other.node,
+                                                   other.incarnation, other.sequence);
+    }
+};
+
+event_order order_of(const boost::json::value& event, std::size_t index)
+{
+    state::json_reader reader(event, place, "/events/" + std::to_string(index));
+    event_order order;
+    order.wall_time_us = static_cast<std::int64_t>(reader.get_uint64("wall_time_us"));
+    order.node = reader.get_string("node");
+    order.incarnation = reader.get_uint64("incarnation");
+    order.sequence = reader.get_uint64("sequence");
+    order.index = index;
+    return order;
+}
+
+std::string format_time(std::int64_t wall_time_us)
+{
+    const std::time_t seconds = wall_time_us / us_per_s;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> date{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::string fraction = std::to_string(wall_time_us % us_per_s);
+    fraction.insert(0, 6 - fraction.size(), '0');
+    return std::string(date.data()) + "." + fraction + "Z";
+}
+
+void print_event(const boost::json::value& event)
+{
+    state::json_reader reader(event, place, "/events");
+    std::cout << format_time(static_cast<std::int64_t>(reader.get_uint64("wall_time_us")))
+              << " " << reader.get_string("node") << " " << reader.get_string("kind");
+    for (const auto& member : reader.get_object("fields"))
+    {
+        const boost::json::string* text = member.value().if_string();
+        std::cout << " " << member.key() << "="
+                  << (text != nullptr ? std::string(*text)
+                                      : boost::json::serialize(member.value()));
+    }
+    std::cout << "\n";
+}
+
+/// Adds the events of one node; returns false if it did not answer.
+bool gather(const std::string& address, boost::json::array& events)
+{
+    try
+    {
+        node_client client({address});
+        const boost::json::value answer = read_answer(client.get(place), address);
+        state::json_reader reader(answer, address);
+        for (const boost::json::value& event : reader.get_array("events"))
+            events.push_back(event);
+        return true;
+    }
+    catch (const state::error& failure)
+    {
+        std::cerr << "pomelorouter: " << failure.what() << "\n";
+        return false;
+    }
+}
+
+} // namespace
+
+void sort_events(boost::json::array& events)
+{
+    std::vector<event_order> orders;
+    for (const boost::json::value& event : events)
+        orders.push_back(order_of(event, orders.size()));
+    std::stable_sort(orders.begin(), orders.end());
+    boost::json::array sorted;
+    for (const event_order& order : orders)
+        sorted.push_back(std::move(events[order.index]));
+    events = std::move(sorted);
+}
+
+exit_code timeline_command(const std::vector<std::string>& arguments)
+{
+    options::options_description description(
+        "usage: pomelorouter timeline --node A --node B ... [--json]\n\n"
+        "Gathers the recent events of all the nodes named and prints them as one time "
+        "line,\nin the order of the nodes' wall clocks. Nodes that do not answer are "
+        "named "
+        "on\nstderr; the events of the others are printed.\n\noptions");
+    description.add_options()("help,h", "show this help")(
+        "node,n", options::value<std::vector<std::string>>()->composing()->required(),
+        "ip:port of a node; all of them are asked")("json",
+                                                    "print a JSON array of events");
+    options::variables_map values;
+    options::store(options::command_line_parser(arguments).options(description).run(),
+                   values);
+    if (values.count("help") > 0)
+    {
+        std::cout << description;
+        return exit_code::success;
+    }
+    options::notify(values);
+    boost::json::array events;
+    std::size_t answered = 0;
+    for (const std::string& address : values["node"].as<std::vector<std::string>>())
+        answered += gather(address, events) ? 1 : 0;
+    if (answered == 0)
+        return exit_code::unreachable;
+    sort_events(events);
+    if (values.count("json") > 0)
+    {
+        std::cout << boost::json::serialize(events) << "\n";
+        return exit_code::success;
+    }
+    for (const boost::json::value& event : events)
+        print_event(event);
+    return exit_code::success;
+}
+
+} // namespace pomelorouter::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,9 @@
 #include "app/commands/exit_code.hpp"
+#include "app/commands/node_client.hpp"
 #include "app/commands/node_command.hpp"
+#include "app/commands/settings_command.hpp"
+#include "app/commands/status_command.hpp"
+#include "app/commands/timeline_command.hpp"
 #include "state/error.hpp"
 
 #include <boost/program_options/errors.hpp>
@@ -22,8 +26,13 @@
     exit_code (*run)(const std::vector<std::string>&);
 };
 
-constexpr std::array<command, 1> commands{{
+constexpr std::array<command, 4> commands{{
     {"node", "run a serving process", pomelorouter::app::node_command},
+    {"settings", "check, apply and show the settings tree",
+     pomelorouter::app::settings_command},
+    {"status", "show what a node knows", pomelorouter::app::status_command},
+    {"timeline", "merge the events of several nodes",
+     pomelorouter::app::timeline_command},
 }};
 
 void print_help(std::ostream& output)
@@ -68,10 +77,18 @@
     {
         return static_cast<int>(run({argv + 1, argv + argc}));
     }
+    catch (const pomelorouter::app::nodes_unreachable& failure)
+    {
+        std::cerr << "pomelorouter: " << failure.what() << "\n";
+        return static_cast<int>(exit_code::unreachable);
+    }
     catch (const pomelorouter::state::error& failure)
     {
         std::cerr << "pomelorouter: " << failure.what() << "\n";
-        return static_cast<int>(exit_code::usage);
+        return static_cast<int>(
+            failure.code() == pomelorouter::state::error_code::refused_by_backend
+                ? exit_code::refused
+                : exit_code::usage);
     }
     catch (const boost::program_options::error& failure)
     {
--- a/src/app/node/admin_api.cpp
+++ b/src/app/node/admin_api.cpp
@@ -50,6 +50,24 @@
         boost::json::object{{"version", settings.version}, {"tree", settings.tree}});
 }
 
+std::string format_history(const std::deque<settled_proposal>& history)
+{
+    boost::json::array proposals;
+    for (const settled_proposal& item : history)
+    {
+        proposals.push_back(
+            boost::json::object{{"offset", item.offset},
+                                {"id", item.result.id},
+                                {"base_version", item.base_version},
+                                {"author", item.author},
+                                {"verdict", to_string(item.result.verdict)},
+                                {"version", item.result.version},
+                                {"reason", item.result.reason}});
+    }
+    return boost::json::serialize(
+        boost::json::object{{"proposals", std::move(proposals)}});
+}
+
 std::string format_verdict(const protocol::proposal_result& result)
 {
     return boost::json::serialize(
@@ -79,15 +97,17 @@
         co_await this->get_settings(exchange);
     else if (path == "/admin/settings" && request.method() == verb::post)
         co_await this->post_settings(exchange);
+    else if (path == "/admin/settings/history" && request.method() == verb::get)
+        co_await this->get_history(exchange);
     else if (path == "/admin/status" && request.method() == verb::get)
         co_await exchange.respond(this->status_response());
     else if (path == "/admin/timeline" && request.method() == verb::get)
         co_await exchange.respond(this->timeline_response(request.target()));
     else
     {
-        throw error(
-            error_code::not_found, std::string(request.target()),
-            "GET or POST /admin/settings, GET /admin/status, GET /admin/timeline");
+        throw error(error_code::not_found, std::string(request.target()),
+                    "GET or POST /admin/settings, GET /admin/settings/history, GET "
+                    "/admin/status, GET /admin/timeline");
     }
 }
 
@@ -117,6 +137,25 @@
         throw error(error_code::overloaded, "control thread", "room in its ring");
 }
 
+asio::awaitable<void> admin_api::get_history(transport::http_exchange& exchange)
+{
+    const auto slot =
+        std::make_shared<reply_slot<std::string>>(co_await asio::this_coro::executor);
+    this->request_history(slot);
+    std::optional<std::string> reply = co_await slot->wait(reply_timeout);
+    if (!reply)
+        throw error(error_code::overloaded, "control thread", "a reply in time");
+    co_await exchange.respond(json_response(status::ok, std::move(*reply)));
+}
+
+void admin_api::request_history(const std::shared_ptr<reply_slot<std::string>>& slot)
+{
+    control_event task = control_task{
+        [this, slot] { slot->deliver(format_history(this->settings.history())); }};
+    if (!this->control.try_push(std::move(task)))
+        throw error(error_code::overloaded, "control thread", "room in its ring");
+}
+
 asio::awaitable<void> admin_api::post_settings(transport::http_exchange& exchange)
 {
     const auto slot = std::make_shared<reply_slot<settings_outcome>>(
--- a/src/app/node/admin_api.hpp
+++ b/src/app/node/admin_api.hpp
@@ -36,6 +36,8 @@
     boost::asio::awaitable<void> get_settings(transport::http_exchange& exchange);
     boost::asio::awaitable<void> post_settings(transport::http_exchange& exchange);
     void request_settings(const std::shared_ptr<reply_slot<settings_state>>& slot);
+    boost::asio::awaitable<void> get_history(transport::http_exchange& exchange);
+    void request_history(const std::shared_ptr<reply_slot<std::string>>& slot);
     void request_change(const std::string& body,
                         const std::shared_ptr<reply_slot<settings_outcome>>& slot);
     transport::http_response status_response() const;
--- a/src/app/node/settings_component.cpp
+++ b/src/app/node/settings_component.cpp
@@ -19,6 +19,9 @@
 // reading.
 constexpr state::milliseconds verdict_timeout{5000};
 
+// A day's changes at the target size, without their trees.
+constexpr std::size_t max_history = 3000;
+
 } // namespace
 
 settings_component::settings_component(const node_identity& node, control_loop& control,
@@ -118,7 +121,10 @@
     {
         const auto result = this->state_fold.apply(record.offset, record.data);
         if (result)
+        {
+            this->remember(record, *result);
             this->finish(*result);
+        }
     }
     catch (const error& failure)
     {
@@ -131,6 +137,19 @@
     this->loop.mark_changed();
 }
 
+void settings_component::remember(const transport::log_record& record,
+                                  const protocol::proposal_result& result)
+{
+    const protocol::settings_record parsed = protocol::parse_settings_record(record.data);
+    const auto* proposal = std::get_if<protocol::settings_proposal>(&parsed);
+    if (proposal == nullptr)
+        return;
+    this->settled.push_back(
+        {record.offset, proposal->base_version, proposal->author, result});
+    if (this->settled.size() > max_history)
+        this->settled.pop_front();
+}
+
 void settings_component::finish(const protocol::proposal_result& result)
 {
     this->events.record("settings_verdict",
--- a/src/app/node/settings_component.hpp
+++ b/src/app/node/settings_component.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,6 +35,15 @@
     std::optional<state::error> failure;
 };
 
+/// A proposal that was read from the log, with its verdict.
+struct settled_proposal
+{
+    std::uint64_t offset = 0;
+    std::uint64_t base_version = 0;
+    std::string author;
+    protocol::proposal_result result;
+};
+
 using settings_callback = std::function<void(const settings_outcome&)>;
 
 /// Keeps the settings in force and proposes changes to them.
@@ -50,6 +60,8 @@
     void propose(std::uint64_t base_version, std::string author, boost::json::value tree,
                  settings_callback done);
     const coordination::settings_fold& fold() const { return this->state_fold; }
+    /// Proposals in log order, as far as the log kept them when this node started.
+    const std::deque<settled_proposal>& history() const { return this->settled; }
 
     void on_page(const stream_page& event) override;
     void on_truncated(const stream_truncated& event) override;
@@ -65,6 +77,8 @@
 
     void apply(const transport::log_record& record);
     void finish(const protocol::proposal_result& result);
+    void remember(const transport::log_record& record,
+                  const protocol::proposal_result& result);
     void on_appended(const std::string& id, const append_result& result);
 
     const node_identity& identity;
@@ -74,6 +88,7 @@
     state::counter& skipped_records;
     coordination::settings_fold state_fold;
     std::map<std::string, waiting_proposal> waiting;
+    std::deque<settled_proposal> settled;
     std::uint64_t next_sequence = 0;
 };
 
