--- a/src/app/node/claims_component.cpp
+++ b/src/app/node/claims_component.cpp
@@ -357,6 +357,18 @@
         this->refuse(claim.key, error(error_code::log_unavailable, "log",
                                       "the log does not answer"));
     }
+    // The requests of the batch under way are told at once too; should their claims
+    // appear in the log after all, they are released.
+    claim_reply reply = make_reply(claim_answer::refused);
+    reply.failure = error(error_code::log_unavailable, "log", "the log does not answer");
+    for (auto& [key, waiting] : this->pending)
+    {
+        if (waiting.abandoned)
+            continue;
+        waiting.abandoned = true;
+        this->claims_refused.add();
+        std::exchange(waiting.done, nullptr)(reply);
+    }
 }
 
 bool claims_component::is_log_stuck(state::time_point now) const
--- a/tests/auto/coordination/tst_idempotency.cpp
+++ b/tests/auto/coordination/tst_idempotency.cpp
@@ -124,7 +124,8 @@
     int number = 0;
     for (const row& item : rows)
     {
-        CAPTURE(number++);
+        ++number;
+        CAPTURE(number);
         const idempotency_decision decision = decide_idempotency(item.input);
         CHECK(to_string(decision.action) == to_string(item.expected));
         if (decision.action != no)
