--- a/src/app/node/service_proxy.cpp
+++ b/src/app/node/service_proxy.cpp
@@ -25,7 +25,6 @@
 using coordination::key_kind;
 using coordination::local_key_state;
 using protocol::refusal;
-using protocol::run_state;
 using state::attribute;
 using state::error;
 using state::error_code;
--- a/tests/auto/app/tst_at_most_once.cpp
+++ b/tests/auto/app/tst_at_most_once.cpp
@@ -241,10 +241,10 @@
             if (!plan.kills && runs_before == 0)
                 CHECK(last->result == "ran");
         }
-        for (const auto& [key, runs] : system.runs)
+        for (const auto& entry : system.runs)
         {
-            CAPTURE(key);
-            CHECK(runs <= 1);
+            CAPTURE(entry.first);
+            CHECK(entry.second <= 1);
         }
         for (const auto& item : system.sendings)
             CHECK_FALSE((item->ran && item->run == protocol::run_state::not_run));
