--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -2,6 +2,7 @@
 
 #include "app/node/admin_api.hpp"
 #include "app/node/caller_api.hpp"
+#include "app/node/claims_component.hpp"
 #include "app/node/completion_proxy.hpp"
 #include "app/node/control_loop.hpp"
 #include "app/node/engine_poller.hpp"
@@ -9,6 +10,7 @@
 #include "app/node/lifecycle_component.hpp"
 #include "app/node/membership_component.hpp"
 #include "app/node/platform_client.hpp"
+#include "app/node/process_clock.hpp"
 #include "app/node/service_proxy.hpp"
 #include "app/node/settings_component.hpp"
 #include "state/counters.hpp"
@@ -93,12 +95,15 @@
           fleet_part(identity, control, poller, events),
           members_part(this->listen_for_peers(), control, settings_part, peers, events,
                        random_seed()),
+          claims_part(identity, control, platform, timers, control_thread.executor(),
+                      process_wall_s, events, counters),
           client(serving_thread.executor()),
           completions(settings.node_id, control.views(), client,
                       serving_thread.executor(), timers, counters),
-          services(control.views(), client, counters),
+          services(identity, control.views(), client, control.mailbox(), claims_part,
+                   counters),
           admin(identity, control.views(), control.mailbox(), settings_part, events),
-          api(control.views(), completions, services, admin, counters),
+          api(identity, control.views(), completions, services, admin, counters),
           server(serving_thread.context(), server_limits(settings), api, counters),
           lifecycle_part(control, members_part, server, serving_thread.context(), events,
                          [this] { this->signal_loop.stop(); })
@@ -106,6 +111,7 @@
         this->control.add(this->settings_part);
         this->control.add(this->fleet_part);
         this->control.add(this->members_part);
+        this->control.add(this->claims_part);
         this->control.add(this->lifecycle_part);
         this->members_part.set_seeds(settings.seed_peers);
         this->settings_part.set_rank_source(
@@ -116,6 +122,7 @@
     void run()
     {
         this->settings_part.start();
+        this->claims_part.start();
         this->platform.poll_instances(list_poll_period);
         this->control.start();
         this->events.record("node_started", {{"address", this->identity.address},
@@ -184,6 +191,7 @@
     settings_component settings_part;
     fleet_component fleet_part;
     membership_component members_part;
+    claims_component claims_part;
     transport::http_client client;
     completion_proxy completions;
     service_proxy services;
--- a/src/app/node/settings_component.hpp
+++ b/src/app/node/settings_component.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -35,6 +36,15 @@
     std::optional<state::error> failure;
 };
 
+/// A proposal that was read from the log, with its verdict.
+struct settled_proposal
+{
+    std::uint64_t offset = 0;
+    std::uint64_t base_version = 0;
+    std::string author;
+    protocol::proposal_result result;
+};
+
 using settings_callback = std::function<void(const settings_outcome&)>;
 
 /// Keeps the settings in force and proposes changes to them.
@@ -55,6 +65,8 @@
     /// Sets what tells this node's rank among the writers of snapshots.
     void set_rank_source(std::function<std::size_t()> source);
     const coordination::settings_fold& fold() const { return this->state_fold; }
+    /// Proposals in log order, as far as the log kept them when this node started.
+    const std::deque<settled_proposal>& history() const { return this->settled; }
 
     void on_page(const stream_page& event) override;
     void on_truncated(const stream_truncated& event) override;
@@ -72,6 +84,8 @@
     void note_snapshot(const transport::log_record& record);
     void write_snapshot_if_due(state::time_point now);
     void finish(const protocol::proposal_result& result);
+    void remember(const transport::log_record& record,
+                  const protocol::proposal_result& result);
     void on_appended(const std::string& id, const append_result& result);
 
     const node_identity& identity;
@@ -83,6 +97,7 @@
     coordination::snapshot_schedule snapshots;
     std::function<std::size_t()> rank_source;
     std::map<std::string, waiting_proposal> waiting;
+    std::deque<settled_proposal> settled;
     std::uint64_t next_sequence = 0;
 };
 
