--- a/tests/auto/coordination/tst_placement.cpp
+++ b/tests/auto/coordination/tst_placement.cpp
@@ -126,24 +126,31 @@
     }
 }
 
-// Guards against moves that follow every short change of demand.
+// Guards against moves that follow every short change of demand, and against copies kept
+// for past demand when another model has had a use for the memory for longer.
 TEST_CASE("copies follow demand up at once and down only after a time")
 {
     const state::settings tree =
         tree_of(R"("m":{"bytes":40,"attributes":{"min_copies":1}},)"
-                R"("n":{"bytes":70,"attributes":{"min_copies":1,"max_copies":1}})");
+                R"("n":{"bytes":40,"attributes":{"min_copies":1}})");
     coordination::placement planner;
-    coordination::placement_input input{
-        &tree, {engine("a", "z1", {"m:1"}), engine("b", "z2", {})}, {}};
-    input.engines[0].reserved[{"n", "1", ""}] = 0;
-    input.engines[0].ready.insert({"n", "1", ""});
+    coordination::placement_input input{&tree,
+                                        {engine("a", "z1", {"m:1", "n:1"}),
+                                         engine("b", "z2", {}),
+                                         engine("c", "z2", {"x:1"})},
+                                        {}};
+    input.engines[2].limit_bytes = 0;
+    input.engines[1].limit_bytes = 60;
     input.demand[{"m", ""}].tokens_per_s = 900.0;
-    state::time_point now{};
-    CHECK(text_of(planner.plan(now, input)) == "load m:1 b; ");
+    const state::time_point start{};
+    CHECK(text_of(planner.plan(start, input)) == "load m:1 b; unload x:1 c; ");
     input.engines[1] = engine("b", "z2", {"m:1"});
+    input.engines[1].limit_bytes = 60;
+    input.engines.pop_back();
     input.demand.clear();
-    // The other model, now without a copy, may take the place of a minimum only.
-    CHECK(planner.plan(now + state::seconds(10), input).empty());
+    input.demand[{"n", ""}].tokens_per_s = 900.0;
+    CHECK(text_of(planner.plan(start + state::seconds(30), input)).empty());
+    CHECK(text_of(planner.plan(start + state::seconds(600), input)) == "unload m:1 b; ");
 }
 
 // Guards against a version change that sends callers to a copy that is still loading or
