Prefer the list's address of a peer to the one in its heartbeat

A node only knows the address that it is bound to; the list has the one that others can reach, which may lead through something in between.

--- a/src/app/node/membership_component.cpp
+++ b/src/app/node/membership_component.cpp
@@ -123,13 +123,11 @@
     this->part.on_heartbeat(message, now);
     if (delivery.needs_answer)
         this->peers.answer(delivery.connection, this->envelope(this->part.answer()));
-    this->pull_if_behind(message.origin.node, message.peer_address,
-                         message.settings_offset, now);
+    this->pull_if_behind(message.origin.node, message.settings_offset, now);
     this->loop.mark_changed();
 }
 
 void membership_component::pull_if_behind(const std::string& peer,
-                                          const std::string& address,
                                           std::uint64_t peer_offset,
                                           state::time_point now)
 {
@@ -142,10 +140,10 @@
     const bool is_recent = this->last_pull && now - *this->last_pull < pull_interval;
     if (is_patient || is_recent)
         return;
-    std::string target = address;
+    std::string target;
     for (const coordination::member_status& member : this->part.members())
     {
-        if (target.empty() && member.id == peer)
+        if (member.id == peer)
             target = member.peer_address;
     }
     if (target.empty())
--- a/src/app/node/membership_component.hpp
+++ b/src/app/node/membership_component.hpp
@@ -43,8 +43,8 @@
     void on_pull(const transport::peer_delivery& delivery,
                  const protocol::settings_pull& message);
     void on_state(const std::string& peer, const protocol::settings_state& message);
-    void pull_if_behind(const std::string& peer, const std::string& address,
-                        std::uint64_t peer_offset, state::time_point now);
+    void pull_if_behind(const std::string& peer, std::uint64_t peer_offset,
+                        state::time_point now);
     void send_all(const std::vector<coordination::outgoing_heartbeat>& messages);
     void update_own();
     void contribute_nodes(state::node_view& view) const;
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -129,7 +129,10 @@
         origin->second.incarnation != message.origin.incarnation)
         return;
     origin->second.last_direct = now;
-    if (!message.peer_address.empty())
+    // The list's address is the one that others can reach; a node may only know what it
+    // is bound to.
+    if (!message.peer_address.empty() &&
+        (!origin->second.in_list || origin->second.listed_as.peer_address.empty()))
         origin->second.listed_as.peer_address = message.peer_address;
     this->highest_offset_heard =
         std::max(this->highest_offset_heard, message.settings_offset);
