--- a/tests/auto/app/tst_at_most_once.cpp
+++ b/tests/auto/app/tst_at_most_once.cpp
@@ -11,7 +11,6 @@
 using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
 using test::at_most_once_harness;
 using test::fault_plan;
-using test::sending;
 
 constexpr state::milliseconds limit{10000};
 
