--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -93,8 +93,8 @@
               counters),
           settings_part(identity, control, platform, events, counters),
           fleet_part(identity, control, poller, events),
-          members_part(this->listen_for_peers(), control, settings_part, peers, events,
-                       random_seed()),
+          members_part(this->listen_for_peers(settings.peer_advertise), control,
+                       settings_part, peers, events, random_seed()),
           claims_part(identity, control, platform, timers, control_thread.executor(),
                       process_wall_s, events, counters),
           client(serving_thread.executor()),
@@ -167,9 +167,11 @@
             });
     }
 
-    const node_identity& listen_for_peers()
+    const node_identity& listen_for_peers(const std::string& advertise)
     {
         this->identity.peer_address = this->peers.listen(this->identity.peer_address);
+        if (!advertise.empty())
+            this->identity.peer_address = advertise;
         return this->identity;
     }
 
--- a/src/libs/state/process_settings.cpp
+++ b/src/libs/state/process_settings.cpp
@@ -50,6 +50,8 @@
     result.zone = reader.get_string("zone");
     result.listen = read_address(reader, "listen");
     result.peer_listen = read_address(reader, "peer_listen");
+    if (reader.find("peer_advertise") != nullptr)
+        result.peer_advertise = read_address(reader, "peer_advertise");
     result.platform = read_address(reader, "platform");
     if (reader.find("seed_peers") != nullptr)
     {
--- a/src/libs/state/process_settings.hpp
+++ b/src/libs/state/process_settings.hpp
@@ -20,6 +20,9 @@
     std::string listen;
     /// Address for other nodes, `ip:port`.
     std::string peer_listen;
+    /// Address that other nodes are told to connect to, if it is not `peer_listen`, for
+    /// example because a relay stands in front of it.
+    std::string peer_advertise;
     /// Address of the log service and of the instance list, `ip:port`.
     std::string platform;
     /// Peer addresses known before the instance list has been read.
--- a/tests/scenario_runner/child_process.cpp
+++ b/tests/scenario_runner/child_process.cpp
@@ -26,6 +26,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
+    // Sockets of the runner that a child kept would stay open after their close here.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     std::vector<char*> arguments;
     for (const std::string& word : command)
         arguments.push_back(const_cast<char*>(word.c_str())); // NOLINT: execv's signature
--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -34,9 +34,19 @@
     return transport::format_address(acceptor.local_endpoint());
 }
 
-/// Inode of the socket with this local port, as the kernel's table shows it.
-std::string socket_inode(unsigned short port)
+/// Reads the port of `address:port` in hexadecimal; 0 if there is none.
+unsigned long port_of(const std::string& text)
 {
+    const std::size_t colon = text.find(':');
+    return colon == std::string::npos ? 0
+                                      : std::stoul(text.substr(colon + 1), nullptr, 16);
+}
+
+/// Inode of the socket with these ports, as the kernel's table shows it. The local port
+/// alone may be shared by connections to different ports.
+std::string socket_inode(unsigned short local_port, unsigned short remote_port)
+{
+    constexpr int columns_between = 6;
     std::ifstream table("/proc/self/net/tcp");
     std::string line;
     std::getline(table, line);
@@ -45,15 +55,15 @@
         std::istringstream fields(line);
         std::string slot;
         std::string local;
+        std::string remote;
         std::string skipped;
         std::string inode;
-        fields >> slot >> local;
-        for (int column = 0; column < 7; ++column)
+        fields >> slot >> local >> remote;
+        for (int column = 0; column < columns_between; ++column)
             fields >> skipped;
         fields >> inode;
-        const std::size_t colon = local.find(':');
-        if (colon != std::string::npos &&
-            std::stoul(local.substr(colon + 1), nullptr, 16) == port && inode != "0")
+        if (port_of(local) == local_port && port_of(remote) == remote_port &&
+            inode != "0")
             return inode;
     }
     return {};
@@ -142,14 +152,15 @@
         {
             item.relay = std::make_unique<link_relay>(
                 this->http.context(), item.entry.id, address, this->cuts,
-                [this](unsigned short port) { return this->owner_of_port(port); });
+                [this](unsigned short local, unsigned short remote)
+                { return this->owner_of(local, remote); });
         });
     return item.relay->address();
 }
 
-std::string deployment::owner_of_port(unsigned short port) const
+std::string deployment::owner_of(unsigned short local, unsigned short remote) const
 {
-    const std::string inode = socket_inode(port);
+    const std::string inode = socket_inode(local, remote);
     if (inode.empty())
         return {};
     for (const auto& [pid, name] : this->process_names)
@@ -255,12 +266,13 @@
     settings["zone"] = item.entry.zone;
     settings["listen"] = "127.0.0.1:0";
     settings["peer_listen"] = item.peer_listen;
+    item.entry.peer_address = this->reach(item, item.peer_listen);
+    settings["peer_advertise"] = item.entry.peer_address;
     settings["platform"] = this->platform_address();
     std::ofstream(path) << boost::json::serialize(settings);
     item.command = {this->binaries + "/pomelorouter", "node", "--settings", path};
     this->launch(item, {});
     item.entry.address = item.process->address();
-    item.entry.peer_address = this->reach(item, item.peer_listen);
     const boost::json::value status =
         this->http.get_json(item.entry.address, "/admin/status");
     if (status.is_object() && status.get_object().contains("incarnation"))
--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -86,7 +86,7 @@
     void register_member(member& item);
     void keep_stats(member& item);
     std::string reach(member& item, const std::string& address);
-    std::string owner_of_port(unsigned short port) const;
+    std::string owner_of(unsigned short local, unsigned short remote) const;
     std::string platform_address();
 
     std::string binaries;
--- a/tests/scenario_runner/link_relay.cpp
+++ b/tests/scenario_runner/link_relay.cpp
@@ -101,7 +101,8 @@
         return false;
     // Looked up late: a process may connect before the runner has noted its id.
     if (link.client_name.empty())
-        link.client_name = this->find_name(link.client_port);
+        link.client_name =
+            this->find_name(link.client_port, this->acceptor.local_endpoint().port());
     return this->cuts.contains(forward ? std::pair(link.client_name, this->name)
                                        : std::pair(this->name, link.client_name));
 }
--- a/tests/scenario_runner/link_relay.hpp
+++ b/tests/scenario_runner/link_relay.hpp
@@ -23,8 +23,9 @@
 class link_relay
 {
 public:
-    /// Names the process that owns the local port of a connection.
-    using name_finder = std::function<std::string(unsigned short port)>;
+    /// Names the process that owns the connection with these local and remote ports.
+    using name_finder =
+        std::function<std::string(unsigned short local, unsigned short remote)>;
 
     link_relay(boost::asio::io_context& loop, std::string target_name,
                const std::string& target_address, const cut_directions& cuts,
