Add the fleet records, the order ledger and the lease and order state machines

The engine order path needs a state that every node computes alike from the log. The ledger folds leases, intents, outcomes and what the lease holder saw of an engine (capacity without the KV reserve, resident set, whether it checks fencing tokens), so that the validity of an intent depends on the log prefix only. The handling of expired records moves from settings_fold to fold_position, which both folds use.

--- a/src/libs/coordination/settings_fold.cpp
+++ b/src/libs/coordination/settings_fold.cpp
@@ -21,9 +21,9 @@
 std::optional<proposal_result> settings_fold::apply(std::uint64_t offset,
                                                     std::string_view data)
 {
-    if (offset < this->next)
+    if (offset < this->position.next_offset())
         return std::nullopt;
-    if (this->known)
+    if (this->position.is_known())
         return this->apply_known(offset, data);
     this->look_for_snapshot(offset, data);
     return std::nullopt;
@@ -31,26 +31,15 @@
 
 void settings_fold::begin_at(std::uint64_t first)
 {
-    if (first == 0 && !this->known && this->next == 0)
-    {
-        this->known = true;
+    if (this->position.begin_at(first))
         this->current = std::make_shared<const state::settings>();
-        return;
-    }
-    if (this->known && first <= this->next)
-        return;
-    // Records between the state and `first` have expired unread: they may have changed
-    // it.
-    this->known = false;
-    this->unread_begin = first;
-    this->unread.clear();
 }
 
 std::optional<proposal_result> settings_fold::apply_known(std::uint64_t offset,
                                                           std::string_view data)
 {
     // A malformed record is skipped by every node alike, so the position moves on first.
-    this->next = offset + 1;
+    this->position.advance(offset);
     const protocol::settings_record record = protocol::parse_settings_record(data);
     if (const auto* proposal = std::get_if<protocol::settings_proposal>(&record))
         return this->apply_proposal(*proposal);
@@ -59,35 +48,30 @@
 
 void settings_fold::look_for_snapshot(std::uint64_t offset, std::string_view data)
 {
-    this->unread.push_back({offset, std::string(data)});
+    this->position.keep_unread(offset, data);
     const protocol::settings_record record = protocol::parse_settings_record(data);
     const auto* snapshot = std::get_if<protocol::settings_snapshot>(&record);
     if (snapshot == nullptr)
         return;
     // A snapshot that was taken before the first record still kept would lose the changes
     // between the two.
-    if (snapshot->upto + 1 >= this->unread_begin)
+    if (this->position.reaches_back(snapshot->upto))
         this->adopt(*snapshot);
 }
 
 bool settings_fold::adopt(const protocol::settings_snapshot& snapshot)
 {
-    if (snapshot.upto + 1 < this->next ||
-        (this->known && snapshot.upto + 1 == this->next))
-        return false;
-    this->current = std::make_shared<const state::settings>(
+    auto resolved = std::make_shared<const state::settings>(
         state::resolve_settings(snapshot.tree, document));
+    const auto later = this->position.adopt(snapshot.upto);
+    if (!later)
+        return false;
+    this->current = std::move(resolved);
     this->current_tree = snapshot.tree;
     this->current_version = snapshot.version;
     this->recent.assign(snapshot.recent.begin(), snapshot.recent.end());
-    this->next = snapshot.upto + 1;
-    this->known = true;
-    const std::vector<unread_record> later = std::exchange(this->unread, {});
-    const bool reaches_back = this->unread_begin <= this->next;
-    for (const unread_record& record : later)
+    for (const fold_position::unread_record& record : *later)
     {
-        if (!reaches_back || record.offset < this->next)
-            continue;
         try
         {
             this->apply_known(record.offset, record.data);
@@ -104,7 +88,7 @@
 {
     protocol::settings_snapshot result;
     result.version = this->current_version;
-    result.upto = this->next == 0 ? 0 : this->next - 1;
+    result.upto = this->next_offset() == 0 ? 0 : this->next_offset() - 1;
     result.tree = this->current_tree;
     result.recent.assign(this->recent.begin(), this->recent.end());
     return result;
--- a/src/libs/coordination/settings_fold.hpp
+++ b/src/libs/coordination/settings_fold.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/fold_position.hpp"
 #include "protocol/settings_records.hpp"
 #include "state/settings.hpp"
 
@@ -36,10 +37,10 @@
     protocol::settings_snapshot snapshot() const;
 
     /// Whether the state is that of a known prefix of the stream.
-    bool is_known() const { return this->known; }
+    bool is_known() const { return this->position.is_known(); }
     std::uint64_t version() const { return this->current_version; }
     /// Offset of the next record to fold.
-    std::uint64_t next_offset() const { return this->next; }
+    std::uint64_t next_offset() const { return this->position.next_offset(); }
     const boost::json::value& tree() const { return this->current_tree; }
     /// The settings in force; null until some were known.
     std::shared_ptr<const state::settings> resolved() const { return this->current; }
@@ -47,12 +48,6 @@
     std::optional<protocol::proposal_result> find_result(std::string_view id) const;
 
 private:
-    struct unread_record
-    {
-        std::uint64_t offset;
-        std::string data;
-    };
-
     std::optional<protocol::proposal_result> apply_known(std::uint64_t offset,
                                                          std::string_view data);
     void look_for_snapshot(std::uint64_t offset, std::string_view data);
@@ -60,15 +55,11 @@
     apply_proposal(const protocol::settings_proposal& proposal);
     void remember(protocol::proposal_result result);
 
-    bool known = false;
-    std::uint64_t next = 0;
+    fold_position position;
     std::uint64_t current_version = 0;
     boost::json::value current_tree = boost::json::object{};
     std::shared_ptr<const state::settings> current;
     std::deque<protocol::proposal_result> recent;
-    /// While the state is unknown: where reading began, and what was read since.
-    std::uint64_t unread_begin = 0;
-    std::vector<unread_record> unread;
 };
 
 } // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/protocol/fleet_records.hpp
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "protocol/engine_api.hpp"
+#include "protocol/record_header.hpp"
+#include "state/fleet.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace pomelorouter::protocol
+{
+
+/// Asks for the placement lease of a scope. Valid if `previous_epoch` is the current one;
+/// the new epoch is the record's offset plus one, so that 0 means that nobody holds it.
+struct lease_claim
+{
+    record_header header;
+    std::string scope;
+    std::uint64_t previous_epoch = 0;
+};
+
+/// Shows that the holder of an epoch is still at work.
+struct lease_renew
+{
+    record_header header;
+    std::string scope;
+    std::uint64_t epoch = 0;
+};
+
+/// Ends an epoch, so that another node may claim the lease at once.
+struct lease_release
+{
+    record_header header;
+    std::string scope;
+    std::uint64_t epoch = 0;
+};
+
+/// Announces an order; it may be sent only if it is valid at its own offset.
+struct order_intent
+{
+    record_header header;
+    std::string order_id;
+    std::uint64_t epoch = 0;
+    std::string engine;
+    std::uint64_t engine_incarnation = 0;
+    order_step step = order_step::load;
+    std::string model;
+    std::string version;
+    /// Empty for the model itself.
+    std::string adapter;
+    /// Size of what is loaded or unloaded.
+    std::int64_t bytes = 0;
+    /// Only for `set_role`.
+    std::string role;
+};
+
+enum class order_result
+{
+    done,
+    failed,
+    /// The engine never got the order and never will.
+    not_sent,
+};
+
+std::string_view to_string(order_result result);
+
+/// Why the writer of an outcome may close the order.
+enum class outcome_basis
+{
+    /// The writer of the intent closes it.
+    author,
+    /// The engine refuses old fencing tokens and has acknowledged the writer's epoch.
+    fence,
+    /// The process that wrote the intent is known to be dead.
+    author_dead,
+};
+
+std::string_view to_string(outcome_basis basis);
+
+/// Closes an order.
+struct order_outcome
+{
+    record_header header;
+    std::string order_id;
+    order_result result = order_result::done;
+    outcome_basis basis = outcome_basis::author;
+    /// Epoch of the writer; not needed from the author of the intent.
+    std::uint64_t epoch = 0;
+};
+
+/// What the lease holder saw in the inventory of an engine. The memory rule is evaluated
+/// against this record and the outcomes after it, never against a node's own view.
+struct engine_seen
+{
+    record_header header;
+    std::uint64_t epoch = 0;
+    std::string engine;
+    std::uint64_t engine_incarnation = 0;
+    /// Offset of the last change of this engine in the ledger that the writer had folded
+    /// before it asked for the inventory, plus one; 0 for an engine not in the ledger.
+    std::uint64_t base = 0;
+    bool checks_fence = false;
+    std::uint64_t fence = 0;
+    /// Memory for models: capacity without the KV cache reserve.
+    std::int64_t limit_bytes = 0;
+    std::vector<state::resident_model> resident;
+};
+
+/// The instance list no longer has the engine. Valid if it has no open order.
+struct engine_gone
+{
+    record_header header;
+    std::uint64_t epoch = 0;
+    std::string engine;
+};
+
+/// Holder of the placement lease of a scope.
+struct lease_state
+{
+    std::string scope;
+    std::string holder;
+    std::uint64_t incarnation = 0;
+    std::uint64_t epoch = 0;
+    /// False after a release; the epoch is kept because it must only rise.
+    bool held = false;
+
+    bool operator==(const lease_state&) const = default;
+};
+
+/// An engine in the ledger.
+struct engine_entry
+{
+    std::string engine;
+    std::uint64_t incarnation = 0;
+    std::string scope;
+    /// Offset of the last record that changed this entry, plus one.
+    std::uint64_t changed = 0;
+    bool checks_fence = false;
+    /// A new incarnation has not yet acknowledged the current epoch and could still
+    /// accept an old order, so nothing is loaded there.
+    bool awaiting_fence = false;
+    std::int64_t limit_bytes = 0;
+    std::vector<state::resident_model> resident;
+    std::vector<order_intent> open_orders;
+};
+
+/// Last sequence number that was folded from a process.
+struct writer_position
+{
+    std::string writer;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t offset = 0;
+};
+
+/// The state after all records up to the offset `upto`, that one included.
+struct fleet_snapshot
+{
+    record_header header;
+    std::uint64_t upto = 0;
+    std::vector<lease_state> leases;
+    std::vector<engine_entry> engines;
+    std::vector<writer_position> writers;
+};
+
+using fleet_record =
+    std::variant<lease_claim, lease_renew, lease_release, order_intent, order_outcome,
+                 engine_seen, engine_gone, fleet_snapshot>;
+
+std::string format_fleet_record(const fleet_record& record);
+/// Throws `state::error` if `data` is no record of the fleet stream.
+fleet_record parse_fleet_record(std::string_view data);
+const record_header& header_of(const fleet_record& record);
+record_header& header_of(fleet_record& record);
+
+} // namespace pomelorouter::protocol
