Add placement and the agent that leads it over the order ledger

placement plans loads and unloads from demand, the settings and the ledger. placement_agent takes part in the lease, gives orders in the five steps of the order path and closes orders that earlier holders have left open. Both are pure, so that several nodes run in the tests in virtual time against a model of engines and log.

--- a/src/libs/coordination/engine_order.cpp
+++ b/src/libs/coordination/engine_order.cpp
@@ -42,7 +42,7 @@
 struct engine_failed
 {
 };
-struct lease_lost
+struct withdrawn
 {
 };
 /// The engine has not got the order and cannot get it any more.
@@ -82,7 +82,7 @@
         front::Row<sent_state,      engine_finished, done_state>,
         front::Row<sent_state,      engine_failed,   failed_state>,
         front::Row<intended_state,  folded_invalid,  abandoned_state>,
-        front::Row<confirmed_state, lease_lost,      abandoned_state>,
+        front::Row<confirmed_state, withdrawn,       abandoned_state>,
         front::Row<sent_state,      never_arrives,   abandoned_state>>
     {
     };
@@ -196,9 +196,15 @@
         this->states->process(never_arrives{});
 }
 
-void engine_order::on_lease_lost()
+void engine_order::on_engine_gone(state::time_point now, state::milliseconds margin)
 {
-    this->states->process(lease_lost{});
+    if (!this->attempt_running && now > this->last_attempt_end + margin)
+        this->states->process(never_arrives{});
+}
+
+void engine_order::withdraw()
+{
+    this->states->process(withdrawn{});
 }
 
 std::optional<order_result> engine_order::result() const
--- a/src/libs/coordination/engine_order.hpp
+++ b/src/libs/coordination/engine_order.hpp
@@ -53,8 +53,11 @@
     void on_inventory(const state::engine_inventory& inventory,
                       state::time_point requested, std::uint64_t held_epoch,
                       state::milliseconds margin);
-    /// The order can no longer be sent, because the lease is lost.
-    void on_lease_lost();
+    /// The instance list no longer has the engine.
+    void on_engine_gone(state::time_point now, state::milliseconds margin);
+    /// The order is not to be sent, because the lease is lost or the order would now do
+    /// harm. Without effect if it may have been sent.
+    void withdraw();
 
     order_stage stage() const;
     bool is_ended() const;
--- a/src/libs/coordination/order_ledger.cpp
+++ b/src/libs/coordination/order_ledger.cpp
@@ -177,19 +177,27 @@
     return found == this->engine_entries.end() ? nullptr : &found->second;
 }
 
-const order_intent* order_ledger::find_open(std::string_view order_id) const
+const order_intent* order_ledger::find_open(std::string_view engine,
+                                            std::string_view order_id) const
 {
-    for (const auto& [id, entry] : this->engine_entries)
+    const engine_entry* entry = this->find_engine(engine);
+    if (entry == nullptr)
+        return nullptr;
+    for (const order_intent& order : entry->open_orders)
     {
-        for (const order_intent& order : entry.open_orders)
-        {
-            if (order.order_id == order_id)
-                return &order;
-        }
+        if (order.order_id == order_id)
+            return &order;
     }
     return nullptr;
 }
 
+std::uint64_t order_ledger::folded_sequence(const std::string& writer,
+                                            std::uint64_t incarnation) const
+{
+    const auto found = this->writers.find({writer, incarnation});
+    return found == this->writers.end() ? 0 : found->second.sequence;
+}
+
 std::int64_t order_ledger::reserved_bytes(const engine_entry& entry,
                                           const order_intent* extra)
 {
--- a/src/libs/coordination/order_ledger.hpp
+++ b/src/libs/coordination/order_ledger.hpp
@@ -82,7 +82,11 @@
     /// Returns the engine's entry, or null.
     const protocol::engine_entry* find_engine(std::string_view engine) const;
     /// Returns the open order, or null.
-    const protocol::order_intent* find_open(std::string_view order_id) const;
+    const protocol::order_intent* find_open(std::string_view engine,
+                                            std::string_view order_id) const;
+    /// Last sequence number that was folded from a process, or 0.
+    std::uint64_t folded_sequence(const std::string& writer,
+                                  std::uint64_t incarnation) const;
 
     /// Memory that the engine may hold while its open orders are under way, with one more
     /// load if `extra` is given.
--- /dev/null
+++ b/src/libs/coordination/placement_agent.cpp
@@ -0,0 +1,693 @@
+#include "coordination/placement_agent.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelorouter::coordination
+{
+
+using protocol::engine_entry;
+using protocol::order_intent;
+using protocol::order_result;
+using protocol::order_step;
+using protocol::outcome_basis;
+
+namespace
+{
+
+// Scope of nodes and engines whose availability zone the settings do not name.
+constexpr const char* default_scope = "default";
+// An order is repeated at this interval until the inventory shows it.
+constexpr state::milliseconds resend_delay{1000};
+// Bounds the records that one decision puts before the next renewal of the lease.
+constexpr std::size_t max_orders_per_plan = 32;
+
+std::set<model_key> keys_of(const std::vector<state::resident_model>& items)
+{
+    std::set<model_key> result;
+    for (const state::resident_model& item : items)
+        result.insert(key_of(item));
+    return result;
+}
+
+} // namespace
+
+placement_agent::placement_agent(std::string node_id, std::uint64_t node_incarnation,
+                                 std::string node_zone, const peer_knowledge& other_nodes,
+                                 placement_port& requests)
+    : node(std::move(node_id)),
+      incarnation(node_incarnation),
+      zone(std::move(node_zone)),
+      peers(other_nodes),
+      port(requests),
+      lease_part(node, incarnation),
+      outbox(node, incarnation)
+{
+}
+
+placement_agent::~placement_agent() = default;
+
+void placement_agent::on_settings(std::shared_ptr<const state::settings> settings)
+{
+    this->tree = std::move(settings);
+    this->lease_part.set_timing(
+        {state::milliseconds(this->attribute(state::attribute::lease_renew_ms)),
+         state::milliseconds(this->attribute(state::attribute::lease_duration_ms))});
+}
+
+void placement_agent::begin_at(std::uint64_t first)
+{
+    this->fold.begin_at(first);
+}
+
+void placement_agent::on_record(state::time_point now, std::uint64_t offset,
+                                std::string_view data)
+{
+    ++this->records_since_snapshot;
+    const auto event = this->fold.apply(offset, data);
+    if (!event)
+        return;
+    const protocol::record_header& header = protocol::header_of(event->record);
+    if (this->is_own(header))
+        this->outbox.on_folded(header.sequence);
+    const bool applied = event->verdict == fleet_verdict::applied;
+    if (const auto* outcome = std::get_if<protocol::order_outcome>(&event->record))
+    {
+        if (this->is_own(header))
+            this->closing.erase(outcome->order_id);
+    }
+    else if (const auto* intent = std::get_if<order_intent>(&event->record))
+    {
+        if (!applied && this->is_own(header))
+        {
+            this->port.record_event("order_not_valid",
+                                    {{"order", intent->order_id},
+                                     {"reason", std::string(to_string(event->verdict))}});
+        }
+    }
+    else if (std::holds_alternative<protocol::fleet_snapshot>(event->record))
+    {
+        this->records_since_snapshot = 0;
+    }
+    else if (applied)
+    {
+        const bool is_lease_record =
+            std::holds_alternative<protocol::lease_claim>(event->record) ||
+            std::holds_alternative<protocol::lease_renew>(event->record) ||
+            std::holds_alternative<protocol::lease_release>(event->record);
+        this->lease_sign = this->lease_sign || is_lease_record;
+    }
+    static_cast<void>(now);
+}
+
+void placement_agent::on_page_end(state::time_point now)
+{
+    if (!this->fold.is_known() || !this->tree)
+        return;
+    const lease_position before = this->lease_part.position();
+    this->lease_part.on_folded(now, this->fold.lease(this->scope_of_zone(this->zone)),
+                               std::exchange(this->lease_sign, false));
+    if (this->lease_part.position() != before)
+    {
+        this->port.record_event(
+            "placement_lease",
+            {{"position", std::string(to_string(this->lease_part.position()))},
+             {"epoch", std::to_string(this->lease_part.epoch())}});
+    }
+    for (auto& [id, engine] : this->engines)
+    {
+        const engine_entry* entry = this->fold.find_engine(id);
+        const std::uint64_t changed = entry == nullptr ? 0 : entry->changed;
+        if (engine.changed == changed)
+            continue;
+        engine.changed = changed;
+        engine.changed_at = now;
+    }
+    const std::uint64_t folded =
+        this->fold.folded_sequence(this->node, this->incarnation);
+    for (auto& [id, order] : this->orders)
+    {
+        // Not by the verdict alone: the intent may be part of a snapshot, and an order
+        // that was valid may have been closed since.
+        const order_intent& intent = order.intent();
+        if (order.stage() == order_stage::intended && intent.header.sequence <= folded)
+            order.on_folded(this->fold.find_open(intent.engine, id) != nullptr);
+    }
+    this->advance_orders(now);
+    this->pump(now);
+}
+
+void placement_agent::on_append_end(append_end end, state::time_point now)
+{
+    this->outbox.on_append_end(end, now);
+    this->pump(now);
+}
+
+void placement_agent::on_send_end(const std::string& order_id, send_end end,
+                                  state::time_point now)
+{
+    const auto found = this->orders.find(order_id);
+    if (found == this->orders.end())
+        return;
+    if (end == send_end::stale_fence)
+        found->second.on_stale_fence();
+    found->second.on_attempt_ended(now, resend_delay);
+}
+
+void placement_agent::on_engines(const std::vector<listed_engine>& listed,
+                                 state::time_point now)
+{
+    std::set<std::string> present;
+    for (const listed_engine& item : listed)
+    {
+        engine_state& engine = this->engines[item.id];
+        engine.zone = item.zone;
+        engine.listed = true;
+        engine.leaving = item.leaving;
+        present.insert(item.id);
+    }
+    for (auto& [id, engine] : this->engines)
+    {
+        if (!engine.listed || present.contains(id))
+            continue;
+        engine.listed = false;
+        engine.reachable = false;
+        engine.unlisted_since = now;
+    }
+    // Engines that only the ledger knows, for example after a restart of this process.
+    for (const auto& [id, entry] : this->fold.engines())
+    {
+        const auto [found, is_new] = this->engines.try_emplace(id);
+        if (is_new)
+            found->second.unlisted_since = now;
+    }
+}
+
+void placement_agent::on_inventory(const state::engine_inventory& inventory,
+                                   double tokens_per_s, state::time_point requested,
+                                   state::time_point now)
+{
+    const auto found = this->engines.find(inventory.engine);
+    if (found == this->engines.end() || !found->second.listed)
+        return;
+    engine_state& engine = found->second;
+    engine.reachable = true;
+    engine.inventory = inventory;
+    engine.requested = requested;
+    engine.tokens_per_s = tokens_per_s;
+    if (!this->tree)
+        return;
+    for (auto& [id, order] : this->orders)
+    {
+        if (order.intent().engine != inventory.engine)
+            continue;
+        // A new process of the engine does not get orders meant for the earlier one.
+        const bool same_process =
+            order.intent().engine_incarnation == inventory.incarnation;
+        order.on_inventory(inventory, requested, same_process ? this->held_epoch() : 0,
+                           this->margin());
+    }
+    this->advance_orders(now);
+    this->pump(now);
+}
+
+void placement_agent::on_engine_unreachable(const std::string& engine)
+{
+    const auto found = this->engines.find(engine);
+    if (found != this->engines.end())
+        found->second.reachable = false;
+}
+
+void placement_agent::on_tick(state::time_point now, const demand_map& demand)
+{
+    if (this->tree && this->fold.is_known())
+    {
+        this->act_on_lease(now);
+        this->advance_orders(now);
+        if (this->lease_part.is_holder())
+        {
+            this->close_foreign_orders(now);
+            this->report_engines(now);
+            this->report_gone(now);
+            this->push_fence_orders();
+            this->plan(now, demand);
+        }
+        this->write_snapshot();
+    }
+    this->pump(now);
+}
+
+std::int64_t placement_agent::attribute(state::attribute id) const
+{
+    return this->tree->attributes.get(id);
+}
+
+state::milliseconds placement_agent::margin() const
+{
+    return state::milliseconds(this->attribute(state::attribute::late_order_margin_ms));
+}
+
+std::string placement_agent::scope_of_zone(const std::string& name) const
+{
+    const auto found = this->tree->zones.find(name);
+    return found == this->tree->zones.end() ? default_scope : found->second.region;
+}
+
+std::uint64_t placement_agent::held_epoch() const
+{
+    return this->lease_part.is_holder() ? this->lease_part.epoch() : 0;
+}
+
+bool placement_agent::is_own(const protocol::record_header& header) const
+{
+    return header.writer == this->node && header.incarnation == this->incarnation;
+}
+
+std::int64_t placement_agent::limit_of(const engine_state& engine) const
+{
+    constexpr std::int64_t whole = 100;
+    const auto zone_entry = this->tree->zones.find(engine.zone);
+    const state::attribute_values& attributes = zone_entry == this->tree->zones.end()
+                                                    ? this->tree->attributes
+                                                    : zone_entry->second.attributes;
+    const std::int64_t reserve = attributes.get(state::attribute::kv_reserve_percent);
+    return engine.inventory.capacity_bytes / whole * (whole - reserve);
+}
+
+void placement_agent::act_on_lease(state::time_point now)
+{
+    const std::string scope = this->scope_of_zone(this->zone);
+    // Records that wait mean that the log is slow or down; a claim or renewal behind them
+    // would come too late to say anything.
+    const bool may_hold = this->peers.may_hold_lease() && this->outbox.empty();
+    switch (this->lease_part.on_tick(now, this->peers.lease_rank(scope), may_hold))
+    {
+    case lease_action::claim:
+    {
+        protocol::lease_claim claim;
+        claim.scope = scope;
+        claim.previous_epoch = this->lease_part.epoch();
+        this->outbox.push(std::move(claim));
+        break;
+    }
+    case lease_action::renew:
+    {
+        protocol::lease_renew renew;
+        renew.scope = scope;
+        renew.epoch = this->lease_part.epoch();
+        this->outbox.push(std::move(renew));
+        break;
+    }
+    case lease_action::none:
+        break;
+    }
+}
+
+void placement_agent::advance_orders(state::time_point now)
+{
+    for (auto order = this->orders.begin(); order != this->orders.end();)
+    {
+        this->advance_order(order->second, now);
+        const order_intent& intent = order->second.intent();
+        const bool is_closed =
+            this->fold.is_known() && order->second.is_ended() &&
+            !order->second.is_attempt_running() &&
+            this->fold.find_open(intent.engine, intent.order_id) == nullptr;
+        if (is_closed)
+            order = this->orders.erase(order);
+        else
+            ++order;
+    }
+    if (this->orders.empty() && this->lease_part.position() == lease_position::lost)
+        this->lease_part.on_orders_closed();
+}
+
+void placement_agent::advance_order(engine_order& order, state::time_point now)
+{
+    const order_intent& intent = order.intent();
+    const std::uint64_t epoch = this->held_epoch();
+    if (order.stage() == order_stage::confirmed &&
+        (epoch != intent.epoch || !this->is_harmless(intent)))
+        order.withdraw();
+    const auto engine = this->engines.find(intent.engine);
+    const bool is_listed = engine != this->engines.end() && engine->second.listed;
+    if (!is_listed && this->tree)
+        order.on_engine_gone(now, this->margin());
+    const bool is_reached =
+        is_listed && engine->second.inventory.incarnation == intent.engine_incarnation;
+    const bool is_open = this->fold.is_known() &&
+                         this->fold.find_open(intent.engine, intent.order_id) != nullptr;
+    if (is_reached && is_open && order.may_send(epoch, now))
+        this->send(order);
+    const auto result = order.result();
+    if (!result || !is_open || !this->closing.insert(intent.order_id).second)
+        return;
+    protocol::order_outcome outcome;
+    outcome.order_id = intent.order_id;
+    outcome.result = *result;
+    outcome.basis = outcome_basis::author;
+    outcome.epoch = intent.epoch;
+    this->outbox.push(std::move(outcome));
+}
+
+bool placement_agent::is_harmless(const order_intent& order) const
+{
+    if (order.step != order_step::unload)
+        return true;
+    // The copy that made the unload acceptable may be gone since it was decided.
+    std::int64_t same_version = 0;
+    std::int64_t other_version = 0;
+    for (const auto& [id, engine] : this->engines)
+    {
+        if (id == order.engine)
+            continue;
+        for (const model_key& key : this->make_engine(id, engine).ready)
+        {
+            if (key.model != order.model || key.adapter != order.adapter)
+                continue;
+            ++(key.version == order.version ? same_version : other_version);
+        }
+    }
+    bool is_offered = false;
+    bool is_replaced = false;
+    for (const auto& [name, service] : this->tree->services)
+    {
+        const auto model = service.models.find(order.model);
+        if (model == service.models.end())
+            continue;
+        std::string version = model->second.version;
+        if (!order.adapter.empty())
+        {
+            const auto adapter = model->second.adapters.find(order.adapter);
+            if (adapter == model->second.adapters.end())
+                continue;
+            version = adapter->second.version;
+        }
+        (version == order.version ? is_offered : is_replaced) = true;
+    }
+    if (is_offered)
+        return same_version > 0;
+    return !is_replaced || same_version + other_version > 0;
+}
+
+void placement_agent::send(engine_order& order)
+{
+    const order_intent& intent = order.intent();
+    protocol::engine_order message;
+    message.order_id = intent.order_id;
+    message.fence = intent.epoch;
+    message.step = intent.step;
+    message.model = intent.model;
+    message.version = intent.version;
+    message.adapter = intent.adapter;
+    message.bytes = intent.bytes;
+    message.role = intent.role;
+    order.on_sending();
+    this->port.send(intent.engine, message);
+}
+
+void placement_agent::give_order(order_intent intent)
+{
+    intent.order_id = this->node + "." + std::to_string(this->incarnation) + "." +
+                      std::to_string(++this->next_order);
+    intent.epoch = this->lease_part.epoch();
+    intent.header.sequence = this->outbox.push(intent);
+    const std::string id = intent.order_id;
+    this->orders.emplace(id, engine_order(std::move(intent)));
+}
+
+bool placement_agent::must_report(const engine_state& engine,
+                                  const engine_entry* entry) const
+{
+    if (entry == nullptr || entry->incarnation != engine.inventory.incarnation ||
+        entry->limit_bytes != this->limit_of(engine))
+        return true;
+    if (entry->awaiting_fence && engine.inventory.fence >= this->lease_part.epoch())
+        return true;
+    // While orders are open, the resident set changes without the ledger.
+    return entry->open_orders.empty() &&
+           keys_of(entry->resident) != keys_of(engine.inventory.resident);
+}
+
+void placement_agent::report_engines(state::time_point)
+{
+    const std::string scope = this->scope_of_zone(this->zone);
+    for (auto& [id, engine] : this->engines)
+    {
+        const engine_entry* entry = this->fold.find_engine(id);
+        const std::uint64_t base = entry == nullptr ? 0 : entry->changed;
+        // An inventory asked for before the last change was folded may be older than it.
+        const bool is_usable = engine.listed && engine.reachable &&
+                               engine.changed == base &&
+                               engine.requested > engine.changed_at &&
+                               this->scope_of_zone(engine.zone) == scope &&
+                               (entry == nullptr || entry->scope == scope);
+        if (!is_usable || !this->must_report(engine, entry))
+            continue;
+        const std::pair mark(this->lease_part.epoch(), base);
+        if (std::exchange(engine.reported, mark) == mark)
+            continue;
+        protocol::engine_seen seen;
+        seen.epoch = this->lease_part.epoch();
+        seen.engine = id;
+        seen.engine_incarnation = engine.inventory.incarnation;
+        seen.base = base;
+        seen.checks_fence = engine.inventory.checks_fence;
+        seen.fence = engine.inventory.fence;
+        seen.limit_bytes = this->limit_of(engine);
+        seen.resident = engine.inventory.resident;
+        this->outbox.push(std::move(seen));
+    }
+}
+
+void placement_agent::report_gone(state::time_point now)
+{
+    const std::string scope = this->scope_of_zone(this->zone);
+    for (auto& [id, engine] : this->engines)
+    {
+        const engine_entry* entry = this->fold.find_engine(id);
+        if (engine.listed || entry == nullptr || entry->scope != scope ||
+            !entry->open_orders.empty() || now - engine.unlisted_since < this->margin())
+            continue;
+        const std::pair mark(this->lease_part.epoch(), entry->changed);
+        if (std::exchange(engine.reported, mark) == mark)
+            continue;
+        protocol::engine_gone gone;
+        gone.epoch = this->lease_part.epoch();
+        gone.engine = id;
+        this->outbox.push(std::move(gone));
+    }
+}
+
+void placement_agent::close_foreign_orders(state::time_point now)
+{
+    const std::string scope = this->scope_of_zone(this->zone);
+    for (const auto& [id, entry] : this->fold.engines())
+    {
+        if (entry.scope != scope)
+            continue;
+        for (const order_intent& order : entry.open_orders)
+        {
+            if (!this->is_own(order.header) && order.epoch < this->lease_part.epoch() &&
+                !this->closing.contains(order.order_id))
+                this->close_foreign_order(entry, order, now);
+        }
+    }
+}
+
+void placement_agent::close_foreign_order(const engine_entry& entry,
+                                          const order_intent& order,
+                                          state::time_point now)
+{
+    const auto found = this->engines.find(entry.engine);
+    if (found == this->engines.end())
+        return;
+    const engine_state& engine = found->second;
+    const bool is_gone = !engine.listed && now - engine.unlisted_since > this->margin();
+    const bool is_current = engine.listed && engine.reachable &&
+                            engine.inventory.incarnation == entry.incarnation;
+    if (!is_gone && !is_current)
+        return;
+    protocol::order_outcome outcome;
+    // An inventory that shows our token comes from after the engine began to refuse the
+    // order; what it shows of the order is final.
+    const bool is_fenced = is_current && entry.checks_fence && !entry.awaiting_fence &&
+                           engine.inventory.fence >= this->lease_part.epoch();
+    if (is_fenced)
+        outcome.basis = outcome_basis::fence;
+    else if (this->is_author_gone(order, is_gone ? now : engine.requested, now))
+        outcome.basis = outcome_basis::author_dead;
+    else
+        return;
+    outcome.order_id = order.order_id;
+    outcome.epoch = this->lease_part.epoch();
+    outcome.result = order_result::not_sent;
+    for (const auto& status : engine.inventory.orders)
+    {
+        if (is_gone || status.order_id != order.order_id)
+            continue;
+        if (status.status != "done" && status.status != "failed")
+            return;
+        outcome.result =
+            status.status == "done" ? order_result::done : order_result::failed;
+    }
+    this->closing.insert(order.order_id);
+    this->port.record_event("order_closed_for_earlier_holder",
+                            {{"order", order.order_id},
+                             {"basis", std::string(to_string(outcome.basis))},
+                             {"result", std::string(to_string(outcome.result))}});
+    this->outbox.push(std::move(outcome));
+}
+
+bool placement_agent::is_author_gone(const order_intent& order,
+                                     state::time_point requested, state::time_point now)
+{
+    const auto key = std::pair(order.header.writer, order.header.incarnation);
+    if (!this->peers.is_dead(key.first, key.second))
+    {
+        this->dead_since.erase(key);
+        return false;
+    }
+    const auto [found, is_new] = this->dead_since.try_emplace(key, now);
+    return requested > found->second + this->margin();
+}
+
+void placement_agent::push_fence_orders()
+{
+    const std::uint64_t epoch = this->lease_part.epoch();
+    for (const auto& [id, entry] : this->fold.engines())
+    {
+        const auto found = this->engines.find(id);
+        if (found == this->engines.end() || !found->second.reachable ||
+            entry.scope != this->scope_of_zone(this->zone) || !entry.checks_fence ||
+            found->second.inventory.incarnation != entry.incarnation ||
+            found->second.inventory.fence >= epoch)
+            continue;
+        const bool has_foreign = std::any_of(
+            entry.open_orders.begin(), entry.open_orders.end(),
+            [&](const order_intent& order) { return !this->is_own(order.header); });
+        const bool is_under_way =
+            std::any_of(this->orders.begin(), this->orders.end(),
+                        [&](const auto& item)
+                        {
+                            const order_intent& intent = item.second.intent();
+                            return intent.engine == id && intent.epoch == epoch;
+                        });
+        if (is_under_way || !(has_foreign || entry.awaiting_fence))
+            continue;
+        // Setting the role that the engine has changes nothing but the fencing token.
+        order_intent intent;
+        intent.engine = id;
+        intent.engine_incarnation = entry.incarnation;
+        intent.step = order_step::set_role;
+        intent.role = found->second.inventory.role;
+        this->give_order(std::move(intent));
+    }
+}
+
+bool placement_agent::can_plan() const
+{
+    // The plan counts what the ledger shows, so every earlier decision has to be in it.
+    return this->outbox.empty() && !this->outbox.is_failing() &&
+           std::none_of(this->orders.begin(), this->orders.end(),
+                        [](const auto& item)
+                        { return item.second.stage() == order_stage::intended; });
+}
+
+placement_engine placement_agent::make_engine(const std::string& id,
+                                              const engine_state& engine) const
+{
+    placement_engine result;
+    result.id = id;
+    result.zone = engine.zone;
+    result.leaving = engine.leaving;
+    result.tokens_per_s = engine.tokens_per_s;
+    const engine_entry* entry = this->fold.find_engine(id);
+    result.usable = entry != nullptr && engine.listed && engine.reachable &&
+                    entry->scope == this->scope_of_zone(this->zone) &&
+                    entry->incarnation == engine.inventory.incarnation;
+    if (!result.usable)
+        return result;
+    result.awaiting_fence = entry->awaiting_fence;
+    result.limit_bytes = entry->limit_bytes;
+    const auto reserve = [&](const model_key& key, std::int64_t bytes)
+    {
+        std::int64_t& size = result.reserved[key];
+        size = std::max(size, bytes);
+    };
+    for (const state::resident_model& item : entry->resident)
+        reserve(key_of(item), item.bytes);
+    for (const state::resident_model& item : engine.inventory.resident)
+    {
+        reserve(key_of(item), item.bytes);
+        if (item.ready)
+            result.ready.insert(key_of(item));
+    }
+    for (const order_intent& order : entry->open_orders)
+    {
+        if (order.step == order_step::set_role)
+            continue;
+        reserve(key_of(order), order.bytes);
+        if (order.step == order_step::load)
+        {
+            result.loading.insert(key_of(order));
+            continue;
+        }
+        // It may be carried out at any moment.
+        result.unloading.insert(key_of(order));
+        result.ready.erase(key_of(order));
+    }
+    return result;
+}
+
+void placement_agent::plan(state::time_point now, const demand_map& demand)
+{
+    if (!this->can_plan())
+        return;
+    placement_input input;
+    input.tree = this->tree.get();
+    input.demand = demand;
+    for (const auto& [id, engine] : this->engines)
+    {
+        if (engine.listed)
+            input.engines.push_back(this->make_engine(id, engine));
+    }
+    std::size_t given = 0;
+    for (const placement_step& step : this->planner.plan(now, input))
+    {
+        if (given++ == max_orders_per_plan)
+            break;
+        order_intent intent;
+        intent.engine = step.engine;
+        intent.engine_incarnation = this->fold.find_engine(step.engine)->incarnation;
+        intent.step = step.step;
+        intent.model = step.key.model;
+        intent.version = step.key.version;
+        intent.adapter = step.key.adapter;
+        intent.bytes = step.bytes;
+        this->give_order(std::move(intent));
+    }
+}
+
+void placement_agent::write_snapshot()
+{
+    // Nodes that do not hold the lease wait longer, so that normally the holder writes.
+    const auto patience = static_cast<std::int64_t>(
+        this->lease_part.is_holder()
+            ? 1
+            : 2 + this->peers.lease_rank(this->scope_of_zone(this->zone)));
+    if (this->records_since_snapshot <
+            this->attribute(state::attribute::snapshot_records) * patience ||
+        !this->outbox.empty())
+        return;
+    this->records_since_snapshot = 0;
+    this->outbox.push(this->fold.snapshot());
+}
+
+void placement_agent::pump(state::time_point now)
+{
+    if (auto data = this->outbox.next(now))
+        this->port.append(std::move(*data));
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/placement_agent.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "coordination/engine_order.hpp"
+#include "coordination/order_ledger.hpp"
+#include "coordination/placement.hpp"
+#include "coordination/placement_lease.hpp"
+#include "coordination/record_outbox.hpp"
+#include "state/event_log.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace pomelorouter::coordination
+{
+
+/// What membership knows of the other nodes.
+class peer_knowledge
+{
+public:
+    virtual ~peer_knowledge() = default;
+
+    /// Whether this process is gone: the instance list no longer has its node, or a new
+    /// incarnation answers at its node id. Suspicion is not enough.
+    virtual bool is_dead(const std::string& node, std::uint64_t incarnation) const = 0;
+    /// Place of this node among the candidates for the lease of a scope, 0 for the first.
+    virtual std::size_t lease_rank(const std::string& scope) const = 0;
+    /// Whether this node may hold a lease now.
+    virtual bool may_hold_lease() const = 0;
+};
+
+/// How an attempt to send an order ended.
+enum class send_end
+{
+    /// The engine has the order.
+    accepted,
+    stale_fence,
+    /// Refused for another reason, or the answer was lost.
+    unknown,
+};
+
+/// What the agent asks for. The ends are reported back with `on_append_end` and
+/// `on_send_end`.
+class placement_port
+{
+public:
+    virtual ~placement_port() = default;
+
+    virtual void append(std::string data) = 0;
+    virtual void send(const std::string& engine, const protocol::engine_order& order) = 0;
+    virtual void record_event(std::string kind,
+                              std::vector<state::event_field> fields) = 0;
+};
+
+/// An engine of the instance list.
+struct listed_engine
+{
+    std::string id;
+    std::string zone;
+    bool leaving = false;
+};
+
+/// Decides what this node does about placement: it takes part in the lease, and as the
+/// holder gives orders and closes those that earlier holders have left open.
+class placement_agent
+{
+public:
+    placement_agent(std::string node, std::uint64_t incarnation, std::string zone,
+                    const peer_knowledge& peers, placement_port& port);
+    ~placement_agent();
+    placement_agent(const placement_agent&) = delete;
+    placement_agent& operator=(const placement_agent&) = delete;
+
+    void on_settings(std::shared_ptr<const state::settings> tree);
+    /// The log begins at `first`; earlier records have expired or there are none.
+    void begin_at(std::uint64_t first);
+    /// Folds one record; throws `state::error` if it cannot be read.
+    void on_record(state::time_point now, std::uint64_t offset, std::string_view data);
+    /// All records of a page have been folded.
+    void on_page_end(state::time_point now);
+    void on_append_end(append_end end, state::time_point now);
+    void on_send_end(const std::string& order_id, send_end end, state::time_point now);
+    void on_engines(const std::vector<listed_engine>& engines, state::time_point now);
+    /// `requested` is when this process asked for the inventory.
+    void on_inventory(const state::engine_inventory& inventory, double tokens_per_s,
+                      state::time_point requested, state::time_point now);
+    void on_engine_unreachable(const std::string& engine);
+    void on_tick(state::time_point now, const demand_map& demand);
+
+    const order_ledger& ledger() const { return this->fold; }
+    const placement_lease& lease() const { return this->lease_part; }
+    std::size_t orders_under_way() const { return this->orders.size(); }
+
+private:
+    struct engine_state
+    {
+        std::string zone;
+        bool listed = false;
+        bool leaving = false;
+        bool reachable = false;
+        state::time_point unlisted_since{};
+        state::time_point requested{};
+        double tokens_per_s = 0.0;
+        state::engine_inventory inventory;
+        /// `engine_entry::changed` as last folded, and when it was folded.
+        std::uint64_t changed = 0;
+        state::time_point changed_at{};
+        /// Epoch and base of the last report written about this engine.
+        std::pair<std::uint64_t, std::uint64_t> reported{};
+    };
+
+    std::int64_t attribute(state::attribute id) const;
+    state::milliseconds margin() const;
+    std::string scope_of_zone(const std::string& zone) const;
+    /// Epoch that this process holds, or 0.
+    std::uint64_t held_epoch() const;
+    bool is_own(const protocol::record_header& header) const;
+    std::int64_t limit_of(const engine_state& engine) const;
+
+    void act_on_lease(state::time_point now);
+    void advance_orders(state::time_point now);
+    void advance_order(engine_order& order, state::time_point now);
+    bool is_harmless(const protocol::order_intent& order) const;
+    void send(engine_order& order);
+    void give_order(protocol::order_intent intent);
+    void report_engines(state::time_point now);
+    bool must_report(const engine_state& engine,
+                     const protocol::engine_entry* entry) const;
+    void report_gone(state::time_point now);
+    void close_foreign_orders(state::time_point now);
+    void close_foreign_order(const protocol::engine_entry& entry,
+                             const protocol::order_intent& order, state::time_point now);
+    bool is_author_gone(const protocol::order_intent& order, state::time_point requested,
+                        state::time_point now);
+    void push_fence_orders();
+    void plan(state::time_point now, const demand_map& demand);
+    placement_engine make_engine(const std::string& id, const engine_state& engine) const;
+    bool can_plan() const;
+    void write_snapshot();
+    void pump(state::time_point now);
+
+    std::string node;
+    std::uint64_t incarnation;
+    std::string zone;
+    const peer_knowledge& peers;
+    placement_port& port;
+    std::shared_ptr<const state::settings> tree;
+    order_ledger fold;
+    placement_lease lease_part;
+    placement planner;
+    record_outbox outbox;
+    std::map<std::string, engine_state> engines;
+    std::map<std::string, engine_order> orders;
+    /// Open orders whose outcome has been written but not yet folded.
+    std::set<std::string> closing;
+    /// When the author of an open order was first known to be dead.
+    std::map<std::pair<std::string, std::uint64_t>, state::time_point> dead_since;
+    std::uint64_t next_order = 0;
+    std::int64_t records_since_snapshot = 0;
+    bool lease_sign = false;
+};
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/placement_round.cpp
@@ -0,0 +1,503 @@
+#include "coordination/placement_round.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace pomelorouter::coordination
+{
+
+using protocol::order_step;
+using state::attribute;
+
+namespace
+{
+
+// A model gets another copy before its demand fills this share of the engines it has,
+// since an engine serves other models too and demand moves faster than a load.
+constexpr double usable_share = 0.5;
+// Assumed of an engine that has not reported its speed.
+constexpr double default_tokens_per_s = 1000.0;
+// A copy is worth keeping for this long after demand last had a use for it; swings
+// within an hour would otherwise move the model back and forth.
+constexpr state::seconds keep_copies{300};
+// Loads that may start at once after a quiet time, in seconds of the store's rate.
+constexpr double burst_seconds = 1.0;
+
+} // namespace
+
+placement_round::placement_round(placement& owner, state::time_point present,
+                                 const placement_input& input)
+    : memory(owner),
+      now(present),
+      tree(*input.tree),
+      demand(input.demand),
+      engines(input.engines)
+{
+    for (const placement_engine& engine : this->engines)
+    {
+        for (const model_key& key : engine.loading)
+            ++(key.adapter.empty() ? this->model_loads_open : this->adapter_loads_open);
+    }
+}
+
+std::vector<placement_step> placement_round::run()
+{
+    this->collect_offers();
+    this->set_desired();
+    this->refill_store_budget();
+    // First every offered model is reachable, then each has its minimum, then demand.
+    constexpr std::int64_t no_limit = 1'000'000;
+    this->restore(1);
+    this->restore(0);
+    this->restore(no_limit);
+    this->unload_replaced_versions();
+    this->unload_not_offered();
+    return std::move(this->steps);
+}
+
+void placement_round::collect_offers()
+{
+    for (const auto& [service_name, service] : this->tree.services)
+    {
+        for (const auto& [model_name, model] : service.models)
+        {
+            this->add_offer({model_name, model.version, {}}, model.bytes,
+                            model.attributes, model.places);
+            for (const auto& [adapter_name, adapter] : model.adapters)
+            {
+                this->add_offer({model_name, adapter.version, adapter_name},
+                                adapter.bytes, adapter.attributes, model.places);
+            }
+        }
+    }
+}
+
+void placement_round::add_offer(const model_key& key, std::int64_t bytes,
+                                const state::attribute_values& attributes,
+                                const std::vector<std::string>& places)
+{
+    const auto [found, is_new] = this->offers.try_emplace(key);
+    offer& item = found->second;
+    // Two services may offer the same model; the larger demands of the two count.
+    item.key = key;
+    item.bytes = std::max(item.bytes, bytes);
+    item.min_copies = std::max(item.min_copies, attributes.get(attribute::min_copies));
+    item.max_copies = std::max(item.max_copies, attributes.get(attribute::max_copies));
+    if (is_new)
+        item.places = places;
+    else if (places.empty() || item.places.empty())
+        item.places.clear();
+    else
+        item.places.insert(item.places.end(), places.begin(), places.end());
+    const auto entry = this->demand.find({key.model, key.adapter});
+    if (entry != this->demand.end())
+        item.demand = entry->second;
+}
+
+void placement_round::set_desired()
+{
+    double speed = 0.0;
+    std::int64_t known = 0;
+    for (const placement_engine& engine : this->engines)
+    {
+        if (!engine.usable || engine.tokens_per_s <= 0.0)
+            continue;
+        speed += engine.tokens_per_s;
+        ++known;
+    }
+    speed = known == 0 ? default_tokens_per_s : speed / static_cast<double>(known);
+    std::erase_if(this->memory.memories,
+                  [&](const auto& entry) { return !this->offers.contains(entry.first); });
+    for (auto& [key, item] : this->offers)
+    {
+        const auto needed = static_cast<std::int64_t>(
+            std::ceil(item.demand.tokens_per_s / (speed * usable_share)));
+        auto& remembered = this->memory.memories[key];
+        if (needed >= remembered.copies || this->now >= remembered.needed_until)
+        {
+            remembered.copies = needed;
+            remembered.needed_until = this->now + keep_copies;
+        }
+        item.desired = std::clamp(remembered.copies, item.min_copies, item.max_copies);
+    }
+}
+
+void placement_round::refill_store_budget()
+{
+    const double rate = this->tree.store.loads_per_s;
+    const double most = std::max(1.0, rate * burst_seconds);
+    if (!this->memory.has_planned)
+    {
+        this->memory.load_tokens = most;
+    }
+    else
+    {
+        const std::chrono::duration<double> passed = this->now - this->memory.last_plan;
+        this->memory.load_tokens =
+            std::min(most, this->memory.load_tokens + rate * passed.count());
+    }
+    this->memory.last_plan = this->now;
+    this->memory.has_planned = true;
+}
+
+bool placement_round::has_store_budget(const offer& item) const
+{
+    if (!item.key.adapter.empty())
+        return this->adapter_loads_open < this->tree.store.adapters_at_once;
+    return this->memory.load_tokens >= 1.0 &&
+           this->model_loads_open < this->tree.store.loads_at_once;
+}
+
+bool placement_round::take_store_budget(const offer& item)
+{
+    if (!this->has_store_budget(item))
+        return false;
+    if (!item.key.adapter.empty())
+    {
+        ++this->adapter_loads_open;
+        return true;
+    }
+    this->memory.load_tokens -= 1.0;
+    ++this->model_loads_open;
+    return true;
+}
+
+void placement_round::restore(std::int64_t below_copies)
+{
+    // 0 stands for each model's own minimum.
+    std::vector<const offer*> missing;
+    for (const auto& [key, item] : this->offers)
+    {
+        const std::int64_t goal =
+            std::min(item.desired, below_copies == 0 ? item.min_copies : below_copies);
+        if (this->planned_copies(key) < goal)
+            missing.push_back(&item);
+    }
+    const auto urgency = [](const offer* item)
+    {
+        // Models before their adapters, which cannot be loaded without them.
+        return std::tuple(!item->key.adapter.empty(), -item->demand.waiting_callers,
+                          -item->demand.tokens_per_s);
+    };
+    std::stable_sort(missing.begin(), missing.end(),
+                     [&](const offer* a, const offer* b)
+                     { return urgency(a) < urgency(b); });
+    for (const offer* item : missing)
+    {
+        const std::int64_t goal =
+            std::min(item->desired, below_copies == 0 ? item->min_copies : below_copies);
+        for (std::int64_t i = this->planned_copies(item->key); i < goal; ++i)
+            this->add_copy(*item, this->ready_copies(item->key) == 0);
+    }
+}
+
+void placement_round::add_copy(const offer& item, bool is_lost)
+{
+    placement_engine* target = this->choose_target(item, item.bytes);
+    if (target == nullptr)
+    {
+        this->make_room(item, is_lost);
+        return;
+    }
+    if (this->take_store_budget(item))
+        this->load(*target, item);
+}
+
+bool placement_round::is_allowed(const offer& item, const placement_engine& engine) const
+{
+    if (item.places.empty())
+        return true;
+    const auto zone = this->tree.zones.find(engine.zone);
+    if (zone == this->tree.zones.end())
+        return false;
+    const std::string full = zone->second.region + "/" + engine.zone;
+    return std::any_of(item.places.begin(), item.places.end(),
+                       [&](const std::string& place)
+                       { return place == zone->second.region || place == full; });
+}
+
+bool placement_round::can_host(const offer& item, const placement_engine& engine) const
+{
+    if (!engine.usable || engine.leaving || engine.awaiting_fence ||
+        engine.reserved.contains(item.key) || !this->is_allowed(item, engine))
+        return false;
+    return item.key.adapter.empty() || this->has_base(item.key, engine);
+}
+
+bool placement_round::has_base(const model_key& adapter,
+                               const placement_engine& engine) const
+{
+    // While no copy of the offered version serves, an adapter runs on the old one.
+    bool is_offered_ready = false;
+    for (const auto& [key, item] : this->offers)
+    {
+        if (key.model != adapter.model || !key.adapter.empty())
+            continue;
+        if (engine.ready.contains(key))
+            return true;
+        is_offered_ready = is_offered_ready || this->ready_copies(key) > 0;
+    }
+    if (is_offered_ready)
+        return false;
+    return std::any_of(engine.ready.begin(), engine.ready.end(),
+                       [&](const model_key& key)
+                       { return key.model == adapter.model && key.adapter.empty(); });
+}
+
+bool placement_round::serves(const model_key& key, const placement_engine& engine) const
+{
+    return engine.usable && !engine.leaving && engine.ready.contains(key) &&
+           (key.adapter.empty() || this->has_base(key, engine));
+}
+
+std::int64_t placement_round::free_bytes(const placement_engine& engine) const
+{
+    const auto found = this->promised.find(engine.id);
+    const std::int64_t free = engine.limit_bytes - engine.reserved_total();
+    if (found == this->promised.end())
+        return free;
+    return std::min(free, this->free_after_unloads(engine));
+}
+
+std::int64_t placement_round::free_after_unloads(const placement_engine& engine) const
+{
+    std::int64_t free = engine.limit_bytes - engine.reserved_total();
+    for (const model_key& key : engine.unloading)
+        free += engine.reserved.at(key);
+    const auto found = this->promised.find(engine.id);
+    return found == this->promised.end() ? free : free - found->second;
+}
+
+placement_engine* placement_round::choose_target(const offer& item,
+                                                 std::int64_t free_at_least)
+{
+    placement_engine* best = nullptr;
+    std::tuple<std::int64_t, std::int64_t> best_score{};
+    for (placement_engine& engine : this->engines)
+    {
+        const std::int64_t free = this->free_bytes(engine);
+        if (!this->can_host(item, engine) || free < free_at_least)
+            continue;
+        const std::tuple score(this->copies_in_zone(item.key, engine.zone), -free);
+        if (best != nullptr && score >= best_score)
+            continue;
+        best = &engine;
+        best_score = score;
+    }
+    return best;
+}
+
+void placement_round::make_room(const offer& item, bool is_lost)
+{
+    // Without a load to follow, an unload would only take a copy away.
+    if (!this->has_store_budget(item))
+        return;
+    // Unloads under way may already free enough.
+    for (const placement_engine& engine : this->engines)
+    {
+        if (!this->can_host(item, engine) || engine.unloading.empty() ||
+            this->free_after_unloads(engine) < item.bytes)
+            continue;
+        this->promised[engine.id] += item.bytes;
+        return;
+    }
+    placement_engine* best = nullptr;
+    std::vector<model_key> best_victims;
+    std::tuple<std::size_t, std::int64_t> best_score{};
+    for (placement_engine& engine : this->engines)
+    {
+        if (!this->can_host(item, engine) || !engine.unloading.empty())
+            continue;
+        std::vector<model_key> chosen = this->victims(item, engine, is_lost);
+        if (chosen.empty())
+            continue;
+        const std::tuple score(chosen.size(),
+                               this->copies_in_zone(item.key, engine.zone));
+        if (best != nullptr && score >= best_score)
+            continue;
+        best = &engine;
+        best_victims = std::move(chosen);
+        best_score = score;
+    }
+    if (best == nullptr)
+        return;
+    for (const model_key& key : best_victims)
+        this->unload(*best, key);
+    this->promised[best->id] += item.bytes;
+}
+
+std::vector<model_key> placement_round::victims(const offer& item,
+                                                const placement_engine& engine,
+                                                bool is_lost) const
+{
+    std::vector<model_key> candidates;
+    for (const model_key& key : engine.ready)
+    {
+        if (key.adapter.empty() && this->may_unload(key, engine, is_lost))
+            candidates.push_back(key);
+    }
+    const auto worth = [&](const model_key& key)
+    {
+        const auto found = this->offers.find(key);
+        return found == this->offers.end() ? -1.0 : found->second.demand.tokens_per_s;
+    };
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [&](const model_key& a, const model_key& b)
+                     { return worth(a) < worth(b); });
+    std::int64_t free = engine.limit_bytes - engine.reserved_total();
+    std::vector<model_key> chosen;
+    for (const model_key& key : candidates)
+    {
+        if (free >= item.bytes)
+            break;
+        free += engine.reserved.at(key);
+        chosen.push_back(key);
+    }
+    return free >= item.bytes ? chosen : std::vector<model_key>{};
+}
+
+bool placement_round::is_replaced(const model_key& key) const
+{
+    return std::any_of(this->offers.begin(), this->offers.end(),
+                       [&](const auto& entry)
+                       {
+                           return entry.first.model == key.model &&
+                                  entry.first.adapter == key.adapter &&
+                                  entry.first.version != key.version;
+                       });
+}
+
+bool placement_round::has_needed_adapter(const model_key& key,
+                                         const placement_engine& engine) const
+{
+    if (!key.adapter.empty())
+        return false;
+    return std::any_of(engine.ready.begin(), engine.ready.end(),
+                       [&](const model_key& adapter)
+                       {
+                           return adapter.model == key.model &&
+                                  !adapter.adapter.empty() &&
+                                  this->offers.contains(adapter) &&
+                                  this->serves(adapter, engine) &&
+                                  this->ready_copies(adapter) < 2;
+                       });
+}
+
+bool placement_round::may_unload(const model_key& key, const placement_engine& engine,
+                                 bool is_lost) const
+{
+    if (engine.unloading.contains(key) || engine.loading.contains(key) ||
+        this->has_needed_adapter(key, engine))
+        return false;
+    const auto found = this->offers.find(key);
+    const std::int64_t copies = this->ready_copies(key);
+    if (found == this->offers.end())
+    {
+        if (!this->is_replaced(key))
+            return true;
+        // The old version serves until a copy of the new one does.
+        if (copies > 1)
+            return true;
+        for (const auto& [other, item] : this->offers)
+        {
+            if (other.model == key.model && other.adapter == key.adapter &&
+                this->ready_copies(other) > 0)
+                return true;
+        }
+        return false;
+    }
+    // Another model's last copy is worth more than a second copy of this one.
+    const std::int64_t keep = is_lost ? 1 : found->second.desired;
+    return copies > keep;
+}
+
+void placement_round::unload_replaced_versions()
+{
+    for (const auto& [key, item] : this->offers)
+    {
+        const std::int64_t copies = this->ready_copies(key);
+        if (copies == 0 || this->planned_copies(key) > copies)
+            continue;
+        // The new version gets all its copies first, if they fit beside the old one.
+        if (copies < item.desired && this->choose_target(item, item.bytes) != nullptr)
+            continue;
+        for (placement_engine& engine : this->engines)
+        {
+            const std::set<model_key> present = engine.ready;
+            for (const model_key& old : present)
+            {
+                if (old.model == key.model && old.adapter == key.adapter &&
+                    !this->offers.contains(old) && this->may_unload(old, engine, false))
+                    this->unload(engine, old);
+            }
+        }
+    }
+}
+
+void placement_round::unload_not_offered()
+{
+    for (placement_engine& engine : this->engines)
+    {
+        if (!engine.usable)
+            continue;
+        const std::set<model_key> present = engine.ready;
+        for (const model_key& key : present)
+        {
+            const bool is_orphan = !key.adapter.empty() && engine.loading.empty() &&
+                                   !this->has_base(key, engine) &&
+                                   this->ready_copies(key) > 0;
+            const bool is_dropped =
+                !this->offers.contains(key) && !this->is_replaced(key);
+            if (is_orphan || (is_dropped && this->may_unload(key, engine, false)))
+                this->unload(engine, key);
+        }
+    }
+}
+
+std::int64_t placement_round::ready_copies(const model_key& key) const
+{
+    return std::count_if(this->engines.begin(), this->engines.end(),
+                         [&](const placement_engine& engine)
+                         { return this->serves(key, engine); });
+}
+
+std::int64_t placement_round::planned_copies(const model_key& key) const
+{
+    return std::count_if(this->engines.begin(), this->engines.end(),
+                         [&](const placement_engine& engine)
+                         {
+                             return this->serves(key, engine) ||
+                                    (engine.usable && !engine.leaving &&
+                                     engine.loading.contains(key));
+                         });
+}
+
+std::int64_t placement_round::copies_in_zone(const model_key& key,
+                                             const std::string& zone) const
+{
+    return std::count_if(this->engines.begin(), this->engines.end(),
+                         [&](const placement_engine& engine)
+                         {
+                             return engine.zone == zone && engine.usable &&
+                                    !engine.leaving && engine.reserved.contains(key) &&
+                                    !engine.unloading.contains(key);
+                         });
+}
+
+void placement_round::load(placement_engine& engine, const offer& item)
+{
+    engine.reserved[item.key] = item.bytes;
+    engine.loading.insert(item.key);
+    this->steps.push_back({engine.id, order_step::load, item.key, item.bytes});
+}
+
+void placement_round::unload(placement_engine& engine, const model_key& key)
+{
+    // The memory stays reserved until the order has ended.
+    engine.ready.erase(key);
+    engine.unloading.insert(key);
+    this->steps.push_back({engine.id, order_step::unload, key, engine.reserved[key]});
+}
+
+} // namespace pomelorouter::coordination
