Let minimum copies take precedence over copies kept for past demand

Schedule 848 left a model below its minimum because copies that demand no longer needed were kept for five minutes; schedule 1702 unloaded a last copy because the inventory was older than an unload in the ledger. Minimum copies now displace copies above the minimum, and a copy counts as serving only if both inventory and ledger have it.

--- a/src/libs/coordination/placement_agent.cpp
+++ b/src/libs/coordination/placement_agent.cpp
@@ -619,10 +619,13 @@
     };
     for (const state::resident_model& item : entry->resident)
         reserve(key_of(item), item.bytes);
+    // The inventory may be older than an unload that the ledger shows as done, for
+    // example after a pause of this process, so a copy serves only if both show it.
+    const std::set<model_key> recorded = keys_of(entry->resident);
     for (const state::resident_model& item : engine.inventory.resident)
     {
         reserve(key_of(item), item.bytes);
-        if (item.ready)
+        if (item.ready && recorded.contains(key_of(item)))
             result.ready.insert(key_of(item));
     }
     for (const order_intent& order : entry->open_orders)
--- a/src/libs/coordination/placement_round.cpp
+++ b/src/libs/coordination/placement_round.cpp
@@ -47,10 +47,8 @@
     this->set_desired();
     this->refill_store_budget();
     // First every offered model is reachable, then each has its minimum, then demand.
-    constexpr std::int64_t no_limit = 1'000'000;
-    this->restore(1);
-    this->restore(0);
-    this->restore(no_limit);
+    for (const need purpose : {need::reachability, need::minimum, need::demand})
+        this->restore(purpose);
     this->unload_replaced_versions();
     this->unload_not_offered();
     return std::move(this->steps);
@@ -163,15 +161,26 @@
     return true;
 }
 
-void placement_round::restore(std::int64_t below_copies)
+std::int64_t placement_round::goal(const offer& item, need purpose)
+{
+    switch (purpose)
+    {
+    case need::reachability:
+        return 1;
+    case need::minimum:
+        return item.min_copies;
+    case need::demand:
+        break;
+    }
+    return item.desired;
+}
+
+void placement_round::restore(need purpose)
 {
-    // 0 stands for each model's own minimum.
     std::vector<const offer*> missing;
     for (const auto& [key, item] : this->offers)
     {
-        const std::int64_t goal =
-            std::min(item.desired, below_copies == 0 ? item.min_copies : below_copies);
-        if (this->planned_copies(key) < goal)
+        if (this->planned_copies(key) < goal(item, purpose))
             missing.push_back(&item);
     }
     const auto urgency = [](const offer* item)
@@ -185,19 +194,17 @@
                      { return urgency(a) < urgency(b); });
     for (const offer* item : missing)
     {
-        const std::int64_t goal =
-            std::min(item->desired, below_copies == 0 ? item->min_copies : below_copies);
-        for (std::int64_t i = this->planned_copies(item->key); i < goal; ++i)
-            this->add_copy(*item, this->ready_copies(item->key) == 0);
+        for (auto i = this->planned_copies(item->key); i < goal(*item, purpose); ++i)
+            this->add_copy(*item, purpose);
     }
 }
 
-void placement_round::add_copy(const offer& item, bool is_lost)
+void placement_round::add_copy(const offer& item, need purpose)
 {
     placement_engine* target = this->choose_target(item, item.bytes);
     if (target == nullptr)
     {
-        this->make_room(item, is_lost);
+        this->make_room(item, purpose);
         return;
     }
     if (this->take_store_budget(item))
@@ -288,7 +295,7 @@
     return best;
 }
 
-void placement_round::make_room(const offer& item, bool is_lost)
+void placement_round::make_room(const offer& item, need purpose)
 {
     // Without a load to follow, an unload would only take a copy away.
     if (!this->has_store_budget(item))
@@ -309,7 +316,7 @@
     {
         if (!this->can_host(item, engine) || !engine.unloading.empty())
             continue;
-        std::vector<model_key> chosen = this->victims(item, engine, is_lost);
+        std::vector<model_key> chosen = this->victims(item, engine, purpose);
         if (chosen.empty())
             continue;
         const std::tuple score(chosen.size(),
@@ -329,12 +336,12 @@
 
 std::vector<model_key> placement_round::victims(const offer& item,
                                                 const placement_engine& engine,
-                                                bool is_lost) const
+                                                need purpose) const
 {
     std::vector<model_key> candidates;
     for (const model_key& key : engine.ready)
     {
-        if (key.adapter.empty() && this->may_unload(key, engine, is_lost))
+        if (key.adapter.empty() && this->may_unload(key, engine, purpose))
             candidates.push_back(key);
     }
     const auto worth = [&](const model_key& key)
@@ -385,7 +392,7 @@
 }
 
 bool placement_round::may_unload(const model_key& key, const placement_engine& engine,
-                                 bool is_lost) const
+                                 need purpose) const
 {
     if (engine.unloading.contains(key) || engine.loading.contains(key) ||
         this->has_needed_adapter(key, engine))
@@ -407,9 +414,7 @@
         }
         return false;
     }
-    // Another model's last copy is worth more than a second copy of this one.
-    const std::int64_t keep = is_lost ? 1 : found->second.desired;
-    return copies > keep;
+    return copies > goal(found->second, purpose);
 }
 
 void placement_round::unload_replaced_versions()
@@ -428,7 +433,8 @@
             for (const model_key& old : present)
             {
                 if (old.model == key.model && old.adapter == key.adapter &&
-                    !this->offers.contains(old) && this->may_unload(old, engine, false))
+                    !this->offers.contains(old) &&
+                    this->may_unload(old, engine, need::demand))
                     this->unload(engine, old);
             }
         }
@@ -449,7 +455,7 @@
                                    this->ready_copies(key) > 0;
             const bool is_dropped =
                 !this->offers.contains(key) && !this->is_replaced(key);
-            if (is_orphan || (is_dropped && this->may_unload(key, engine, false)))
+            if (is_orphan || (is_dropped && this->may_unload(key, engine, need::demand)))
                 this->unload(engine, key);
         }
     }
--- a/src/libs/coordination/placement_round.hpp
+++ b/src/libs/coordination/placement_round.hpp
@@ -34,6 +34,15 @@
         model_demand demand;
     };
 
+    /// What a load is for, in order of urgency; a less urgent use gives way.
+    enum class need
+    {
+        /// The only copy of a model.
+        reachability,
+        minimum,
+        demand,
+    };
+
     void collect_offers();
     void add_offer(const model_key& key, std::int64_t bytes,
                    const state::attribute_values& attributes,
@@ -43,8 +52,9 @@
     bool take_store_budget(const offer& item);
     bool has_store_budget(const offer& item) const;
 
-    void restore(std::int64_t below_copies);
-    void add_copy(const offer& item, bool is_lost);
+    void restore(need purpose);
+    static std::int64_t goal(const offer& item, need purpose);
+    void add_copy(const offer& item, need purpose);
     void unload_replaced_versions();
     void unload_not_offered();
 
@@ -52,11 +62,11 @@
     bool can_host(const offer& item, const placement_engine& engine) const;
     placement_engine* choose_target(const offer& item, std::int64_t free_at_least);
     /// Unloads what can be spared on one engine until the offer fits there later.
-    void make_room(const offer& item, bool is_lost);
+    void make_room(const offer& item, need purpose);
     std::vector<model_key> victims(const offer& item, const placement_engine& engine,
-                                   bool is_lost) const;
+                                   need purpose) const;
     bool may_unload(const model_key& key, const placement_engine& engine,
-                    bool is_lost) const;
+                    need purpose) const;
     /// Whether the engine has the model that an adapter needs.
     bool has_base(const model_key& adapter, const placement_engine& engine) const;
     /// Whether the engine can serve the model or adapter.
--- a/tests/auto/coordination/tst_placement_agent.cpp
+++ b/tests/auto/coordination/tst_placement_agent.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <numeric>
+
 using namespace placement_test; // NOLINT(google-build-using-namespace): test file
 using protocol::order_step;
 
@@ -142,7 +144,12 @@
 // rule or leave a model without a copy for good. Judged by the engines' own memory.
 TEST_CASE("random schedules of faults neither overcommit an engine nor lose a model")
 {
-    for (int seed = 1; seed <= schedules; ++seed)
+    std::vector<int> seeds(schedules);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    // Found faults among more seeds: copies kept for past demand took the place of another
+    // model's minimum; a stale inventory showed a copy that had been unloaded.
+    seeds.insert(seeds.end(), {848, 1702});
+    for (const int seed : seeds)
     {
         CAPTURE(seed);
         simulation world(static_cast<std::uint64_t>(seed), tree_of("", 60), 3);
