Wire placement into the node and choose replicas by version

The fleet view keeps leaving as final for an incarnation also when it drops out of the list, and names only replicas of the version in the settings once one is ready. What the agent sees of engines moves to engine_watch.

Seen: with four engines and three nodes as processes, models and an adapter are loaded, a version change loads the new copies before the old ones go, and a second node takes the lease while the first is stopped for 5 s; the first is a follower after it continues.

--- a/src/app/node/control_event.hpp
+++ b/src/app/node/control_event.hpp
@@ -48,6 +48,8 @@
     std::string engine;
     state::engine_inventory inventory;
     state::load_report load;
+    /// When the inventory was asked for; it shows at least what was true then.
+    state::time_point requested{};
 };
 
 /// An engine did not answer a query.
--- a/src/app/node/engine_poller.cpp
+++ b/src/app/node/engine_poller.cpp
@@ -23,10 +23,10 @@
 
 // Not made in the coroutine: see platform_client.cpp.
 control_event reported_event(const std::string& id, const std::string& inventory,
-                             const std::string& load)
+                             const std::string& load, state::time_point requested)
 {
     return engine_reported{id, protocol::parse_inventory(inventory),
-                           protocol::parse_load_report(load)};
+                           protocol::parse_load_report(load), requested};
 }
 
 control_event unreachable_event(const std::string& id)
@@ -90,6 +90,7 @@
     options.connect_timeout = query_timeout;
     options.progress_timeout = query_timeout;
     control_event event = unreachable_event(id);
+    const state::time_point requested = std::chrono::steady_clock::now();
     try
     {
         const auto inventory = co_await this->client.fetch(
@@ -97,7 +98,7 @@
             options);
         const auto load = co_await this->client.fetch(
             address, transport::make_request(transport::verb::get, "/load"), options);
-        event = reported_event(id, inventory.body(), load.body());
+        event = reported_event(id, inventory.body(), load.body(), requested);
     }
     catch (const state::error&)
     {
--- a/src/app/node/fleet_component.cpp
+++ b/src/app/node/fleet_component.cpp
@@ -1,5 +1,7 @@
 #include "app/node/fleet_component.hpp"
 
+#include "coordination/replica_choice.hpp"
+
 #include <utility>
 
 namespace pomelorouter::app
@@ -26,22 +28,41 @@
         const bool same_process = known != this->backends.end() &&
                                   known->second.instance.incarnation == item.incarnation;
         backend entry = same_process ? std::move(known->second) : backend{};
-        const bool was_leaving = entry.instance.state == instance_state::leaving;
         entry.instance = item;
-        // Leaving is final for an incarnation: the list may lag and nodes may differ.
-        if (was_leaving)
+        if (this->is_leaving(item))
             entry.instance.state = instance_state::leaving;
-        if (entry.instance.state == instance_state::leaving && !was_leaving)
-            this->events.record("backend_leaving", {{"backend", item.id}});
         next.emplace(item.id, std::move(entry));
         if (item.kind == instance_kind::engine)
             engines.push_back(item);
     }
+    for (const auto& [id, entry] : this->backends)
+    {
+        if (!next.contains(id))
+            this->events.record("backend_gone", {{"backend", id}});
+    }
     this->backends = std::move(next);
     this->poller.set_engines(std::move(engines), this->poll_period);
     this->loop.mark_changed();
 }
 
+bool fleet_component::is_leaving(const state::instance& item)
+{
+    // Leaving is final for an incarnation: the list may lag, nodes may differ, and an
+    // instance may drop out of the list and come back.
+    const auto [found, is_new] = this->left.try_emplace(item.id, item.incarnation);
+    const bool was_leaving = !is_new && found->second == item.incarnation;
+    if (was_leaving)
+        return true;
+    if (item.state != instance_state::leaving)
+    {
+        this->left.erase(found);
+        return false;
+    }
+    found->second = item.incarnation;
+    this->events.record("backend_leaving", {{"backend", item.id}});
+    return true;
+}
+
 void fleet_component::on_engine(const engine_reported& event)
 {
     const auto found = this->backends.find(event.engine);
@@ -100,27 +121,18 @@
         for (const auto& [model_name, model] : service.models)
             view.models[service_name + "/" + model_name].settings = &model;
     }
+    std::vector<coordination::engine_content> contents;
     for (const auto& [id, item] : this->backends)
     {
         if (item.instance.kind != instance_kind::engine || !item.reachable)
             continue;
         const auto index = static_cast<std::uint32_t>(view.engines.size());
         view.engines.push_back(this->make_view(item, settings));
-        for (const state::resident_model& resident : item.inventory.resident)
-        {
-            if (!resident.ready)
-                continue;
-            for (auto& [key, model] : view.models)
-            {
-                if (model.settings->name != resident.model)
-                    continue;
-                if (resident.adapter.empty())
-                    model.replicas.engines.push_back(index);
-                else if (model.settings->adapters.contains(resident.adapter))
-                    model.adapters[resident.adapter].engines.push_back(index);
-            }
-        }
+        contents.push_back({index, item.instance.state == instance_state::leaving,
+                            &item.inventory.resident});
     }
+    for (auto& [key, model] : view.models)
+        coordination::choose_replicas(contents, model);
 }
 
 void fleet_component::contribute_services(state::node_view& view) const
--- a/src/app/node/fleet_component.hpp
+++ b/src/app/node/fleet_component.hpp
@@ -6,6 +6,7 @@
 #include "app/node/settings_component.hpp"
 #include "state/event_log.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -34,6 +35,8 @@
         state::time_point load_received{};
     };
 
+    /// Whether this process of the backend server is leaving, now or at any time before.
+    bool is_leaving(const state::instance& item);
     state::backend_view make_view(const backend& item,
                                   const state::settings& settings) const;
     void contribute_engines(state::node_view& view) const;
@@ -44,6 +47,8 @@
     engine_poller& poller;
     state::event_log& events;
     std::map<std::string, backend> backends;
+    /// Incarnation of each backend server that was leaving when last seen.
+    std::map<std::string, std::uint64_t> left;
     state::milliseconds poll_period{500};
 };
 
--- /dev/null
+++ b/src/app/node/member_knowledge.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "coordination/membership.hpp"
+#include "coordination/placement_agent.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// Answers the placement agent's questions about other nodes from membership.
+class member_knowledge : public coordination::peer_knowledge
+{
+public:
+    explicit member_knowledge(const coordination::membership& known) : members(known) {}
+
+    bool is_dead(const std::string& node, std::uint64_t incarnation) const override
+    {
+        return this->members.is_known_dead(node, incarnation);
+    }
+    std::size_t lease_rank(const std::string& scope) const override
+    {
+        return this->members.rank("placement/" + scope);
+    }
+    /// A node that was paused or hears too few peers leaves the lease to others.
+    bool may_hold_lease() const override
+    {
+        return this->members.health() == coordination::own_health::healthy;
+    }
+
+private:
+    const coordination::membership& members;
+};
+
+} // namespace pomelorouter::app
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -5,10 +5,14 @@
 #include "app/node/claims_component.hpp"
 #include "app/node/completion_proxy.hpp"
 #include "app/node/control_loop.hpp"
+#include "app/node/demand_tracker.hpp"
 #include "app/node/engine_poller.hpp"
 #include "app/node/fleet_component.hpp"
 #include "app/node/lifecycle_component.hpp"
+#include "app/node/member_knowledge.hpp"
 #include "app/node/membership_component.hpp"
+#include "app/node/order_dispatcher.hpp"
+#include "app/node/placement_component.hpp"
 #include "app/node/platform_client.hpp"
 #include "app/node/process_clock.hpp"
 #include "app/node/service_proxy.hpp"
@@ -97,6 +101,10 @@
                        random_seed()),
           claims_part(identity, control, platform, timers, control_thread.executor(),
                       process_wall_s, events, counters),
+          dispatcher(fleet_thread.context(), control.mailbox(), counters),
+          knowledge(members_part.members()),
+          placement_part(identity, knowledge, platform, dispatcher, demand, events,
+                         counters),
           client(serving_thread.executor()),
           completions(settings.node_id, control.views(), client,
                       serving_thread.executor(), timers, counters),
@@ -112,6 +120,7 @@
         this->control.add(this->fleet_part);
         this->control.add(this->members_part);
         this->control.add(this->claims_part);
+        this->control.add(this->placement_part);
         this->control.add(this->lifecycle_part);
         this->members_part.set_seeds(settings.seed_peers);
         this->settings_part.set_rank_source(
@@ -123,6 +132,7 @@
     {
         this->settings_part.start();
         this->claims_part.start();
+        this->placement_part.start();
         this->platform.poll_instances(list_poll_period);
         this->control.start();
         this->events.record("node_started", {{"address", this->identity.address},
@@ -192,6 +202,10 @@
     fleet_component fleet_part;
     membership_component members_part;
     claims_component claims_part;
+    order_dispatcher dispatcher;
+    demand_tracker demand;
+    member_knowledge knowledge;
+    placement_component placement_part;
     transport::http_client client;
     completion_proxy completions;
     service_proxy services;
--- a/src/libs/coordination/order_ledger.hpp
+++ b/src/libs/coordination/order_ledger.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -54,7 +55,12 @@
     std::string version;
     std::string adapter;
 
-    auto operator<=>(const model_key&) const = default;
+    bool operator==(const model_key&) const = default;
+    bool operator<(const model_key& other) const
+    {
+        return std::tie(this->model, this->version, this->adapter) <
+               std::tie(other.model, other.version, other.adapter);
+    }
 };
 
 model_key key_of(const state::resident_model& item);
--- a/src/libs/coordination/placement.hpp
+++ b/src/libs/coordination/placement.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pomelorouter::coordination
@@ -31,6 +32,8 @@
     /// What open orders are about.
     std::set<model_key> loading;
     std::set<model_key> unloading;
+    /// What the engine failed to load a short time ago.
+    std::set<model_key> failed;
     /// Tokens per second over all models; 0 if unknown.
     double tokens_per_s = 0.0;
 
@@ -51,7 +54,12 @@
     std::string model;
     std::string adapter;
 
-    auto operator<=>(const demand_key&) const = default;
+    bool operator==(const demand_key&) const = default;
+    bool operator<(const demand_key& other) const
+    {
+        return std::tie(this->model, this->adapter) <
+               std::tie(other.model, other.adapter);
+    }
 };
 
 using demand_map = std::map<demand_key, model_demand>;
--- a/src/libs/coordination/placement_agent.cpp
+++ b/src/libs/coordination/placement_agent.cpp
@@ -21,14 +21,8 @@
 constexpr state::milliseconds resend_delay{1000};
 // Bounds the records that one decision puts before the next renewal of the lease.
 constexpr std::size_t max_orders_per_plan = 32;
-
-std::set<model_key> keys_of(const std::vector<state::resident_model>& items)
-{
-    std::set<model_key> result;
-    for (const state::resident_model& item : items)
-        result.insert(key_of(item));
-    return result;
-}
+// An engine that failed to load a model is not asked for it again before this time.
+constexpr state::seconds failed_load_delay{10};
 
 } // namespace
 
@@ -114,15 +108,7 @@
             {{"position", std::string(to_string(this->lease_part.position()))},
              {"epoch", std::to_string(this->lease_part.epoch())}});
     }
-    for (auto& [id, engine] : this->engines)
-    {
-        const engine_entry* entry = this->fold.find_engine(id);
-        const std::uint64_t changed = entry == nullptr ? 0 : entry->changed;
-        if (engine.changed == changed)
-            continue;
-        engine.changed = changed;
-        engine.changed_at = now;
-    }
+    this->watch.on_folded(this->fold, now);
     const std::uint64_t folded =
         this->fold.folded_sequence(this->node, this->incarnation);
     for (auto& [id, order] : this->orders)
@@ -157,45 +143,14 @@
 void placement_agent::on_engines(const std::vector<listed_engine>& listed,
                                  state::time_point now)
 {
-    std::set<std::string> present;
-    for (const listed_engine& item : listed)
-    {
-        engine_state& engine = this->engines[item.id];
-        engine.zone = item.zone;
-        engine.listed = true;
-        engine.leaving = item.leaving;
-        present.insert(item.id);
-    }
-    for (auto& [id, engine] : this->engines)
-    {
-        if (!engine.listed || present.contains(id))
-            continue;
-        engine.listed = false;
-        engine.reachable = false;
-        engine.unlisted_since = now;
-    }
-    // Engines that only the ledger knows, for example after a restart of this process.
-    for (const auto& [id, entry] : this->fold.engines())
-    {
-        const auto [found, is_new] = this->engines.try_emplace(id);
-        if (is_new)
-            found->second.unlisted_since = now;
-    }
+    this->watch.on_engines(listed, this->fold, now);
 }
 
 void placement_agent::on_inventory(const state::engine_inventory& inventory,
                                    double tokens_per_s, state::time_point requested,
                                    state::time_point now)
 {
-    const auto found = this->engines.find(inventory.engine);
-    if (found == this->engines.end() || !found->second.listed)
-        return;
-    engine_state& engine = found->second;
-    engine.reachable = true;
-    engine.inventory = inventory;
-    engine.requested = requested;
-    engine.tokens_per_s = tokens_per_s;
-    if (!this->tree)
+    if (!this->watch.on_inventory(inventory, tokens_per_s, requested) || !this->tree)
         return;
     for (auto& [id, order] : this->orders)
     {
@@ -213,9 +168,7 @@
 
 void placement_agent::on_engine_unreachable(const std::string& engine)
 {
-    const auto found = this->engines.find(engine);
-    if (found != this->engines.end())
-        found->second.reachable = false;
+    this->watch.on_unreachable(engine);
 }
 
 void placement_agent::on_tick(state::time_point now, const demand_map& demand)
@@ -227,7 +180,7 @@
         if (this->lease_part.is_holder())
         {
             this->close_foreign_orders(now);
-            this->report_engines(now);
+            this->report_engines();
             this->report_gone(now);
             this->push_fence_orders();
             this->plan(now, demand);
@@ -263,7 +216,7 @@
     return header.writer == this->node && header.incarnation == this->incarnation;
 }
 
-std::int64_t placement_agent::limit_of(const engine_state& engine) const
+std::int64_t placement_agent::limit_of(const watched_engine& engine) const
 {
     constexpr std::int64_t whole = 100;
     const auto zone_entry = this->tree->zones.find(engine.zone);
@@ -326,11 +279,11 @@
 {
     const order_intent& intent = order.intent();
     const std::uint64_t epoch = this->held_epoch();
-    const auto engine = this->engines.find(intent.engine);
-    const bool is_listed = engine != this->engines.end() && engine->second.listed;
+    const watched_engine* engine = this->watch.find(intent.engine);
+    const bool is_listed = engine != nullptr && engine->listed;
     // An order decided for one process of the engine is not given to the next.
     const bool is_reached =
-        is_listed && engine->second.inventory.incarnation == intent.engine_incarnation;
+        is_listed && engine->inventory.incarnation == intent.engine_incarnation;
     if (order.stage() == order_stage::confirmed &&
         (epoch != intent.epoch || !is_reached || !this->is_harmless(intent)))
         order.withdraw();
@@ -348,6 +301,8 @@
     outcome.result = *result;
     outcome.basis = outcome_basis::author;
     outcome.epoch = intent.epoch;
+    if (*result == order_result::failed)
+        this->failed_loads[{intent.engine, key_of(intent)}] = now + failed_load_delay;
     this->outbox.push(std::move(outcome));
 }
 
@@ -358,9 +313,12 @@
     // The copy that made the unload acceptable may be gone since it was decided.
     std::int64_t same_version = 0;
     std::int64_t other_version = 0;
-    for (const auto& [id, engine] : this->engines)
+    const std::string scope = this->scope_of_zone(this->zone);
+    for (const auto& [id, engine] : this->watch.engines())
     {
-        for (const model_key& key : this->make_engine(id, engine).ready)
+        for (const model_key& key :
+             engine_watch::make_engine(id, engine, this->fold.find_engine(id), scope)
+                 .ready)
         {
             if (key.model != order.model || key.adapter != order.adapter)
                 continue;
@@ -418,33 +376,18 @@
     this->orders.emplace(id, engine_order(std::move(intent)));
 }
 
-bool placement_agent::must_report(const engine_state& engine,
-                                  const engine_entry* entry) const
-{
-    if (entry == nullptr || entry->incarnation != engine.inventory.incarnation ||
-        entry->limit_bytes != this->limit_of(engine))
-        return true;
-    if (entry->awaiting_fence && engine.inventory.fence >= this->lease_part.epoch())
-        return true;
-    // While orders are open, the resident set changes without the ledger.
-    return entry->open_orders.empty() &&
-           keys_of(entry->resident) != keys_of(engine.inventory.resident);
-}
-
-void placement_agent::report_engines(state::time_point)
+void placement_agent::report_engines()
 {
     const std::string scope = this->scope_of_zone(this->zone);
-    for (auto& [id, engine] : this->engines)
+    for (auto& [id, engine] : this->watch.engines())
     {
         const engine_entry* entry = this->fold.find_engine(id);
         const std::uint64_t base = entry == nullptr ? 0 : entry->changed;
-        // An inventory asked for before the last change was folded may be older than it.
-        const bool is_usable = engine.listed && engine.reachable &&
-                               engine.changed == base &&
-                               engine.requested > engine.changed_at &&
-                               this->scope_of_zone(engine.zone) == scope &&
-                               (entry == nullptr || entry->scope == scope);
-        if (!is_usable || !this->must_report(engine, entry))
+        const std::int64_t limit = this->limit_of(engine);
+        if (this->scope_of_zone(engine.zone) != scope ||
+            (entry != nullptr && entry->scope != scope) ||
+            !engine_watch::is_newer(engine, entry) ||
+            !engine_watch::must_report(engine, entry, limit, this->lease_part.epoch()))
             continue;
         const std::pair mark(this->lease_part.epoch(), base);
         if (std::exchange(engine.reported, mark) == mark)
@@ -456,7 +399,7 @@
         seen.base = base;
         seen.checks_fence = engine.inventory.checks_fence;
         seen.fence = engine.inventory.fence;
-        seen.limit_bytes = this->limit_of(engine);
+        seen.limit_bytes = limit;
         seen.resident = engine.inventory.resident;
         this->outbox.push(std::move(seen));
     }
@@ -465,7 +408,7 @@
 void placement_agent::report_gone(state::time_point now)
 {
     const std::string scope = this->scope_of_zone(this->zone);
-    for (auto& [id, engine] : this->engines)
+    for (auto& [id, engine] : this->watch.engines())
     {
         const engine_entry* entry = this->fold.find_engine(id);
         if (engine.listed || entry == nullptr || entry->scope != scope ||
@@ -501,10 +444,10 @@
                                           const order_intent& order,
                                           state::time_point now)
 {
-    const auto found = this->engines.find(entry.engine);
-    if (found == this->engines.end())
+    const watched_engine* found = this->watch.find(entry.engine);
+    if (found == nullptr)
         return;
-    const engine_state& engine = found->second;
+    const watched_engine& engine = *found;
     const bool is_gone = !engine.listed && now - engine.unlisted_since > this->margin();
     const bool is_current = engine.listed && engine.reachable &&
                             engine.inventory.incarnation == entry.incarnation;
@@ -559,11 +502,12 @@
     const std::uint64_t epoch = this->lease_part.epoch();
     for (const auto& [id, entry] : this->fold.engines())
     {
-        const auto found = this->engines.find(id);
-        if (found == this->engines.end() || !found->second.reachable ||
+        const std::string& name = id;
+        const watched_engine* engine = this->watch.find(id);
+        if (engine == nullptr || !engine->reachable ||
             entry.scope != this->scope_of_zone(this->zone) || !entry.checks_fence ||
-            found->second.inventory.incarnation != entry.incarnation ||
-            found->second.inventory.fence >= epoch)
+            engine->inventory.incarnation != entry.incarnation ||
+            engine->inventory.fence >= epoch)
             continue;
         const bool has_foreign = std::any_of(
             entry.open_orders.begin(), entry.open_orders.end(),
@@ -573,7 +517,7 @@
                         [&](const auto& item)
                         {
                             const order_intent& intent = item.second.intent();
-                            return intent.engine == id && intent.epoch == epoch;
+                            return intent.engine == name && intent.epoch == epoch;
                         });
         if (is_under_way || !(has_foreign || entry.awaiting_fence))
             continue;
@@ -582,7 +526,7 @@
         intent.engine = id;
         intent.engine_incarnation = entry.incarnation;
         intent.step = order_step::set_role;
-        intent.role = found->second.inventory.role;
+        intent.role = engine->inventory.role;
         this->give_order(std::move(intent));
     }
 }
@@ -596,55 +540,6 @@
                         { return item.second.stage() == order_stage::intended; });
 }
 
-placement_engine placement_agent::make_engine(const std::string& id,
-                                              const engine_state& engine) const
-{
-    placement_engine result;
-    result.id = id;
-    result.zone = engine.zone;
-    result.leaving = engine.leaving;
-    result.tokens_per_s = engine.tokens_per_s;
-    const engine_entry* entry = this->fold.find_engine(id);
-    result.usable = entry != nullptr && engine.listed && engine.reachable &&
-                    entry->scope == this->scope_of_zone(this->zone) &&
-                    entry->incarnation == engine.inventory.incarnation;
-    if (!result.usable)
-        return result;
-    result.awaiting_fence = entry->awaiting_fence;
-    result.limit_bytes = entry->limit_bytes;
-    const auto reserve = [&](const model_key& key, std::int64_t bytes)
-    {
-        std::int64_t& size = result.reserved[key];
-        size = std::max(size, bytes);
-    };
-    for (const state::resident_model& item : entry->resident)
-        reserve(key_of(item), item.bytes);
-    // The inventory may be older than an unload that the ledger shows as done, for
-    // example after a pause of this process, so a copy serves only if both show it.
-    const std::set<model_key> recorded = keys_of(entry->resident);
-    for (const state::resident_model& item : engine.inventory.resident)
-    {
-        reserve(key_of(item), item.bytes);
-        if (item.ready && recorded.contains(key_of(item)))
-            result.ready.insert(key_of(item));
-    }
-    for (const order_intent& order : entry->open_orders)
-    {
-        if (order.step == order_step::set_role)
-            continue;
-        reserve(key_of(order), order.bytes);
-        if (order.step == order_step::load)
-        {
-            result.loading.insert(key_of(order));
-            continue;
-        }
-        // It may be carried out at any moment.
-        result.unloading.insert(key_of(order));
-        result.ready.erase(key_of(order));
-    }
-    return result;
-}
-
 void placement_agent::plan(state::time_point now, const demand_map& demand)
 {
     if (!this->can_plan())
@@ -652,10 +547,22 @@
     placement_input input;
     input.tree = this->tree.get();
     input.demand = demand;
-    for (const auto& [id, engine] : this->engines)
+    const std::string scope = this->scope_of_zone(this->zone);
+    for (const auto& [id, engine] : this->watch.engines())
     {
         if (engine.listed)
-            input.engines.push_back(this->make_engine(id, engine));
+            input.engines.push_back(
+                engine_watch::make_engine(id, engine, this->fold.find_engine(id), scope));
+    }
+    std::erase_if(this->failed_loads,
+                  [&](const auto& item) { return now >= item.second; });
+    for (placement_engine& engine : input.engines)
+    {
+        for (const auto& [load, until] : this->failed_loads)
+        {
+            if (load.first == engine.id)
+                engine.failed.insert(load.second);
+        }
     }
     std::size_t given = 0;
     for (const placement_step& step : this->planner.plan(now, input))
--- a/src/libs/coordination/placement_agent.hpp
+++ b/src/libs/coordination/placement_agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/engine_order.hpp"
+#include "coordination/engine_watch.hpp"
 #include "coordination/order_ledger.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/placement_lease.hpp"
@@ -57,14 +58,6 @@
                               std::vector<state::event_field> fields) = 0;
 };
 
-/// An engine of the instance list.
-struct listed_engine
-{
-    std::string id;
-    std::string zone;
-    bool leaving = false;
-};
-
 /// Decides what this node does about placement: it takes part in the lease, and as the
 /// holder gives orders and closes those that earlier holders have left open.
 class placement_agent
@@ -97,30 +90,13 @@
     std::size_t orders_under_way() const { return this->orders.size(); }
 
 private:
-    struct engine_state
-    {
-        std::string zone;
-        bool listed = false;
-        bool leaving = false;
-        bool reachable = false;
-        state::time_point unlisted_since{};
-        state::time_point requested{};
-        double tokens_per_s = 0.0;
-        state::engine_inventory inventory;
-        /// `engine_entry::changed` as last folded, and when it was folded.
-        std::uint64_t changed = 0;
-        state::time_point changed_at{};
-        /// Epoch and base of the last report written about this engine.
-        std::pair<std::uint64_t, std::uint64_t> reported{};
-    };
-
     std::int64_t attribute(state::attribute id) const;
     state::milliseconds margin() const;
     std::string scope_of_zone(const std::string& zone) const;
     /// Epoch that this process holds, or 0.
     std::uint64_t held_epoch() const;
     bool is_own(const protocol::record_header& header) const;
-    std::int64_t limit_of(const engine_state& engine) const;
+    std::int64_t limit_of(const watched_engine& engine) const;
 
     void act_on_lease(state::time_point now);
     void advance_orders(state::time_point now);
@@ -128,9 +104,7 @@
     bool is_harmless(const protocol::order_intent& order) const;
     void send(engine_order& order);
     void give_order(protocol::order_intent intent);
-    void report_engines(state::time_point now);
-    bool must_report(const engine_state& engine,
-                     const protocol::engine_entry* entry) const;
+    void report_engines();
     void report_gone(state::time_point now);
     void close_foreign_orders(state::time_point now);
     void close_foreign_order(const protocol::engine_entry& entry,
@@ -139,7 +113,6 @@
                         state::time_point now);
     void push_fence_orders();
     void plan(state::time_point now, const demand_map& demand);
-    placement_engine make_engine(const std::string& id, const engine_state& engine) const;
     bool can_plan() const;
     void write_snapshot();
     void pump(state::time_point now);
@@ -154,10 +127,12 @@
     placement_lease lease_part;
     placement planner;
     record_outbox outbox;
-    std::map<std::string, engine_state> engines;
+    engine_watch watch;
     std::map<std::string, engine_order> orders;
     /// Open orders whose outcome has been written but not yet folded.
     std::set<std::string> closing;
+    /// Engines that failed to load something, and until when they are not asked again.
+    std::map<std::pair<std::string, model_key>, state::time_point> failed_loads;
     /// When the author of an open order was first known to be dead.
     std::map<std::pair<std::string, std::uint64_t>, state::time_point> dead_since;
     std::uint64_t next_order = 0;
--- a/src/libs/coordination/placement_round.cpp
+++ b/src/libs/coordination/placement_round.cpp
@@ -180,7 +180,7 @@
     std::vector<const offer*> missing;
     for (const auto& [key, item] : this->offers)
     {
-        if (this->planned_copies(key) < goal(item, purpose))
+        if (this->expected_copies(key) < goal(item, purpose))
             missing.push_back(&item);
     }
     const auto urgency = [](const offer* item)
@@ -194,7 +194,7 @@
                      { return urgency(a) < urgency(b); });
     for (const offer* item : missing)
     {
-        for (auto i = this->planned_copies(item->key); i < goal(*item, purpose); ++i)
+        for (auto i = this->expected_copies(item->key); i < goal(*item, purpose); ++i)
             this->add_copy(*item, purpose);
     }
 }
@@ -227,7 +227,8 @@
 bool placement_round::can_host(const offer& item, const placement_engine& engine) const
 {
     if (!engine.usable || engine.leaving || engine.awaiting_fence ||
-        engine.reserved.contains(item.key) || !this->is_allowed(item, engine))
+        engine.reserved.contains(item.key) || engine.failed.contains(item.key) ||
+        !this->is_allowed(item, engine))
         return false;
     return item.key.adapter.empty() || this->has_base(item.key, engine);
 }
@@ -306,7 +307,7 @@
         if (!this->can_host(item, engine) || engine.unloading.empty() ||
             this->free_after_unloads(engine) < item.bytes)
             continue;
-        this->promised[engine.id] += item.bytes;
+        this->promise(engine, item);
         return;
     }
     placement_engine* best = nullptr;
@@ -331,7 +332,7 @@
         return;
     for (const model_key& key : best_victims)
         this->unload(*best, key);
-    this->promised[best->id] += item.bytes;
+    this->promise(*best, item);
 }
 
 std::vector<model_key> placement_round::victims(const offer& item,
@@ -479,6 +480,19 @@
                          });
 }
 
+std::int64_t placement_round::expected_copies(const model_key& key) const
+{
+    const auto found = this->promised_copies.find(key);
+    return this->planned_copies(key) +
+           (found == this->promised_copies.end() ? 0 : found->second);
+}
+
+void placement_round::promise(const placement_engine& engine, const offer& item)
+{
+    this->promised[engine.id] += item.bytes;
+    ++this->promised_copies[item.key];
+}
+
 std::int64_t placement_round::copies_in_zone(const model_key& key,
                                              const std::string& zone) const
 {
--- a/src/libs/coordination/placement_round.hpp
+++ b/src/libs/coordination/placement_round.hpp
@@ -80,6 +80,10 @@
 
     std::int64_t ready_copies(const model_key& key) const;
     std::int64_t planned_copies(const model_key& key) const;
+    /// Planned copies and those that wait for an unload.
+    std::int64_t expected_copies(const model_key& key) const;
+    /// Keeps memory that unloads will free on the engine for a later load.
+    void promise(const placement_engine& engine, const offer& item);
     std::int64_t copies_in_zone(const model_key& key, const std::string& zone) const;
     void load(placement_engine& engine, const offer& item);
     void unload(placement_engine& engine, const model_key& key);
@@ -93,6 +97,7 @@
     std::vector<placement_step> steps;
     /// Memory per engine for loads that wait for unloads there.
     std::map<std::string, std::int64_t> promised;
+    std::map<model_key, std::int64_t> promised_copies;
     std::int64_t model_loads_open = 0;
     std::int64_t adapter_loads_open = 0;
 };
