--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -9,8 +9,8 @@
 #include "app/node/engine_poller.hpp"
 #include "app/node/fleet_component.hpp"
 #include "app/node/lifecycle_component.hpp"
+#include "app/node/member_knowledge.hpp"
 #include "app/node/membership_component.hpp"
-#include "app/node/membership_peers.hpp"
 #include "app/node/order_dispatcher.hpp"
 #include "app/node/placement_component.hpp"
 #include "app/node/platform_client.hpp"
@@ -102,8 +102,8 @@
           claims_part(identity, control, platform, timers, control_thread.executor(),
                       process_wall_s, events, counters),
           dispatcher(fleet_thread.context(), control.mailbox(), counters),
-          known_peers(members_part.members()),
-          placement_part(identity, known_peers, platform, dispatcher, demand, events,
+          knowledge(members_part.members()),
+          placement_part(identity, knowledge, platform, dispatcher, demand, events,
                          counters),
           client(serving_thread.executor()),
           completions(settings.node_id, control.views(), client,
@@ -206,7 +206,7 @@
     claims_component claims_part;
     order_dispatcher dispatcher;
     demand_tracker demand;
-    membership_peers known_peers;
+    member_knowledge knowledge;
     placement_component placement_part;
     transport::http_client client;
     completion_proxy completions;
--- a/src/libs/coordination/placement.hpp
+++ b/src/libs/coordination/placement.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pomelorouter::coordination
@@ -53,7 +54,12 @@
     std::string model;
     std::string adapter;
 
-    auto operator<=>(const demand_key&) const = default;
+    bool operator==(const demand_key&) const = default;
+    bool operator<(const demand_key& other) const
+    {
+        return std::tie(this->model, this->adapter) <
+               std::tie(other.model, other.adapter);
+    }
 };
 
 using demand_map = std::map<demand_key, model_demand>;
--- a/src/libs/coordination/placement_agent.cpp
+++ b/src/libs/coordination/placement_agent.cpp
@@ -502,6 +502,7 @@
     const std::uint64_t epoch = this->lease_part.epoch();
     for (const auto& [id, entry] : this->fold.engines())
     {
+        const std::string& name = id;
         const watched_engine* engine = this->watch.find(id);
         if (engine == nullptr || !engine->reachable ||
             entry.scope != this->scope_of_zone(this->zone) || !entry.checks_fence ||
@@ -516,7 +517,7 @@
                         [&](const auto& item)
                         {
                             const order_intent& intent = item.second.intent();
-                            return intent.engine == id && intent.epoch == epoch;
+                            return intent.engine == name && intent.epoch == epoch;
                         });
         if (is_under_way || !(has_foreign || entry.awaiting_fence))
             continue;
--- a/tests/auto/coordination/tst_placement.cpp
+++ b/tests/auto/coordination/tst_placement.cpp
@@ -11,7 +11,6 @@
 using coordination::model_key;
 using coordination::placement_engine;
 using coordination::placement_step;
-using protocol::order_step;
 
 state::settings tree_of(const std::string& models)
 {
--- a/tests/auto/coordination/tst_placement_agent.cpp
+++ b/tests/auto/coordination/tst_placement_agent.cpp
@@ -6,7 +6,6 @@
 #include <numeric>
 
 using namespace placement_test; // NOLINT(google-build-using-namespace): test file
-using protocol::order_step;
 
 namespace
 {
