Let an engine move to the lease of another region

The holder of the default scope recorded the engines before the settings named their region; the holder of the region then gave no orders, since the entries were not its own. A report by the holder of the scope that the settings name now takes the engine over.

--- a/src/libs/coordination/order_ledger.cpp
+++ b/src/libs/coordination/order_ledger.cpp
@@ -370,8 +370,8 @@
         found == this->engine_entries.end() ? 0 : found->second.changed;
     if (record.base != changed)
         return fleet_verdict::changed_meanwhile;
-    if (found != this->engine_entries.end() && found->second.scope != lease->scope)
-        return fleet_verdict::wrong_engine;
+    // An engine changes its scope when the settings move its availability zone to another
+    // region; its open orders stay counted, and epochs rise over all scopes.
     engine_entry& entry = this->engine_entries[record.engine];
     const bool is_new_process =
         changed == 0 || entry.incarnation != record.engine_incarnation;
--- a/src/libs/coordination/placement_agent.cpp
+++ b/src/libs/coordination/placement_agent.cpp
@@ -385,9 +385,9 @@
         const std::uint64_t base = entry == nullptr ? 0 : entry->changed;
         const std::int64_t limit = this->limit_of(engine);
         if (this->scope_of_zone(engine.zone) != scope ||
-            (entry != nullptr && entry->scope != scope) ||
             !engine_watch::is_newer(engine, entry) ||
-            !engine_watch::must_report(engine, entry, limit, this->lease_part.epoch()))
+            ((entry == nullptr || entry->scope == scope) &&
+             !engine_watch::must_report(engine, entry, limit, this->lease_part.epoch())))
             continue;
         const std::pair mark(this->lease_part.epoch(), base);
         if (std::exchange(engine.reported, mark) == mark)
