Let demand drive placement and let queued requests wait for their first chunk

Change: the completion proxy reports requests and waiting callers; the lease holder scales its own demand by the number of serving nodes; the first chunk may take the expected queue wait, doubled, in addition.

--- a/src/app/node/completion_core.cpp
+++ b/src/app/node/completion_core.cpp
@@ -31,10 +31,12 @@
 completion_core::completion_core(std::string node, const view_cell& views,
                                  transport::http_client& http,
                                  asio::any_io_executor loop_executor,
+                                 demand_tracker& model_demand,
                                  state::counter_registry& counters)
     : node_id(std::move(node)),
       client(http),
       executor(std::move(loop_executor)),
+      demand(model_demand),
       chooser(views, counters),
       gate(executor),
       attempts("completion", counters),
--- a/src/app/node/completion_core.hpp
+++ b/src/app/node/completion_core.hpp
@@ -2,6 +2,7 @@
 
 #include "app/node/admission_gate.hpp"
 #include "app/node/caller_output.hpp"
+#include "app/node/demand_tracker.hpp"
 #include "app/node/engine_attempt.hpp"
 #include "app/node/engine_chooser.hpp"
 #include "app/node/request_id.hpp"
@@ -29,7 +30,7 @@
     completion_core(std::string node, const view_cell& views,
                     transport::http_client& http,
                     boost::asio::any_io_executor loop_executor,
-                    state::counter_registry& counters);
+                    demand_tracker& model_demand, state::counter_registry& counters);
 
     /// Judges the engines and looks after the requests in flight.
     void tick(state::time_point time);
@@ -46,6 +47,7 @@
     std::string node_id;
     transport::http_client& client;
     boost::asio::any_io_executor executor;
+    demand_tracker& demand;
     engine_chooser chooser;
     admission_gate gate;
     coordination::retry_budget budget;
--- a/src/app/node/completion_proxy.cpp
+++ b/src/app/node/completion_proxy.cpp
@@ -41,6 +41,25 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Reports a caller that waits for a model that is not resident, for as long as it waits.
+class waiting_caller
+{
+public:
+    waiting_caller(demand_tracker& tracker, const protocol::completion_request& request)
+        : demand(tracker), model(request.model), adapter(request.adapter)
+    {
+        this->demand.begin_waiting(this->model, this->adapter);
+    }
+    ~waiting_caller() { this->demand.end_waiting(this->model, this->adapter); }
+    waiting_caller(const waiting_caller&) = delete;
+    waiting_caller& operator=(const waiting_caller&) = delete;
+
+private:
+    demand_tracker& demand;
+    std::string model;
+    std::string adapter;
+};
+
 /// Whether the engine itself said that the request was not run because it does not have
 /// the model or is leaving. Such an answer costs the engine nothing, and each engine
 /// gives it only until the next view, so going on elsewhere takes nothing from the retry
@@ -56,9 +75,10 @@
                                    transport::http_client& client,
                                    asio::any_io_executor executor,
                                    transport::timer_service& timers,
+                                   demand_tracker& demand,
                                    state::counter_registry& counters)
-    : shared(
-          std::make_shared<completion_core>(node_id, views, client, executor, counters)),
+    : shared(std::make_shared<completion_core>(node_id, views, client, executor, demand,
+                                               counters)),
       ticks(timers.every(tick_period, executor,
                          [core = this->shared.get()](state::time_point time)
                          { core->tick(time); }))
@@ -85,6 +105,9 @@
     request.identity.id = keep->ids.next();
     request.identity.form = form;
     keep->chooser.estimate(request);
+    // Counted before admission: refused requests are demand as well.
+    keep->demand.add_request(request.completion.model, request.completion.adapter,
+                             request.expected_tokens);
     keep->budget.on_request(request.attributes.get(attribute::retry_percent));
     keep->hedge_budget.on_request(request.attributes.get(attribute::hedge_percent));
 
@@ -148,8 +171,12 @@
             reason = choice.failure == choice_failure::no_room
                          ? error_code::overloaded
                          : error_code::model_not_resident;
-            if (now() >= wait_limit ||
-                !co_await shared.gate.wait_for_change(request, active.limits, wait_limit))
+            if (now() >= wait_limit)
+                break;
+            std::optional<waiting_caller> waiting;
+            if (reason == error_code::model_not_resident)
+                waiting.emplace(shared.demand, request.completion);
+            if (!co_await shared.gate.wait_for_change(request, active.limits, wait_limit))
                 break;
             if (request.caller_gone)
                 co_return;
@@ -157,6 +184,8 @@
             continue;
         }
         ++count;
+        // The first chunk also waits for the requests that the engine has queued before.
+        request.queue_wait = shared.chooser.expected_wait(request, now());
         active.attempt.emplace(request, *choice.engine, shared.chooser, shared.client,
                                active.output, shared.attempts);
         active.attempt_slot = choice.engine->slot;
--- a/src/app/node/completion_proxy.hpp
+++ b/src/app/node/completion_proxy.hpp
@@ -3,6 +3,7 @@
 #include "app/node/completion_core.hpp"
 #include "app/node/control_component.hpp"
 #include "app/node/control_loop.hpp"
+#include "app/node/demand_tracker.hpp"
 #include "protocol/caller_api.hpp"
 #include "state/counters.hpp"
 #include "transport/http_client.hpp"
@@ -23,7 +24,8 @@
     completion_proxy(const std::string& node_id, const view_cell& views,
                      transport::http_client& client,
                      boost::asio::any_io_executor executor,
-                     transport::timer_service& timers, state::counter_registry& counters);
+                     transport::timer_service& timers, demand_tracker& demand,
+                     state::counter_registry& counters);
     ~completion_proxy();
     completion_proxy(const completion_proxy&) = delete;
     completion_proxy& operator=(const completion_proxy&) = delete;
--- a/src/app/node/completion_state.hpp
+++ b/src/app/node/completion_state.hpp
@@ -28,6 +28,8 @@
     state::time_point deadline{};
     std::int64_t expected_tokens = 0;
     bool long_work = false;
+    /// Time that the request is expected to wait in the engine's queue.
+    state::microseconds queue_wait{0};
 
     /// Number of tokens already delivered to the caller; the next index expected.
     std::int64_t delivered = 0;
--- a/src/app/node/demand_tracker.cpp
+++ b/src/app/node/demand_tracker.cpp
@@ -102,12 +102,18 @@
     return this->own_locked(now);
 }
 
-coordination::demand_map demand_tracker::forecast(state::time_point now)
+coordination::demand_map demand_tracker::forecast(state::time_point now,
+                                                  std::size_t serving_nodes)
 {
     const std::lock_guard lock(this->mutex);
     coordination::demand_map result = this->own_locked(now);
     std::erase_if(this->peers, [&](const auto& item)
                   { return now - item.second.received > peer_demand_lifetime; });
+    const std::size_t reported = 1 + this->peers.size();
+    const double scale = static_cast<double>(std::max(serving_nodes, reported)) /
+                         static_cast<double>(reported);
+    for (auto& [key, demand] : result)
+        demand.tokens_per_s *= scale;
     for (const auto& [node, peer] : this->peers)
     {
         for (const auto& [key, demand] : peer.demand)
--- a/src/app/node/demand_tracker.hpp
+++ b/src/app/node/demand_tracker.hpp
@@ -31,8 +31,9 @@
 
     /// Demand seen by this node alone, to be sent to peers.
     coordination::demand_map own_demand(state::time_point now);
-    /// Demand of this node and its peers.
-    coordination::demand_map forecast(state::time_point now);
+    /// Demand at all nodes. Callers spread evenly over the serving nodes, so this node's
+    /// own demand stands for that of the nodes that have reported none.
+    coordination::demand_map forecast(state::time_point now, std::size_t serving_nodes);
 
 private:
     struct entry
--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -169,7 +169,8 @@
 asio::awaitable<attempt_result> engine_attempt::serve()
 {
     const transport::http_request http = this->make_request();
-    const transport::http_call_options options = call_options(this->request.attributes);
+    transport::http_call_options options = call_options(this->request.attributes);
+    options.progress_timeout = this->first_chunk_limit(options.progress_timeout);
     try
     {
         const auto answer =
@@ -198,6 +199,18 @@
     }
 }
 
+state::milliseconds
+engine_attempt::first_chunk_limit(state::milliseconds progress_timeout) const
+{
+    // Requests in front of this one delay its first chunk; that is no sign of a silent
+    // connection. The wait is an estimate, so twice as much is allowed for.
+    const auto queued =
+        std::chrono::duration_cast<state::milliseconds>(this->request.queue_wait);
+    const auto left =
+        std::chrono::duration_cast<state::milliseconds>(this->request.deadline - now());
+    return std::max(progress_timeout, std::min(progress_timeout + 2 * queued, left));
+}
+
 attempt_result engine_attempt::refusal_of(const std::string& body)
 {
     const std::string type = protocol::parse_backend_error(body);
@@ -257,6 +270,8 @@
 engine_attempt::forward_chunks(transport::http_call& answer)
 {
     protocol::sse_parser parser;
+    const state::milliseconds progress_timeout(
+        this->request.attributes.get(attribute::progress_timeout_ms));
     while (auto piece = co_await answer.read_some())
     {
         if (this->has_lost())
@@ -275,6 +290,7 @@
         this->counters.tokens.add(tokens);
         if (tokens > 0)
         {
+            answer.set_progress_timeout(progress_timeout);
             try
             {
                 co_await this->output.flush();
--- a/src/app/node/engine_attempt.hpp
+++ b/src/app/node/engine_attempt.hpp
@@ -69,6 +69,7 @@
     boost::asio::awaitable<attempt_result> forward_chunks(transport::http_call& call);
     /// Takes in one event; returns whether the stream is still the expected one.
     bool accept_chunk(std::string_view data, std::int64_t& tokens);
+    state::milliseconds first_chunk_limit(state::milliseconds progress_timeout) const;
     attempt_result refusal_of(const std::string& body);
     attempt_result on_failure(const state::error& failure);
     transport::http_request make_request() const;
--- a/src/app/node/member_knowledge.hpp
+++ b/src/app/node/member_knowledge.hpp
@@ -3,6 +3,7 @@
 #include "coordination/membership.hpp"
 #include "coordination/placement_agent.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -28,6 +29,13 @@
     {
         return this->members.health() == coordination::own_health::healthy;
     }
+    std::size_t serving_nodes() const override
+    {
+        const auto others = this->members.members();
+        return 1 + static_cast<std::size_t>(std::count_if(others.begin(), others.end(),
+                                                          [](const auto& member)
+                                                          { return member.ready; }));
+    }
 
 private:
     const coordination::membership& members;
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -107,7 +107,7 @@
                          counters),
           client(serving_thread.executor()),
           completions(settings.node_id, control.views(), client,
-                      serving_thread.executor(), timers, counters),
+                      serving_thread.executor(), timers, demand, counters),
           services(identity, control.views(), client, control.mailbox(), claims_part,
                    counters),
           admin(identity, control.views(), control.mailbox(), settings_part, events),
--- a/src/app/node/placement_component.cpp
+++ b/src/app/node/placement_component.cpp
@@ -39,7 +39,8 @@
                                          order_port& orders, demand_tracker& tracker,
                                          state::event_log& event_log,
                                          state::counter_registry& counters)
-    : platform(platform_requests),
+    : knowledge(peers),
+      platform(platform_requests),
       dispatcher(orders),
       demand(tracker),
       events(event_log),
@@ -116,7 +117,8 @@
 
 void placement_component::on_tick(state::time_point now)
 {
-    this->decisions.on_tick(now, this->demand.forecast(now));
+    this->decisions.on_tick(now,
+                            this->demand.forecast(now, this->knowledge.serving_nodes()));
     this->is_holder.set(this->decisions.lease().is_holder() ? 1 : 0);
     this->open_orders.set(static_cast<std::int64_t>(this->decisions.orders_under_way()));
 }
--- a/src/app/node/placement_component.hpp
+++ b/src/app/node/placement_component.hpp
@@ -47,6 +47,7 @@
     void record_event(std::string kind, std::vector<state::event_field> fields) override;
     void apply(const transport::log_record& record, state::time_point now);
 
+    const coordination::peer_knowledge& knowledge;
     platform_port& platform;
     order_port& dispatcher;
     demand_tracker& demand;
--- a/src/libs/coordination/placement_agent.hpp
+++ b/src/libs/coordination/placement_agent.hpp
@@ -33,6 +33,8 @@
     virtual std::size_t lease_rank(const std::string& scope) const = 0;
     /// Whether this node may hold a lease now.
     virtual bool may_hold_lease() const = 0;
+    /// Number of nodes that callers spread over, this one included.
+    virtual std::size_t serving_nodes() const { return 1; }
 };
 
 /// How an attempt to send an order ended.
--- a/src/libs/transport/http_client.hpp
+++ b/src/libs/transport/http_client.hpp
@@ -50,6 +50,11 @@
     /// Reads the next bytes of the body, waiting at most the progress timeout; nothing at
     /// the end. Throws `http_error`.
     boost::asio::awaitable<std::optional<std::string>> read_some();
+    /// Changes the time limit of the reads that follow.
+    void set_progress_timeout(state::milliseconds timeout)
+    {
+        this->options.progress_timeout = timeout;
+    }
     /// Reads the rest of the body; throws `http_error`.
     boost::asio::awaitable<std::string> read_all();
 
