--- a/bench/bench_control/main.cpp
+++ b/bench/bench_control/main.cpp
@@ -1,6 +1,11 @@
+#include "coordination/claims_fold.hpp"
+#include "coordination/membership.hpp"
+#include "coordination/order_ledger.hpp"
 #include "coordination/settings_fold.hpp"
 #include "measurement.hpp"
 #include "protocol/engine_api.hpp"
+#include "protocol/fleet_records.hpp"
+#include "protocol/peer_codec.hpp"
 #include "protocol/platform_api.hpp"
 #include "protocol/settings_records.hpp"
 #include "state/settings.hpp"
@@ -114,6 +119,145 @@
     }
 }
 
+constexpr std::array<std::int64_t, 3> node_counts{36, 120, 360};
+
+/// A membership that knows `nodes` nodes, all alive.
+coordination::membership make_membership(std::int64_t nodes, state::time_point now)
+{
+    coordination::membership members("node-0", 1, "10.0.0.1:9000", 1);
+    std::vector<state::instance> list;
+    for (std::int64_t i = 0; i < nodes; ++i)
+    {
+        state::instance item;
+        item.id = "node-" + std::to_string(i);
+        item.address = "10.0.0.1:8000";
+        item.peer_address = "10.0.0.1:9000";
+        item.zone = "zone-1";
+        item.incarnation = 1;
+        list.push_back(item);
+    }
+    members.on_list(list, now);
+    for (std::int64_t i = 1; i < nodes; ++i)
+    {
+        protocol::heartbeat message;
+        message.origin = {"node-" + std::to_string(i), 1, 1, true, false, false};
+        message.peer_address = "10.0.0.1:9000";
+        members.on_heartbeat(message, now);
+    }
+    return members;
+}
+
+void measure_membership(std::vector<measurement>& results)
+{
+    for (const std::int64_t nodes : node_counts)
+    {
+        state::time_point now{state::seconds(1000)};
+        coordination::membership members = make_membership(nodes, now);
+        std::int64_t frame_bytes = 0;
+        std::int64_t frames = 0;
+        std::int64_t rounds = 0;
+        // One second of a node: ten ticks, heartbeats sent and as many received.
+        const double second = bench::microseconds_per_call(
+            [&]
+            {
+                for (int tick = 0; tick < 10; ++tick)
+                {
+                    now += state::milliseconds(100);
+                    for (auto& outgoing : members.tick(now))
+                    {
+                        const std::string frame = protocol::encode_peer_frame(
+                            {"node-0", std::move(outgoing.message)});
+                        frame_bytes += static_cast<std::int64_t>(frame.size());
+                        ++frames;
+                        const auto received =
+                            protocol::decode_peer_body(std::string_view(frame).substr(
+                                sizeof(protocol::peer_frame_header)));
+                        members.on_heartbeat(
+                            std::get<protocol::heartbeat>(received.message), now);
+                    }
+                }
+                ++rounds;
+            });
+        results.push_back({"membership, one second (nodes)", nodes, second,
+                           frame_bytes / std::max<std::int64_t>(1, rounds)});
+    }
+}
+
+void measure_ledger(std::vector<measurement>& results)
+{
+    for (const std::int64_t engines : engine_counts)
+    {
+        coordination::order_ledger ledger;
+        ledger.begin_at(0);
+        protocol::lease_claim claim;
+        claim.header.writer = "node-0";
+        claim.header.sequence = 1;
+        claim.scope = "region-1";
+        std::uint64_t offset = 0;
+        ledger.apply(offset++, protocol::format_fleet_record(claim));
+        const std::int64_t before = bench::heap_bytes();
+        for (std::int64_t i = 0; i < engines; ++i)
+        {
+            protocol::engine_seen seen;
+            seen.header.writer = "node-0";
+            seen.header.sequence = static_cast<std::uint64_t>(i) + 2;
+            seen.epoch = 1;
+            seen.engine = "engine-" + std::to_string(i);
+            seen.limit_bytes = 80LL << 30;
+            for (int model = 0; model < 6; ++model)
+            {
+                seen.resident.push_back(
+                    {"model-" + std::to_string(model), "1", "", model_bytes, true});
+            }
+            ledger.apply(offset++, protocol::format_fleet_record(seen));
+        }
+        results.push_back({"order ledger held in memory (engines)", engines, 0.0,
+                           bench::heap_bytes() - before});
+        std::string snapshot;
+        const double time = bench::microseconds_per_call(
+            [&] { snapshot = protocol::format_fleet_record(ledger.snapshot()); });
+        results.push_back({"fleet snapshot (engines)", engines, time,
+                           static_cast<std::int64_t>(snapshot.size())});
+    }
+}
+
+void measure_claims(std::vector<measurement>& results)
+{
+    for (const std::int64_t claims : {1000, 4000, 16000})
+    {
+        coordination::claims_fold fold;
+        fold.begin_at(0);
+        const std::int64_t before = bench::heap_bytes();
+        constexpr std::int64_t batch_claims = 100;
+        std::int64_t bytes = 0;
+        const auto begin = std::chrono::steady_clock::now();
+        for (std::int64_t batch = 0; batch < claims / batch_claims; ++batch)
+        {
+            protocol::claim_batch record;
+            record.header.writer = "node-0";
+            record.header.sequence = static_cast<std::uint64_t>(batch) + 1;
+            record.time_s = 1000;
+            for (std::int64_t i = 0; i < batch_claims; ++i)
+            {
+                protocol::key_claim claim;
+                claim.key = "0123456789abcdef" + std::to_string(batch * batch_claims + i);
+                claim.request = "0123456789abcdef0123456789abcdef";
+                claim.lifetime_s = 86400;
+                record.claims.push_back(claim);
+            }
+            const std::string data = protocol::format_claim_record(record);
+            bytes += static_cast<std::int64_t>(data.size());
+            fold.apply(static_cast<std::uint64_t>(batch), data);
+        }
+        const std::chrono::duration<double, std::micro> elapsed =
+            std::chrono::steady_clock::now() - begin;
+        results.push_back(
+            {"fold claims, batches of 100 (claims)", claims, elapsed.count(), bytes});
+        results.push_back({"claims held in memory (claims)", claims, 0.0,
+                           bench::heap_bytes() - before});
+    }
+}
+
 } // namespace
 
 int main()
@@ -122,6 +266,9 @@
     measure_settings(results);
     measure_engine_reports(results);
     measure_instance_list(results);
+    measure_membership(results);
+    measure_ledger(results);
+    measure_claims(results);
     bench::print_slopes(results);
     return 0;
 }
