Admit requests by the undiscounted queue and their own service time

Cause: the estimate for admission discounted other nodes' queues by the age of the report and left out the request's own tokens, so in a swing to twice the capacity requests were admitted that could not end in time.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -7,8 +7,9 @@
 stop_all() {
     local pid
     for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    # A graceful shutdown may last as long as callers keep addresses; scripts do not wait for it.
-    for _ in $(seq 40); do
+    # A graceful shutdown lasts as long as callers keep addresses (address_ttl_s); benchmarks set
+    # stop_limit_s lower and do not wait for it.
+    for _ in $(seq $((10 * ${stop_limit_s:-20}))); do
         local alive=0
         for pid in "${pids[@]}"; do kill -0 "$pid" 2>/dev/null && alive=1; done
         [ "$alive" -eq 0 ] && return 0
@@ -23,6 +24,7 @@
     shift
     "$@" >"$run/$name.out" 2>"$run/$name.log" &
     local pid=$!
+    disown "$pid" # the shell must not report how it ended
     pids=("$pid" "${pids[@]}")
     for _ in $(seq 200); do
         address="$(sed -n 's/^listening //p' "$run/$name.out")"
--- a/src/app/node/completion_proxy.cpp
+++ b/src/app/node/completion_proxy.cpp
@@ -111,10 +111,9 @@
     keep->budget.on_request(request.attributes.get(attribute::retry_percent));
     keep->hedge_budget.on_request(request.attributes.get(attribute::hedge_percent));
 
-    const state::microseconds engine_wait =
-        keep->chooser.expected_wait(request, request.received);
+    const expected_times expected = keep->chooser.expected(request, request.received);
     const gate_result entry =
-        co_await keep->gate.enter(request, active.limits, engine_wait);
+        co_await keep->gate.enter(request, active.limits, expected.total);
     if (entry.outcome == gate_outcome::refused)
     {
         keep->refused.add();
@@ -185,7 +184,7 @@
         }
         ++count;
         // The first chunk also waits for the requests that the engine has queued before.
-        request.queue_wait = shared.chooser.expected_wait(request, now());
+        request.queue_wait = shared.chooser.expected(request, now()).wait;
         active.attempt.emplace(request, *choice.engine, shared.chooser, shared.client,
                                active.output, shared.attempts);
         active.attempt_slot = choice.engine->slot;
--- a/src/app/node/engine_chooser.cpp
+++ b/src/app/node/engine_chooser.cpp
@@ -166,23 +166,31 @@
                        { return coordination::is_eligible(query, candidate, false); });
 }
 
-state::microseconds engine_chooser::expected_wait(const completion_state& request,
-                                                  state::time_point now)
+expected_times engine_chooser::expected(const completion_state& request,
+                                        state::time_point now)
 {
     this->refresh();
     const state::replica_set* replicas = this->find_replicas(request);
     if (replicas == nullptr)
-        return state::microseconds(0);
+        return {};
     const coordination::routing_query query = this->make_query(request, *replicas, now);
-    double least = std::numeric_limits<double>::max();
+    std::optional<double> least_wait;
+    double least_total = std::numeric_limits<double>::max();
     for (const std::uint32_t candidate : query.candidates)
     {
-        if (coordination::is_eligible(query, candidate, true))
-            least = std::min(least, coordination::expected_wait_us(query, candidate));
+        if (!coordination::is_eligible(query, candidate, true))
+            continue;
+        const double wait = coordination::admission_wait_us(query, candidate);
+        const double gap =
+            coordination::expected_gap_us(query, this->load.at_index(candidate));
+        const double total = wait + gap * static_cast<double>(request.expected_tokens);
+        least_wait = std::min(least_wait.value_or(wait), wait);
+        least_total = std::min(least_total, total);
     }
-    if (least == std::numeric_limits<double>::max())
-        return state::microseconds(0);
-    return state::microseconds(static_cast<std::int64_t>(least));
+    if (!least_wait)
+        return {};
+    return {state::microseconds(static_cast<std::int64_t>(*least_wait)),
+            state::microseconds(static_cast<std::int64_t>(least_total))};
 }
 
 std::optional<chosen_engine> engine_chooser::begin_probe(completion_state& request,
--- a/src/app/node/engine_chooser.hpp
+++ b/src/app/node/engine_chooser.hpp
@@ -45,6 +45,15 @@
     choice_failure failure = choice_failure::not_resident;
 };
 
+/// What a new request is expected to take.
+struct expected_times
+{
+    /// Until an engine begins with it.
+    state::microseconds wait{0};
+    /// Until its last token.
+    state::microseconds total{0};
+};
+
 /// Chooses engines by the policy of the model and keeps what this node's calls show of
 /// them. Used on the serving thread only.
 class engine_chooser
@@ -64,9 +73,8 @@
     bool is_ejected(coordination::engine_slot slot) const;
     /// Whether an engine that was not tried, and is not ejected, could serve the request.
     bool has_alternative(const completion_state& request, state::time_point now);
-    /// Time until the best replica would start on the request; 0 if there is none.
-    state::microseconds expected_wait(const completion_state& request,
-                                      state::time_point now);
+    /// Estimates for a new request, on the replica where each is least.
+    expected_times expected(const completion_state& request, state::time_point now);
 
     /// Prepares a probe of an ejected engine: a short request for a model that it has.
     /// Returns the engine, or nothing if no probe is due.
--- a/src/libs/coordination/routing_policy.cpp
+++ b/src/libs/coordination/routing_policy.cpp
@@ -34,6 +34,36 @@
     return std::max(0.0, std::chrono::duration<double, std::micro>(to - from).count());
 }
 
+double report_age_us(const routing_query& query, std::uint32_t candidate)
+{
+    const state::backend_view& engine = query.engines[candidate];
+    return elapsed_us(engine.load_received, query.now) +
+           std::chrono::duration<double, std::micro>(
+               state::milliseconds(engine.load.age_ms))
+               .count();
+}
+
+double wait_us(const routing_query& query, std::uint32_t candidate, double others_weight)
+{
+    const state::backend_view& engine = query.engines[candidate];
+    const engine_load& own = query.load->at_index(candidate);
+    const double gap = expected_gap_us(query, own);
+    const double slots =
+        static_cast<double>(engine.load.slots > 0 ? engine.load.slots : default_slots);
+    const auto own_requests = static_cast<double>(own.requests);
+    const double others =
+        std::max(0.0, static_cast<double>(engine.load.running + engine.load.queued) -
+                          own_requests) *
+        others_weight;
+    // Requests of other nodes are assumed to be of the size of our own.
+    const double request_tokens =
+        own.requests > 0 ? static_cast<double>(own.expected_tokens) / own_requests
+                         : static_cast<double>(query.expected_tokens);
+    const double outstanding =
+        static_cast<double>(own.expected_tokens) + others * request_tokens;
+    return outstanding * gap / slots;
+}
+
 } // namespace
 
 bool has_room_for_long_work(const engine_load& load, std::int64_t slots,
@@ -75,27 +105,14 @@
 
 double expected_wait_us(const routing_query& query, std::uint32_t candidate)
 {
-    const state::backend_view& engine = query.engines[candidate];
-    const engine_load& own = query.load->at_index(candidate);
-    const double gap = expected_gap_us(query, own);
-    const double slots =
-        static_cast<double>(engine.load.slots > 0 ? engine.load.slots : default_slots);
-    const double report_age_us =
-        elapsed_us(engine.load_received, query.now) +
-        std::chrono::duration<double, std::micro>(state::milliseconds(engine.load.age_ms))
-            .count();
-    const auto own_requests = static_cast<double>(own.requests);
-    const double others =
-        std::max(0.0, static_cast<double>(engine.load.running + engine.load.queued) -
-                          own_requests) /
-        (1.0 + report_age_us / report_half_life_us);
-    // Requests of other nodes are assumed to be of the size of our own.
-    const double request_tokens =
-        own.requests > 0 ? static_cast<double>(own.expected_tokens) / own_requests
-                         : static_cast<double>(query.expected_tokens);
-    const double outstanding =
-        static_cast<double>(own.expected_tokens) + others * request_tokens;
-    return outstanding * gap / slots;
+    // An old report says little about which of two engines has less to do now.
+    return wait_us(query, candidate,
+                   1.0 / (1.0 + report_age_us(query, candidate) / report_half_life_us));
+}
+
+double admission_wait_us(const routing_query& query, std::uint32_t candidate)
+{
+    return wait_us(query, candidate, 1.0);
 }
 
 std::unique_ptr<routing_policy> make_routing_policy(state::routing_policy_kind kind)
--- a/src/libs/coordination/routing_policy.hpp
+++ b/src/libs/coordination/routing_policy.hpp
@@ -46,6 +46,10 @@
 
 /// Estimated time until an engine would start on a new request, in microseconds.
 double expected_wait_us(const routing_query& query, std::uint32_t candidate);
+/// The same for the decision whether to admit a request at all: takes the last report at
+/// its word, since under a rising load an older report shows too little rather than too
+/// much.
+double admission_wait_us(const routing_query& query, std::uint32_t candidate);
 
 /// Chooses the engine of a request. Decisions allocate no memory.
 class routing_policy
