--- a/src/app/commands/node_command.cpp
+++ b/src/app/commands/node_command.cpp
@@ -1,5 +1,6 @@
 #include "app/commands/node_command.hpp"
 
+#include "app/commands/parse_options.hpp"
 #include "app/node/node_process.hpp"
 #include "state/error.hpp"
 #include "state/json_reader.hpp"
@@ -21,15 +22,10 @@
         "settings,s", options::value<std::string>()->required(),
         "JSON file with this process's own settings: node_id, zone, listen, peer_listen, "
         "platform (docs/operations.md)")("check", "check the settings file and exit");
-    options::variables_map values;
-    options::store(options::command_line_parser(arguments).options(description).run(),
-                   values);
-    if (values.count("help") > 0)
-    {
-        std::cout << description;
+    const auto parsed = parse_options(arguments, description);
+    if (!parsed)
         return exit_code::success;
-    }
-    options::notify(values);
+    const options::variables_map& values = *parsed;
     const auto path = values["settings"].as<std::string>();
     const state::process_settings settings = state::read_process_settings(
         state::parse_json(state::read_file(path), path), path);
--- a/src/app/commands/status_command.cpp
+++ b/src/app/commands/status_command.cpp
@@ -1,6 +1,7 @@
 #include "app/commands/status_command.hpp"
 
 #include "app/commands/node_client.hpp"
+#include "app/commands/parse_options.hpp"
 #include "state/json_reader.hpp"
 #include "state/json_text.hpp"
 
@@ -24,15 +25,10 @@
     description.add_options()("help,h", "show this help")(
         "node,n", options::value<std::vector<std::string>>()->composing()->required(),
         "ip:port of a node; several are tried in this order");
-    options::variables_map values;
-    options::store(options::command_line_parser(arguments).options(description).run(),
-                   values);
-    if (values.count("help") > 0)
-    {
-        std::cout << description;
+    const auto parsed = parse_options(arguments, description);
+    if (!parsed)
         return exit_code::success;
-    }
-    options::notify(values);
+    const options::variables_map& values = *parsed;
     node_client client(values["node"].as<std::vector<std::string>>());
     std::cout << state::format_pretty(
         read_answer(client.get("/admin/status"), "/admin/status"));
--- a/src/app/commands/timeline_command.cpp
+++ b/src/app/commands/timeline_command.cpp
@@ -1,6 +1,7 @@
 #include "app/commands/timeline_command.hpp"
 
 #include "app/commands/node_client.hpp"
+#include "app/commands/parse_options.hpp"
 #include "state/error.hpp"
 #include "state/json_reader.hpp"
 
@@ -125,15 +126,10 @@
         "node,n", options::value<std::vector<std::string>>()->composing()->required(),
         "ip:port of a node; all of them are asked")("json",
                                                     "print a JSON array of events");
-    options::variables_map values;
-    options::store(options::command_line_parser(arguments).options(description).run(),
-                   values);
-    if (values.count("help") > 0)
-    {
-        std::cout << description;
+    const auto parsed = parse_options(arguments, description);
+    if (!parsed)
         return exit_code::success;
-    }
-    options::notify(values);
+    const options::variables_map& values = *parsed;
     boost::json::array events;
     std::size_t answered = 0;
     for (const std::string& address : values["node"].as<std::vector<std::string>>())
--- a/src/libs/transport/address.cpp
+++ b/src/libs/transport/address.cpp
@@ -32,4 +32,22 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+std::string open_listener(boost::asio::ip::tcp::acceptor& acceptor,
+                          const std::string& address)
+{
+    using boost::asio::socket_base;
+    const auto endpoint = parse_address(address);
+    boost::system::error_code failure;
+    acceptor.open(endpoint.protocol(), failure);
+    if (!failure)
+        acceptor.set_option(socket_base::reuse_address(true), failure);
+    if (!failure)
+        acceptor.bind(endpoint, failure);
+    if (!failure)
+        acceptor.listen(socket_base::max_listen_connections, failure);
+    if (failure)
+        throw state::error(state::error_code::io_error, address, failure.message());
+    return format_address(acceptor.local_endpoint());
+}
+
 } // namespace pomelorouter::transport
--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -361,20 +361,9 @@
 
 std::string http_server::listen(const std::string& address)
 {
-    const auto endpoint = parse_address(address);
-    asio::ip::tcp::acceptor& acceptor = this->shared->acceptor;
-    boost::system::error_code failure;
-    acceptor.open(endpoint.protocol(), failure);
-    if (!failure)
-        acceptor.set_option(asio::socket_base::reuse_address(true), failure);
-    if (!failure)
-        acceptor.bind(endpoint, failure);
-    if (!failure)
-        acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        throw state::error(state::error_code::io_error, address, failure.message());
+    std::string bound = open_listener(this->shared->acceptor, address);
     asio::co_spawn(this->shared->loop, accept_loop(this->shared), asio::detached);
-    return format_address(acceptor.local_endpoint());
+    return bound;
 }
 
 void http_server::announce_close()
