--- a/src/app/node/completion_proxy.cpp
+++ b/src/app/node/completion_proxy.cpp
@@ -212,13 +212,7 @@
             break;
         if (is_free_move(result) || std::exchange(active.is_paid, false))
             continue;
-        if (!shared.chooser.has_alternative(request, now()))
-            break;
-        // An ejected engine has failed while most others serve; when most fail, the bound
-        // on ejections leaves the rest without credit.
-        const bool has_credit = result == attempt_result::failed &&
-                                shared.chooser.is_ejected(choice.engine->slot);
-        if (!(has_credit ? shared.budget.try_take_on_credit() : shared.budget.try_take()))
+        if (!shared.chooser.has_alternative(request, now()) || !shared.budget.try_take())
             break;
         shared.retries.add();
         const auto delay =
--- a/src/app/node/engine_chooser.cpp
+++ b/src/app/node/engine_chooser.cpp
@@ -148,11 +148,6 @@
     return choice;
 }
 
-bool engine_chooser::is_ejected(engine_slot slot) const
-{
-    return this->load.at(slot).ejected;
-}
-
 bool engine_chooser::has_alternative(const completion_state& request,
                                      state::time_point now)
 {
--- a/src/app/node/engine_chooser.hpp
+++ b/src/app/node/engine_chooser.hpp
@@ -69,8 +69,6 @@
     /// Estimates the work of a request from its settings.
     void estimate(completion_state& request) const;
     engine_choice choose(const completion_state& request, state::time_point now);
-    /// Whether an engine gets no new work because its calls are slow or fail.
-    bool is_ejected(coordination::engine_slot slot) const;
     /// Whether an engine that was not tried, and is not ejected, could serve the request.
     bool has_alternative(const completion_state& request, state::time_point now);
     /// Estimates for a new request, on the replica where each is least.
--- a/src/libs/coordination/retry_budget.cpp
+++ b/src/libs/coordination/retry_budget.cpp
@@ -32,14 +32,6 @@
     return true;
 }
 
-bool retry_budget::try_take_on_credit()
-{
-    if (this->tokens + this->most_debt + rounding < 1.0)
-        return false;
-    this->tokens -= 1.0;
-    return true;
-}
-
 void retry_budget::give_back()
 {
     this->tokens = std::min(this->most, this->tokens + 1.0);
--- a/tests/auto/coordination/tst_retry.cpp
+++ b/tests/auto/coordination/tst_retry.cpp
@@ -98,24 +98,6 @@
     CHECK_FALSE(budget.try_take());
 }
 
-// Guards against a fresh node that cannot go on with a broken stream, and against credit
-// that raises the load in the long run.
-TEST_CASE("credit is bounded and paid off before other retries")
-{
-    retry_budget budget(8.0, 12.0);
-    int taken = 0;
-    while (budget.try_take_on_credit())
-        REQUIRE(++taken <= 12);
-    CHECK(taken == 12);
-    int requests = 0;
-    while (!budget.try_take())
-    {
-        budget.on_request(retry_percent);
-        REQUIRE(++requests < 1000);
-    }
-    CHECK(requests * retry_percent >= 100 * taken);
-}
-
 // Guards against retries after the deadline and against retries in step with one another.
 TEST_CASE("delays grow, are spread and end before the deadline")
 {
