--- /dev/null
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -0,0 +1,287 @@
+#include "app/gateway/peers/peer_gossip.hpp"
+
+#include "state/error.hpp"
+#include "state/json_reader.hpp"
+#include "state/log.hpp"
+#include "transport/http_error.hpp"
+#include "transport/log_service.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using state::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds heartbeat_period{200};
+/// A read of the members waits this long for a change; heartbeats tell the rest.
+constexpr milliseconds members_wait{20000};
+constexpr milliseconds retry_period{500};
+
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+boost::json::object to_json(const protocol::gateway_member& member)
+{
+    return {{"node", member.node},
+            {"incarnation", member.incarnation},
+            {"zone", member.zone},
+            {"frontend", member.frontend},
+            {"control", member.control},
+            {"datagrams", member.datagrams}};
+}
+
+protocol::gateway_member member_from_json(const boost::json::value& value)
+{
+    state::json_reader reader(value, "gateway member");
+    protocol::gateway_member member;
+    member.node = reader.get_string("node");
+    member.incarnation = reader.get_uint64("incarnation");
+    member.zone = reader.get_string("zone");
+    member.frontend = reader.get_string("frontend");
+    member.control = reader.get_string("control");
+    member.datagrams = reader.get_string("datagrams");
+    return member;
+}
+
+asio::awaitable<void> pause(const asio::any_io_executor& executor, milliseconds duration)
+{
+    asio::steady_timer timer(executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+peer_gossip::peer_gossip(gateway_state& gateway, keyed_store& platform_store,
+                         transport::http_client& http_client,
+                         protocol::gateway_member own_member)
+    : shared(gateway),
+      store(platform_store),
+      client(http_client),
+      self(std::move(own_member)),
+      table(self.node),
+      socket(gateway.executor)
+{
+}
+
+void peer_gossip::start(fill_callback fill, heartbeat_callback on_heartbeat)
+{
+    this->fill_heartbeat = std::move(fill);
+    this->heartbeat_received = std::move(on_heartbeat);
+    this->self.datagrams =
+        this->socket.listen(this->self.datagrams, [this](std::string_view datagram)
+                            { this->on_datagram(datagram); });
+    asio::co_spawn(this->shared.executor, this->heartbeat_loop(), asio::detached);
+    asio::co_spawn(this->shared.executor, this->discovery_loop(), asio::detached);
+}
+
+asio::awaitable<void> peer_gossip::heartbeat_loop()
+{
+    for (;;)
+    {
+        this->send_heartbeat();
+        for (const std::string& node : this->table.tick(now()))
+        {
+            this->shared.loads.forget_peer(node);
+            this->shared.demand.forget_peer(node);
+            state::log_event(state::log_level::info, "gateway_forgotten")
+                .field("gateway", node);
+        }
+        co_await pause(this->shared.executor, heartbeat_period);
+    }
+}
+
+void peer_gossip::send_heartbeat()
+{
+    protocol::gateway_heartbeat heartbeat;
+    heartbeat.origin = this->self;
+    heartbeat.counter = ++this->counter;
+    this->fill_heartbeat(heartbeat);
+    try
+    {
+        const std::string datagram = encode_gateway_heartbeat(heartbeat);
+        for (const protocol::gateway_member& member : this->table.known())
+            this->socket.send(member.datagrams, datagram);
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::error, "heartbeat_not_sent")
+            .field("problem", failure.what());
+    }
+}
+
+void peer_gossip::on_datagram(std::string_view datagram)
+{
+    try
+    {
+        const auto heartbeat = protocol::decode_gateway_heartbeat(datagram);
+        const bool was_alive = this->table.is_alive(now(), heartbeat.origin.node);
+        if (!this->table.on_heartbeat(now(), heartbeat))
+            return;
+        if (!was_alive)
+        {
+            state::log_event(state::log_level::info, "gateway_heard")
+                .field("gateway", heartbeat.origin.node)
+                .field("incarnation", heartbeat.origin.incarnation);
+        }
+        this->heartbeat_received(heartbeat);
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::warning, "datagram_refused")
+            .field("problem", failure.what());
+    }
+}
+
+asio::awaitable<void> peer_gossip::discovery_loop()
+{
+    for (;;)
+    {
+        if (!this->announced)
+            this->announced = co_await this->announce();
+        const bool succeeded = co_await this->read_members();
+        if (succeeded)
+            continue;
+        if (this->table.alive(now()).empty())
+            co_await this->ask_seeds();
+        co_await pause(this->shared.executor, retry_period);
+    }
+}
+
+asio::awaitable<bool> peer_gossip::announce()
+{
+    try
+    {
+        co_await this->store.append(store_topic::members, this->self.node,
+                                    boost::json::serialize(to_json(this->self)),
+                                    std::nullopt);
+        co_return true;
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::warning, "announce_failed")
+            .field("problem", failure.what());
+        co_return false;
+    }
+}
+
+asio::awaitable<bool> peer_gossip::read_members()
+{
+    try
+    {
+        keyed_page page;
+        if (this->position)
+        {
+            page = co_await this->store.changes(store_topic::members, *this->position,
+                                                members_wait);
+        }
+        else
+            page = co_await this->store.newest(store_topic::members);
+        this->position = page.next;
+        for (const keyed_record& record : page.records)
+        {
+            if (!record.is_removal)
+                this->learn(record.value);
+        }
+        co_return true;
+    }
+    catch (const transport::log_truncated&)
+    {
+        this->position.reset();
+        co_return true;
+    }
+    catch (const state::error&)
+    {
+        co_return false;
+    }
+}
+
+void peer_gossip::learn(const std::string& document)
+{
+    try
+    {
+        this->table.on_known(
+            now(), member_from_json(state::parse_json(document, "gateway member")));
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::warning, "member_unreadable")
+            .field("problem", failure.what());
+    }
+}
+
+asio::awaitable<void> peer_gossip::ask_seeds()
+{
+    transport::http_call_options options;
+    options.progress_timeout = milliseconds(500);
+    for (const std::string& seed : this->shared.settings.seeds)
+    {
+        if (seed == this->self.control)
+            continue;
+        try
+        {
+            const transport::http_response response = co_await this->client.fetch(
+                seed, transport::make_request(transport::verb::get, "/gateway/members"),
+                options);
+            const boost::json::value list =
+                state::parse_json(response.body(), seed + "/gateway/members");
+            if (!list.is_array())
+                continue;
+            for (const boost::json::value& item : list.get_array())
+                this->table.on_known(now(), member_from_json(item));
+            co_return;
+        }
+        catch (const state::error& failure)
+        {
+            state::log_event(state::log_level::info, "seed_failed")
+                .field("seed", seed)
+                .field("problem", failure.what());
+        }
+    }
+}
+
+std::vector<gateway_address> peer_gossip::ready_addresses() const
+{
+    std::vector<gateway_address> result;
+    if (this->self.ready)
+        result.push_back({this->self.frontend, this->self.zone});
+    for (const protocol::gateway_member& member : this->table.ready(now()))
+        result.push_back({member.frontend, member.zone});
+    return result;
+}
+
+std::size_t peer_gossip::rank() const
+{
+    std::size_t rank = 0;
+    for (const protocol::gateway_member& member : this->table.alive(now()))
+    {
+        if (member.node < this->self.node)
+            ++rank;
+    }
+    return rank;
+}
+
+std::string peer_gossip::members_json() const
+{
+    boost::json::array list{to_json(this->self)};
+    for (const protocol::gateway_member& member : this->table.known())
+        list.push_back(to_json(member));
+    return boost::json::serialize(list);
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "app/gateway/serving/directory_handler.hpp"
+#include "app/gateway/serving/gateway_state.hpp"
+#include "app/gateway/store/keyed_store.hpp"
+#include "coordination/gateway_members.hpp"
+#include "protocol/gateway_heartbeat.hpp"
+#include "transport/datagram_socket.hpp"
+#include "transport/http_client.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::app
+{
+
+/// Exchanges heartbeats with the other gateways, and finds them: in the store, or through
+/// the seeds while the store does not answer.
+class peer_gossip
+{
+public:
+    /// Adds what other parts have to tell to a heartbeat.
+    using fill_callback = std::function<void(protocol::gateway_heartbeat&)>;
+    using heartbeat_callback = std::function<void(const protocol::gateway_heartbeat&)>;
+
+    peer_gossip(gateway_state& gateway, keyed_store& platform_store,
+                transport::http_client& client, protocol::gateway_member self);
+
+    /// Binds the socket and starts to send and receive.
+    void start(fill_callback fill, heartbeat_callback on_heartbeat);
+    void set_ready(bool ready) { this->self.ready = ready; }
+    /// Sends a heartbeat now, for a change that should not wait.
+    void send_heartbeat();
+
+    /// The gateways that callers may use, this one included if it is ready.
+    std::vector<gateway_address> ready_addresses() const;
+    const coordination::gateway_members& members() const { return this->table; }
+    const protocol::gateway_member& own() const { return this->self; }
+    /// Place of this gateway among those that are alive, in the order of their names.
+    std::size_t rank() const;
+    /// This gateway and all that it knows, as JSON, for a gateway that asks.
+    std::string members_json() const;
+
+private:
+    boost::asio::awaitable<void> heartbeat_loop();
+    boost::asio::awaitable<void> discovery_loop();
+    boost::asio::awaitable<bool> read_members();
+    boost::asio::awaitable<bool> announce();
+    boost::asio::awaitable<void> ask_seeds();
+    void on_datagram(std::string_view datagram);
+    void learn(const std::string& document);
+
+    gateway_state& shared;
+    keyed_store& store;
+    transport::http_client& client;
+    protocol::gateway_member self;
+    coordination::gateway_members table;
+    transport::datagram_socket socket;
+    fill_callback fill_heartbeat;
+    heartbeat_callback heartbeat_received;
+    std::uint64_t counter = 0;
+    std::optional<std::uint64_t> position;
+    bool announced = false;
+};
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -0,0 +1,535 @@
+#include "app/gateway/placement/placement_agent.hpp"
+
+#include "state/boot_clock.hpp"
+#include "state/enum_table.hpp"
+#include "state/error.hpp"
+#include "state/json_reader.hpp"
+#include "state/log.hpp"
+#include "transport/http_error.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using coordination::plan_operation;
+using coordination::planned_order;
+using state::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds lease_tick{100};
+constexpr milliseconds plan_period{100};
+/// An adapter is counted on this long after its order was accepted.
+constexpr milliseconds adapter_load_time{35};
+/// Gateways stop using weights this long before an order to unload them is sent.
+constexpr milliseconds unload_notice{250};
+/// What an engine holds is repeated in heartbeats for this long.
+constexpr milliseconds announce_time{1500};
+/// An engine that did not answer, or refused an order, is left alone for this long.
+constexpr milliseconds failure_pause{500};
+constexpr milliseconds report_period{300};
+constexpr milliseconds settle_time{2500};
+constexpr const char* lease_key = "placement";
+
+constexpr std::array<state::enum_name<order_answer>, 6> answer_names{{
+    {order_answer::accepted, "accepted"},
+    {order_answer::already_done, "already_done"},
+    {order_answer::conflict, "conflict"},
+    {order_answer::fenced, "fenced"},
+    {order_answer::misdirected, "misdirected"},
+    {order_answer::refused, "refused"},
+}};
+
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+coordination::store_lease_timing lease_timing(const state::gateway_settings& settings)
+{
+    coordination::store_lease_timing timing;
+    timing.separation = settings.lease_duration;
+    return timing;
+}
+
+std::string lease_text(const coordination::lease_record& record)
+{
+    return boost::json::serialize(boost::json::object{{"holder", record.holder},
+                                                      {"incarnation", record.incarnation},
+                                                      {"epoch", record.epoch},
+                                                      {"release", record.is_release}});
+}
+
+coordination::lease_record read_lease_text(const std::string& text)
+{
+    const boost::json::value value = state::parse_json(text, "lease record");
+    state::json_reader reader(value, "lease record");
+    coordination::lease_record record;
+    record.holder = reader.get_string("holder");
+    record.incarnation = reader.get_uint64("incarnation");
+    record.epoch = reader.get_uint64("epoch");
+    record.is_release = reader.get_bool("release", false);
+    return record;
+}
+
+void add_adapter(std::vector<state::loaded_model>& models, const std::string& model,
+                 const std::string& adapter)
+{
+    for (state::loaded_model& item : models)
+    {
+        if (item.name == model &&
+            std::find(item.adapters.begin(), item.adapters.end(), adapter) ==
+                item.adapters.end())
+            item.adapters.push_back(adapter);
+    }
+}
+
+void remove_weights(std::vector<state::loaded_model>& models, const std::string& model,
+                    const std::string& adapter)
+{
+    for (auto item = models.begin(); item != models.end(); ++item)
+    {
+        if (item->name != model)
+            continue;
+        if (adapter.empty())
+        {
+            models.erase(item);
+            return;
+        }
+        auto& adapters = item->adapters;
+        adapters.erase(std::remove(adapters.begin(), adapters.end(), adapter),
+                       adapters.end());
+    }
+}
+
+/// Models with the number of their adapters, for the log.
+std::string weights_text(const std::vector<state::loaded_model>& models)
+{
+    std::string text;
+    for (const state::loaded_model& item : models)
+    {
+        if (!text.empty())
+            text += ',';
+        text += item.name + "+" + std::to_string(item.adapters.size());
+    }
+    return text;
+}
+
+bool is_adapter_operation(plan_operation operation)
+{
+    return operation == plan_operation::load_adapter ||
+           operation == plan_operation::unload_adapter;
+}
+
+bool is_unload(plan_operation operation)
+{
+    return operation == plan_operation::unload_model ||
+           operation == plan_operation::unload_adapter;
+}
+
+} // namespace
+
+std::string_view to_string(order_answer answer)
+{
+    return name_of(answer_names, answer);
+}
+
+placement_agent::placement_agent(gateway_state& gateway, keyed_store& platform_store,
+                                 transport::http_client& http_client,
+                                 const engine_protocol& order_words,
+                                 peer_gossip& gateway_peers)
+    : shared(gateway),
+      store(platform_store),
+      client(http_client),
+      dialect(order_words),
+      peers(gateway_peers),
+      lease(gateway_peers.own().node, gateway_peers.own().incarnation,
+            lease_timing(gateway.settings))
+{
+}
+
+void placement_agent::start()
+{
+    asio::co_spawn(this->shared.executor, this->lease_loop(), asio::detached);
+    asio::co_spawn(this->shared.executor, this->plan_loop(), asio::detached);
+}
+
+void placement_agent::fill(protocol::gateway_heartbeat& heartbeat)
+{
+    heartbeat.lease = {this->lease.holder(), this->lease.epoch(),
+                       this->lease.end_offset()};
+    if (!this->lease.is_holder())
+        return;
+    for (const auto& [id, control] : this->engines)
+    {
+        if (now() < control.announce_until)
+        {
+            heartbeat.weights.push_back(
+                {id, control.incarnation, control.sequence, control.models});
+        }
+    }
+}
+
+void placement_agent::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
+{
+    this->lease.on_heard(state::boot_time(), heartbeat.lease.holder,
+                         heartbeat.lease.epoch, heartbeat.lease.end_offset);
+    bool changed = false;
+    if (heartbeat.lease.epoch >= this->lease.epoch())
+    {
+        for (const protocol::engine_weights& weights : heartbeat.weights)
+        {
+            changed |= this->shared.directory.on_weights(
+                now(), weights.engine, weights.incarnation, weights.order_sequence,
+                weights.models);
+        }
+    }
+    if (changed)
+        this->shared.backends_changed.notify();
+    for (const protocol::weight_rate_entry& rate : heartbeat.rates)
+    {
+        if (rate.waiting > 0 && this->lease.is_holder())
+            this->plan();
+    }
+}
+
+asio::awaitable<void> placement_agent::lease_loop()
+{
+    for (;;)
+    {
+        if (this->lease.needs_read())
+            co_await this->read_lease();
+        coordination::lease_append append;
+        const bool may_hold = this->shared.routes != nullptr && !this->shared.is_stopping;
+        if (this->lease.next_append(state::boot_time(), this->peers.rank(), may_hold,
+                                    append))
+            co_await this->append_lease(append);
+        if (this->lease.is_holder() != this->was_holder)
+        {
+            this->was_holder = this->lease.is_holder();
+            this->engines.clear();
+            this->loads.reset(now());
+            state::log_event(state::log_level::info,
+                             this->was_holder ? "lease_taken" : "lease_lost")
+                .field("epoch", this->lease.epoch())
+                .field("holder", this->lease.holder());
+        }
+        co_await this->pause(lease_tick);
+    }
+}
+
+asio::awaitable<void> placement_agent::read_lease()
+{
+    try
+    {
+        const keyed_page page = co_await this->store.newest(store_topic::lease);
+        coordination::lease_record newest;
+        for (const keyed_record& record : page.records)
+        {
+            if (record.key == lease_key)
+                newest = read_lease_text(record.value);
+        }
+        this->lease.on_read(state::boot_time(), newest, page.next);
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::info, "lease_not_read")
+            .field("problem", failure.what());
+    }
+}
+
+asio::awaitable<void> placement_agent::append_lease(coordination::lease_append append)
+{
+    this->lease.on_sending(state::boot_time());
+    try
+    {
+        const append_result result =
+            co_await this->store.append(store_topic::lease, lease_key,
+                                        lease_text(append.record), append.expected_end);
+        this->lease.on_append_answer(state::boot_time(), append, result.is_appended,
+                                     result.end);
+        if (result.is_appended)
+            this->peers.send_heartbeat();
+    }
+    catch (const state::error& failure)
+    {
+        this->lease.on_append_unknown();
+        state::log_event(state::log_level::info, "lease_append_failed")
+            .field("epoch", append.record.epoch)
+            .field("problem", failure.what());
+    }
+}
+
+asio::awaitable<void> placement_agent::plan_loop()
+{
+    for (;;)
+    {
+        co_await this->shared.backends_changed.wait(plan_period);
+        // The holder may be another gateway, which has to know of requests that wait.
+        const bool has_waiting = this->shared.demand.has_waiting();
+        if (has_waiting && !this->had_waiting && !this->lease.is_holder())
+            this->peers.send_heartbeat();
+        this->had_waiting = has_waiting;
+        this->plan();
+    }
+}
+
+void placement_agent::plan()
+{
+    if (!this->lease.may_order(state::boot_time()) || !this->shared.routes)
+        return;
+    for (const state::gateway_service& service : this->shared.routes->config().services)
+    {
+        if (service.engine)
+            this->plan_service(service);
+    }
+}
+
+void placement_agent::plan_service(const state::gateway_service& service)
+{
+    const int store_loads = this->loads.available(
+        now(), service.engine->loads_per_s * this->shared.settings.load_rate_factor);
+    const auto orders = this->planner.plan(
+        *service.engine, this->planned_engines(service), service.name,
+        this->shared.demand.total(now()), store_loads, this->is_settled());
+    for (const planned_order& order : orders)
+    {
+        const state::hosted_model* const model = service.engine->find_model(order.model);
+        if (model != nullptr)
+            this->start_order(order, *model);
+    }
+}
+
+/// Whether the list of engines has been the same for a while. Engines that start together
+/// register one after another, and each may hold what the others lack.
+bool placement_agent::is_settled()
+{
+    std::size_t known = 0;
+    for (const auto& [id, backend] : this->shared.directory.all())
+        known += backend->entry.models.empty() ? 0 : 1;
+    if (known > this->most_engines)
+        this->engines_changed = now();
+    this->most_engines = known;
+    return now() - this->engines_changed >= settle_time;
+}
+
+std::vector<coordination::planned_engine>
+placement_agent::planned_engines(const state::gateway_service& service)
+{
+    std::vector<coordination::planned_engine> result;
+    for (const auto& backend : this->shared.directory.of_service(service.name))
+    {
+        if (backend->is_leaving)
+            continue;
+        const state::backend_entry& entry = backend->entry;
+        const engine_control& control = this->control_of(entry);
+        coordination::planned_engine engine;
+        engine.id = entry.id;
+        engine.models = control.is_known ? control.models : entry.models;
+        engine.cached.insert(entry.in_memory.begin(), entry.in_memory.end());
+        engine.cached.insert(entry.on_disk.begin(), entry.on_disk.end());
+        const auto load = this->shared.loads.summary(
+            now(), coordination::backend_chooser::process_key(entry));
+        engine.active = load.active + load.peer_active;
+        engine.is_busy = control.has_order || now() < control.pause_until;
+        engine.loading = control.loading;
+        result.push_back(std::move(engine));
+    }
+    return result;
+}
+
+placement_agent::engine_control&
+placement_agent::control_of(const state::backend_entry& entry)
+{
+    engine_control& control = this->engines[entry.id];
+    if (control.incarnation != entry.incarnation)
+    {
+        control = {};
+        control.incarnation = entry.incarnation;
+    }
+    return control;
+}
+
+void placement_agent::start_order(const planned_order& order,
+                                  const state::hosted_model& model)
+{
+    const auto backend = this->shared.directory.find(order.engine);
+    if (!backend)
+        return;
+    engine_control& control = this->control_of(backend->entry);
+    control.has_order = true;
+    if (order.operation == plan_operation::load_model)
+        control.loading = order.model;
+    if (order.from_store)
+        this->loads.take();
+    asio::co_spawn(this->shared.executor, this->carry_out(backend->entry, order, model),
+                   asio::detached);
+}
+
+asio::awaitable<void> placement_agent::carry_out(state::backend_entry entry,
+                                                 planned_order order,
+                                                 state::hosted_model model)
+{
+    std::optional<order_answer> answer;
+    const bool was_known = this->control_of(entry).is_known;
+    // A plan that was made before the engine was asked is made anew.
+    if (!was_known)
+        co_await this->read_report(entry);
+    if (was_known && is_unload(order.operation))
+    {
+        // The others stop using the weights before they go.
+        remove_weights(this->control_of(entry).models, order.model, order.adapter);
+        this->announce(entry.id);
+        co_await this->pause(unload_notice);
+    }
+    if (was_known)
+        answer = co_await this->send_order(entry, order);
+    const bool is_done = answer == order_answer::accepted || answer == order_answer::already_done;
+    if (answer == order_answer::accepted)
+        ++this->control_of(entry).sequence;
+    if (is_done && order.operation == plan_operation::load_adapter)
+    {
+        co_await this->pause(adapter_load_time);
+        add_adapter(this->control_of(entry).models, order.model, order.adapter);
+        this->announce(entry.id);
+    }
+    if (is_done && order.operation == plan_operation::load_model)
+        co_await this->wait_for_model(entry, model,
+                                      order.from_store ? model.store_load
+                                                       : model.disk_load);
+    engine_control& control = this->control_of(entry);
+    control.has_order = false;
+    control.loading.clear();
+    if (is_done || !was_known)
+        co_return;
+    // What the engine holds and how many orders it has accepted is uncertain now.
+    control.is_known = false;
+    control.pause_until = now() + failure_pause;
+    if (answer == order_answer::fenced)
+        this->lease.on_fenced();
+}
+
+asio::awaitable<bool> placement_agent::read_report(const state::backend_entry& entry)
+{
+    transport::http_call_options options;
+    options.progress_timeout = milliseconds(500);
+    try
+    {
+        const transport::http_response response = co_await this->client.fetch(
+            entry.address, this->dialect.report_request(), options);
+        const engine_report report = this->dialect.read_report(response);
+        engine_control& control = this->control_of(entry);
+        control.sequence = report.order_sequence;
+        control.models = report.models;
+        control.is_known = !report.is_busy;
+        if (report.is_busy)
+            control.pause_until = now() + report_period;
+        co_return control.is_known;
+    }
+    catch (const state::error& failure)
+    {
+        this->control_of(entry).pause_until = now() + failure_pause;
+        state::log_event(state::log_level::info, "report_failed")
+            .field("engine", entry.id)
+            .field("problem", failure.what());
+        co_return false;
+    }
+}
+
+asio::awaitable<std::optional<order_answer>>
+placement_agent::send_order(const state::backend_entry& entry, const planned_order& order)
+{
+    // The lease may have run out while the order was prepared.
+    if (!this->lease.may_order(state::boot_time()))
+        co_return std::nullopt;
+    engine_order_request request;
+    request.operation =
+        is_unload(order.operation) ? order_operation::unload : order_operation::load;
+    request.model = order.model;
+    request.adapter = is_adapter_operation(order.operation) ? order.adapter : "";
+    request.holder = this->peers.own().node;
+    request.fencing_token = this->lease.epoch();
+    request.expected_sequence = this->control_of(entry).sequence;
+    request.engine_id = entry.id;
+    transport::http_call_options options;
+    options.progress_timeout = milliseconds(700);
+    std::optional<order_answer> answer;
+    std::string problem;
+    try
+    {
+        const transport::http_response response = co_await this->client.fetch(
+            entry.address, this->dialect.order(request), options);
+        answer = this->dialect.read_order_answer(response);
+    }
+    catch (const state::error& failure)
+    {
+        problem = failure.what();
+    }
+    state::log_event(state::log_level::info, "order")
+        .field("engine", entry.id)
+        .field("operation", to_string(order.operation))
+        .field("model", order.model)
+        .field("adapter", order.adapter)
+        .field("reason", order.reason)
+        .field("epoch", request.fencing_token)
+        .field("sequence", *request.expected_sequence)
+        .field("held", weights_text(this->control_of(entry).models))
+        .field("answer", answer ? to_string(*answer) : "none")
+        .field("problem", problem);
+    co_return answer;
+}
+
+asio::awaitable<void> placement_agent::wait_for_model(const state::backend_entry& entry,
+                                                      const state::hosted_model& model,
+                                                      milliseconds expected)
+{
+    // Loads take longer while many are under way.
+    const state::time_point limit = now() + 3 * expected + milliseconds(2000);
+    co_await this->pause(expected);
+    while (now() < limit && this->lease.is_holder())
+    {
+        const auto backend = this->shared.directory.find(entry.id);
+        if (!backend || backend->entry.incarnation != entry.incarnation)
+            co_return;
+        if (co_await this->read_report(entry))
+        {
+            this->announce(entry.id);
+            co_return;
+        }
+        co_await this->pause(report_period);
+    }
+    state::log_event(state::log_level::warning, "load_not_seen")
+        .field("engine", entry.id)
+        .field("model", model.name);
+}
+
+void placement_agent::announce(const std::string& engine)
+{
+    engine_control& control = this->engines[engine];
+    control.announce_until = now() + announce_time;
+    this->shared.directory.on_weights(now(), engine, control.incarnation,
+                                      control.sequence, control.models);
+    this->shared.backends_changed.notify();
+    this->peers.send_heartbeat();
+}
+
+asio::awaitable<void> placement_agent::pause(milliseconds duration)
+{
+    asio::steady_timer timer(this->shared.executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "app/gateway/peers/peer_gossip.hpp"
+#include "app/gateway/placement/engine_protocol.hpp"
+#include "app/gateway/serving/gateway_state.hpp"
+#include "app/gateway/store/keyed_store.hpp"
+#include "coordination/load_allowance.hpp"
+#include "coordination/store_lease.hpp"
+#include "coordination/weight_planner.hpp"
+#include "protocol/gateway_heartbeat.hpp"
+#include "transport/http_client.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// Holds the placement lease if no other gateway does, and then orders the engines to
+/// load and unload.
+class placement_agent
+{
+public:
+    placement_agent(gateway_state& gateway, keyed_store& platform_store,
+                    transport::http_client& client, const engine_protocol& order_words,
+                    peer_gossip& gateway_peers);
+
+    void start();
+    /// Adds the lease and what engines hold to a heartbeat.
+    void fill(protocol::gateway_heartbeat& heartbeat);
+    void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
+
+private:
+    /// What the holder knows of one engine process.
+    struct engine_control
+    {
+        std::int64_t incarnation = 0;
+        /// Sequence and weights were read from the engine, and no answer is missing.
+        bool is_known = false;
+        bool has_order = false;
+        std::int64_t sequence = 0;
+        std::vector<state::loaded_model> models;
+        std::string loading;
+        /// Nothing is ordered before then.
+        state::time_point pause_until{};
+        /// What is announced is repeated until then.
+        state::time_point announce_until{};
+    };
+
+    boost::asio::awaitable<void> lease_loop();
+    boost::asio::awaitable<void> read_lease();
+    boost::asio::awaitable<void> append_lease(coordination::lease_append append);
+    boost::asio::awaitable<void> plan_loop();
+    void plan();
+    void plan_service(const state::gateway_service& service);
+    bool is_settled();
+    std::vector<coordination::planned_engine>
+    planned_engines(const state::gateway_service& service);
+    engine_control& control_of(const state::backend_entry& entry);
+    void start_order(const coordination::planned_order& order,
+                     const state::hosted_model& model);
+
+    boost::asio::awaitable<void> carry_out(state::backend_entry entry,
+                                           coordination::planned_order order,
+                                           state::hosted_model model);
+    boost::asio::awaitable<bool> read_report(const state::backend_entry& entry);
+    boost::asio::awaitable<std::optional<order_answer>>
+    send_order(const state::backend_entry& entry, const coordination::planned_order& order);
+    boost::asio::awaitable<void> wait_for_model(const state::backend_entry& entry,
+                                                const state::hosted_model& model,
+                                                state::milliseconds expected);
+    void announce(const std::string& engine);
+    boost::asio::awaitable<void> pause(state::milliseconds duration);
+
+    gateway_state& shared;
+    keyed_store& store;
+    transport::http_client& client;
+    const engine_protocol& dialect;
+    peer_gossip& peers;
+    coordination::store_lease lease;
+    coordination::weight_planner planner;
+    coordination::load_allowance loads;
+    std::map<std::string, engine_control, std::less<>> engines;
+    std::size_t most_engines = 0;
+    state::time_point engines_changed{};
+    bool was_holder = false;
+    bool had_waiting = false;
+};
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/serving/directory_handler.cpp
@@ -0,0 +1,73 @@
+#include "app/gateway/serving/directory_handler.hpp"
+
+#include "protocol/refusal.hpp"
+#include "state/error.hpp"
+
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace
+{
+
+/// With fewer gateways in its own availability zone, a caller is given all: one that fails
+/// must not leave it without another.
+constexpr std::size_t enough_in_zone = 2;
+constexpr std::size_t most_addresses = 64;
+
+} // namespace
+
+directory_handler::directory_handler(gateway_state& gateway,
+                                     const directory_dialect& query_words,
+                                     address_source list_addresses,
+                                     readiness_source check_ready)
+    : shared(gateway),
+      dialect(query_words),
+      addresses(std::move(list_addresses)),
+      is_ready(std::move(check_ready))
+{
+}
+
+boost::asio::awaitable<void> directory_handler::handle(transport::http_exchange& exchange)
+{
+    co_await exchange.respond(this->answer(exchange.request()));
+}
+
+transport::http_response
+directory_handler::answer(const transport::http_request& request) const
+{
+    if (this->dialect.is_readiness_check(request))
+    {
+        const bool ready = this->is_ready();
+        return transport::text_response(ready ? transport::status::ok
+                                              : transport::status::service_unavailable,
+                                        ready ? "ready\n" : "not ready\n");
+    }
+    const auto query = this->dialect.read_query(request);
+    if (!query)
+        throw state::error(state::error_code::not_found, std::string(request.target()),
+                           "a question for addresses or a readiness check");
+    const std::vector<std::string> chosen =
+        choose_addresses(this->addresses(), query->zone);
+    if (chosen.empty())
+        throw state::error(state::error_code::draining, "gateways", "a gateway that is ready");
+    return this->dialect.answer(chosen, this->shared.settings.address_ttl);
+}
+
+std::vector<std::string> choose_addresses(const std::vector<gateway_address>& gateways,
+                                          const std::string& zone)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const gateway_address& gateway : gateways)
+    {
+        if (all.size() < most_addresses)
+            all.push_back(gateway.address);
+        if (gateway.zone == zone && near.size() < most_addresses)
+            near.push_back(gateway.address);
+    }
+    return near.size() >= enough_in_zone ? near : all;
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/serving/directory_handler.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "app/gateway/serving/gateway_state.hpp"
+#include "app/gateway/serving/request_dialect.hpp"
+#include "transport/http_server.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::app
+{
+
+/// A gateway that callers may be sent to.
+struct gateway_address
+{
+    std::string address;
+    std::string zone;
+};
+
+/// Answers where to connect, and whether this process is ready.
+class directory_handler : public transport::http_handler
+{
+public:
+    /// Returns the gateways that are ready, this one included if it is.
+    using address_source = std::function<std::vector<gateway_address>()>;
+    using readiness_source = std::function<bool()>;
+
+    directory_handler(gateway_state& gateway, const directory_dialect& query_words,
+                      address_source list_addresses, readiness_source check_ready);
+
+    boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
+
+private:
+    transport::http_response answer(const transport::http_request& request) const;
+
+    gateway_state& shared;
+    const directory_dialect& dialect;
+    address_source addresses;
+    readiness_source is_ready;
+};
+
+/// Chooses the addresses that a caller in `zone` is given: those in its own availability
+/// zone if there are enough of them, else all.
+std::vector<std::string> choose_addresses(const std::vector<gateway_address>& gateways,
+                                          const std::string& zone);
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -0,0 +1,34 @@
+#include "app/gateway/serving/gateway_state.hpp"
+
+namespace pomelorouter::app
+{
+
+namespace
+{
+
+/// Most repeated calls that may be saved up for one service, and the number at the start.
+/// The platform allows several times as many over all gateways.
+constexpr double most_retries = 8.0;
+constexpr double first_retries = 4.0;
+
+} // namespace
+
+gateway_state::gateway_state(const boost::asio::any_io_executor& loop_executor,
+                             const state::gateway_settings& process_settings,
+                             std::uint64_t seed)
+    : executor(loop_executor),
+      settings(process_settings),
+      chooser(process_settings.zone, coordination::speed_model{}),
+      random(seed),
+      backends_changed(loop_executor)
+{
+}
+
+coordination::retry_budget& gateway_state::budget_of(const std::string& service)
+{
+    return this->budgets
+        .try_emplace(service, coordination::retry_budget(most_retries, first_retries))
+        .first->second;
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "coordination/backend_choice.hpp"
+#include "coordination/backend_directory.hpp"
+#include "coordination/backend_loads.hpp"
+#include "coordination/random_source.hpp"
+#include "coordination/retry_budget.hpp"
+#include "coordination/route_table.hpp"
+#include "coordination/weight_demand.hpp"
+#include "state/counters.hpp"
+#include "state/gateway_settings.hpp"
+#include "transport/loop_signal.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// What one gateway process knows. All of it belongs to the event loop; nothing crosses a
+/// thread.
+struct gateway_state
+{
+    gateway_state(const boost::asio::any_io_executor& executor,
+                  const state::gateway_settings& process_settings, std::uint64_t seed);
+
+    /// Budget of repeated calls to a service.
+    coordination::retry_budget& budget_of(const std::string& service);
+
+    boost::asio::any_io_executor executor;
+    const state::gateway_settings& settings;
+    state::counter_registry counters;
+    /// Routes of the newest configuration; null until one is known.
+    std::shared_ptr<const coordination::route_table> routes;
+    coordination::backend_directory directory;
+    coordination::backend_loads loads;
+    coordination::backend_chooser chooser;
+    coordination::weight_demand demand;
+    coordination::random_source random;
+    /// Notified when the directory, or what an engine holds, has changed.
+    transport::loop_signal backends_changed;
+    /// The process is to stop; what it is asked is still done.
+    bool is_stopping = false;
+    /// New requests are refused, so that those in progress can end in time.
+    bool refuses_new = false;
+
+private:
+    std::map<std::string, coordination::retry_budget, std::less<>> budgets;
+};
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -0,0 +1,643 @@
+#include "app/gateway/serving/relayed_request.hpp"
+
+#include "state/enum_table.hpp"
+#include "state/error.hpp"
+#include "state/log.hpp"
+#include "transport/http_error.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using coordination::backend_choice;
+using coordination::call_result;
+using coordination::choice_failure;
+using protocol::run_state;
+using state::error_code;
+using state::milliseconds;
+
+namespace
+{
+
+constexpr std::array<state::enum_name<abort_reason>, 3> abort_names{{
+    {abort_reason::none, "none"},
+    {abort_reason::client_closed, "client_closed"},
+    {abort_reason::deadline_passed, "deadline_passed"},
+}};
+
+constexpr std::array<state::enum_name<call_end>, 5> end_names{{
+    {call_end::completed, "completed"},
+    {call_end::not_run, "not_run"},
+    {call_end::failed, "failed"},
+    {call_end::error_answer, "error_answer"},
+    {call_end::broken_off, "broken_off"},
+}};
+
+constexpr milliseconds connect_limit{400};
+/// Answers up to this size are read as a whole before they are passed on, so that a
+/// broken one can still be replaced.
+constexpr std::size_t whole_answer_bytes = 256 * 1024;
+/// A repeatable call that has brought nothing for this many times the expected time is
+/// given up for another backend server.
+constexpr double patience_factor = 4.0;
+constexpr milliseconds least_stream_patience{700};
+constexpr milliseconds least_call_patience{150};
+/// Longest pause in a stream before it is resumed elsewhere.
+constexpr milliseconds stream_stall_limit{1500};
+/// With less time left, nothing is tried again.
+constexpr milliseconds least_time_for_retry{60};
+/// When to come back after a refusal that a moment may cure.
+constexpr milliseconds short_retry_after{200};
+constexpr milliseconds long_retry_after{1000};
+/// Share of the time left that a request may wait for weights to be loaded.
+constexpr double weight_wait_share = 0.6;
+constexpr double ms_per_s = 1000.0;
+
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned first_server_error = 500;
+
+/// Whether a status tells the caller that the request was not run.
+bool promises_not_run(unsigned code)
+{
+    return code == status_request_timeout || code == status_misdirected ||
+           code == status_too_many || code == status_unavailable;
+}
+
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+milliseconds since(state::time_point start)
+{
+    return std::chrono::duration_cast<milliseconds>(now() - start);
+}
+
+std::string format_seconds(milliseconds value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  static_cast<double>(value.count()) / ms_per_s);
+    return text.data();
+}
+
+/// Takes only the answers to one attempt.
+class attempt_filter : public transport::response_filter
+{
+public:
+    attempt_filter(const request_dialect& words, const std::string& attempt)
+        : dialect(words), attempt_id(attempt)
+    {
+    }
+
+    bool is_answer(const transport::http_response& head) const override
+    {
+        const std::string answered = this->dialect.read_answer(head).attempt_id;
+        return answered.empty() || this->attempt_id.empty() ||
+               answered == this->attempt_id;
+    }
+
+private:
+    const request_dialect& dialect;
+    const std::string& attempt_id;
+};
+
+} // namespace
+
+std::string_view to_string(abort_reason reason)
+{
+    return name_of(abort_names, reason);
+}
+
+std::string_view to_string(call_end end)
+{
+    return name_of(end_names, end);
+}
+
+/// Accounts for one call in the load of its backend server.
+class relayed_request::call_record
+{
+public:
+    call_record(gateway_state& gateway, const backend_choice& choice)
+        : shared(gateway),
+          id(gateway.loads.begin(
+              now(), coordination::backend_chooser::process_key(choice.backend->entry),
+              {choice.uncached_tokens, choice.idle_ms}))
+    {
+    }
+    ~call_record() { this->shared.loads.end(now(), this->id, this->result); }
+    call_record(const call_record&) = delete;
+    call_record& operator=(const call_record&) = delete;
+
+    void on_first_byte() { this->shared.loads.on_first_byte(now(), this->id); }
+    void set_result(call_result value) { this->result = value; }
+
+private:
+    gateway_state& shared;
+    coordination::backend_loads::call_id id;
+    call_result result = call_result::cancelled;
+};
+
+relayed_request::relayed_request(gateway_state& gateway,
+                                 const request_dialect& request_words,
+                                 transport::http_client& backend_client,
+                                 transport::http_exchange& client_exchange)
+    : shared(gateway),
+      dialect(request_words),
+      client(backend_client),
+      exchange(client_exchange),
+      routes(gateway.routes),
+      started(client_exchange.received_at()),
+      deadline_timer(gateway.executor)
+{
+}
+
+relayed_request::~relayed_request()
+{
+    // Callbacks that are already queued find no call to abort.
+    this->aborted->call = nullptr;
+    this->aborted->wait = nullptr;
+}
+
+asio::awaitable<void> relayed_request::run()
+{
+    std::optional<state::error> refused;
+    try
+    {
+        this->prepare();
+    }
+    catch (const state::error& failure)
+    {
+        refused = failure;
+    }
+    if (refused)
+    {
+        this->last_problem = refused->what();
+        co_await this->refuse(refused->code(), refused->expected(), run_state::not_run);
+        co_return;
+    }
+    this->watch();
+    co_await this->serve();
+}
+
+void relayed_request::prepare()
+{
+    const transport::http_request& request = this->exchange.request();
+    if (this->shared.refuses_new)
+        throw state::error(error_code::draining, "gateway", "this process stops");
+    if (!this->routes)
+    {
+        throw state::error(error_code::settings_unknown, "configuration",
+                           "no configuration was read yet");
+    }
+    const std::string_view host = request[transport::field::host];
+    const std::string_view path = transport::target_path(request.target());
+    this->route = this->routes->find(host, path);
+    if (this->route == nullptr)
+    {
+        throw state::error(error_code::not_found, std::string(host) + std::string(path),
+                           "a host and path with a route");
+    }
+    this->facts = this->dialect.read_request(request);
+    milliseconds limit = this->route->timeout;
+    if (this->facts.time_budget)
+        limit = std::min(limit, *this->facts.time_budget);
+    this->deadline = this->started + limit;
+
+    const state::service_share* const share =
+        coordination::choose_service(*this->route, this->shared.random.unit());
+    if (share == nullptr)
+    {
+        throw state::error(error_code::no_backend_server, this->route->name,
+                           "a service with a positive weight");
+    }
+    this->demand.service = share->service;
+    const state::gateway_service* const service =
+        this->routes->config().find_service(share->service);
+    if (service != nullptr && service->engine)
+    {
+        this->demand.model = this->facts.model;
+        this->demand.adapter = this->facts.adapter;
+    }
+    this->demand.prompt_tokens = this->facts.prompt_tokens;
+    this->demand.output_tokens = this->facts.output_tokens;
+    this->demand.parts = this->facts.parts;
+    this->shared.budget_of(share->service).on_request(this->shared.settings.retry_percent);
+    if (!this->demand.model.empty())
+    {
+        this->shared.demand.on_request(
+            this->started,
+            {this->demand.service, this->demand.model, this->demand.adapter},
+            this->demand.prompt_tokens);
+    }
+}
+
+void relayed_request::watch()
+{
+    this->exchange.on_client_closed(
+        [target = this->aborted] { abort(*target, abort_reason::client_closed); });
+    this->deadline_timer.expires_at(this->deadline);
+    this->deadline_timer.async_wait(
+        [target = this->aborted](boost::system::error_code failure)
+        {
+            if (!failure)
+                abort(*target, abort_reason::deadline_passed);
+        });
+}
+
+void relayed_request::abort(abort_state& target, abort_reason reason)
+{
+    if (target.reason != abort_reason::none)
+        return;
+    target.reason = reason;
+    if (target.call != nullptr)
+        target.call->abort();
+    if (target.wait != nullptr)
+        target.wait->cancel();
+}
+
+milliseconds relayed_request::time_left() const
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(this->deadline - now());
+    return std::max(left, milliseconds(1));
+}
+
+asio::awaitable<void> relayed_request::serve()
+{
+    call_end last = call_end::not_run;
+    for (;;)
+    {
+        const backend_choice choice = co_await this->choose();
+        if (!choice.backend || this->is_aborted())
+        {
+            this->last_failure = choice.failure;
+            break;
+        }
+        if (this->attempts > 0 &&
+            !this->shared.budget_of(this->demand.service).try_take())
+        {
+            this->last_problem += "; retry budget used up";
+            break;
+        }
+        last = co_await this->call(choice);
+        if (last == call_end::completed)
+        {
+            this->log_end("answered", 0);
+            co_return;
+        }
+        if (!this->may_try_again(last))
+            break;
+    }
+    co_await this->finish(last);
+}
+
+asio::awaitable<backend_choice> relayed_request::choose()
+{
+    backend_choice choice =
+        this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
+                                    this->demand, this->tried, this->shared.random.unit());
+    const bool is_missing = choice.failure == choice_failure::model_missing ||
+                            choice.failure == choice_failure::adapter_missing;
+    if (is_missing && this->attempts == 0)
+        choice = co_await this->wait_for_weights();
+    co_return choice;
+}
+
+asio::awaitable<backend_choice> relayed_request::wait_for_weights()
+{
+    const coordination::weight_name name{this->demand.service, this->demand.model,
+                                         this->demand.adapter};
+    const auto share = std::chrono::duration_cast<milliseconds>(
+        this->time_left() * weight_wait_share);
+    const state::time_point limit =
+        now() + std::min(share, this->route->target_latency);
+    this->shared.demand.on_wait(name);
+    this->shared.backends_changed.notify();
+    backend_choice choice;
+    for (;;)
+    {
+        choice = this->shared.chooser.choose(now(), this->shared.directory,
+                                             this->shared.loads, this->demand, this->tried,
+                                             this->shared.random.unit());
+        const auto left = std::chrono::duration_cast<milliseconds>(limit - now());
+        if (choice.backend || left.count() <= 0 || this->is_aborted())
+            break;
+        // Looks again at intervals so that a caller that has left is noticed.
+        constexpr milliseconds longest_wait{100};
+        co_await this->shared.backends_changed.wait(std::min(left, longest_wait));
+    }
+    this->shared.demand.on_wait_ended(name);
+    co_return choice;
+}
+
+bool relayed_request::may_try_again(call_end last) const
+{
+    if (this->is_aborted() || this->attempts >= this->route->max_attempts ||
+        this->time_left() < least_time_for_retry)
+        return false;
+    if (last == call_end::not_run)
+        return true;
+    if (!this->route->may_repeat())
+        return false;
+    return last != call_end::broken_off || this->events.last_id().has_value();
+}
+
+milliseconds relayed_request::first_byte_limit(const backend_choice& choice) const
+{
+    const milliseconds left = this->time_left();
+    if (!this->route->may_repeat() || this->attempts >= this->route->max_attempts)
+        return left;
+    const milliseconds least =
+        this->route->is_stream() ? least_stream_patience : least_call_patience;
+    const milliseconds patience(
+        static_cast<std::int64_t>(choice.expected_ms * patience_factor));
+    return std::min(left, std::max(least, patience));
+}
+
+asio::awaitable<call_end> relayed_request::call(const backend_choice& choice)
+{
+    const state::backend_entry& entry = choice.backend->entry;
+    ++this->attempts;
+    this->tried.insert(entry.id);
+    this->last_backend = entry.id;
+    call_record record(this->shared, choice);
+    std::unique_ptr<transport::http_call> backend;
+    call_end end = call_end::not_run;
+    try
+    {
+        transport::http_call_options options;
+        options.connect_timeout = std::min(connect_limit, this->time_left());
+        options.progress_timeout = this->first_byte_limit(choice);
+        backend = co_await this->client.connect(entry.address, options);
+        if (this->is_aborted())
+            co_return call_end::not_run;
+        this->aborted->call = backend.get();
+        end = co_await this->exchange_with(*backend, choice, record);
+    }
+    catch (const transport::http_error& failure)
+    {
+        this->last_problem = failure.what();
+        if (!this->is_aborted())
+            record.set_result(call_result::failed);
+        if (failure.request_may_have_left())
+            end = this->stream_begun ? call_end::broken_off : call_end::failed;
+        if (failure.code() == error_code::timed_out)
+            this->client.forget(entry.address);
+    }
+    this->aborted->call = nullptr;
+    if (end != call_end::completed)
+    {
+        state::log_event(state::log_level::info, "call_failed")
+            .field("request", this->facts.attempt_id)
+            .field("backend", entry.id)
+            .field("attempt", this->attempts)
+            .field("end", to_string(end))
+            .field("aborted", to_string(this->aborted->reason))
+            .field("problem", this->last_problem)
+            .field("expected_ms", static_cast<std::int64_t>(choice.expected_ms))
+            .field("elapsed_ms", since(this->started).count());
+    }
+    co_return end;
+}
+
+asio::awaitable<call_end> relayed_request::exchange_with(transport::http_call& backend,
+                                                         const backend_choice& choice,
+                                                         call_record& record)
+{
+    const state::backend_entry& entry = choice.backend->entry;
+    backend_call_facts call_facts;
+    call_facts.backend_id = entry.id;
+    call_facts.time_left = this->time_left();
+    call_facts.resume_after = this->events.last_id();
+    if (!this->demand.model.empty())
+    {
+        call_facts.priority = this->route->priority;
+        const state::gateway_service* const service =
+            this->routes->config().find_service(this->demand.service);
+        this->shared.chooser.on_sent(*choice.backend, this->demand,
+                                     service->engine->kv_tokens);
+    }
+    const auto request = std::make_shared<const transport::http_request>(
+        this->dialect.backend_request(this->exchange.request(), call_facts));
+    const attempt_filter filter(this->dialect, this->facts.attempt_id);
+    const bool may_have_run_before = std::exchange(this->may_have_run, true);
+    co_await backend.send(request, &filter);
+
+    const transport::http_response& head = backend.head();
+    const answer_facts answer = this->dialect.read_answer(head);
+    const unsigned code = head.result_int();
+    if (answer.not_run)
+    {
+        this->may_have_run = may_have_run_before;
+        this->last_problem = "refused with status " + std::to_string(code);
+        record.set_result(call_result::refused);
+        const bool is_misdirected =
+            !answer.backend_id.empty() && answer.backend_id != entry.id;
+        if (is_misdirected)
+        {
+            this->shared.directory.on_misdirected(entry.id, entry.incarnation);
+            this->shared.backends_changed.notify();
+        }
+        co_await backend.read_all();
+        co_return call_end::not_run;
+    }
+    if (code >= first_server_error || promises_not_run(code))
+    {
+        transport::http_response whole = head;
+        whole.body() = co_await backend.read_all();
+        this->last_problem = "answered with status " + std::to_string(code);
+        record.set_result(call_result::failed);
+        this->error_answer = std::move(whole);
+        co_return call_end::error_answer;
+    }
+    if (code < 300 && !answer.is_genuine)
+    {
+        this->last_problem = "an answer without the mark of a backend server";
+        record.set_result(call_result::failed);
+        co_return call_end::failed;
+    }
+    record.on_first_byte();
+    if (this->first_byte_time.count() < 0)
+        this->first_byte_time = since(this->started);
+    const bool is_stream = this->route->is_stream() && code < 300;
+    call_end end = call_end::failed;
+    if (is_stream)
+        end = co_await this->relay_events(backend);
+    else
+        end = co_await this->relay_whole(backend);
+    if (end == call_end::completed)
+        record.set_result(call_result::answered);
+    co_return end;
+}
+
+asio::awaitable<call_end> relayed_request::relay_whole(transport::http_call& backend)
+{
+    std::string body;
+    while (auto piece = co_await backend.read_some())
+    {
+        body += *piece;
+        if (body.size() > whole_answer_bytes)
+            co_return co_await this->relay_pieces(backend, std::move(body));
+    }
+    if (this->is_aborted())
+        co_return call_end::failed;
+    transport::http_response response = backend.head();
+    this->dialect.clean_answer(response);
+    response.body() = std::move(body);
+    co_await this->exchange.respond(std::move(response));
+    co_return call_end::completed;
+}
+
+asio::awaitable<call_end> relayed_request::relay_pieces(transport::http_call& backend,
+                                                        std::string first)
+{
+    co_await this->begin_stream(backend.head());
+    co_await this->exchange.write_piece(std::move(first));
+    while (auto piece = co_await backend.read_some())
+        co_await this->exchange.write_piece(std::move(*piece));
+    co_await this->exchange.end_stream();
+    co_return call_end::completed;
+}
+
+asio::awaitable<call_end> relayed_request::relay_events(transport::http_call& backend)
+{
+    const bool can_resume = this->route->may_repeat();
+    const bool may_go_on_elsewhere =
+        can_resume && this->attempts < this->route->max_attempts;
+    backend.set_progress_timeout(
+        may_go_on_elsewhere ? std::min(stream_stall_limit, this->time_left())
+                            : this->time_left());
+    this->events.drop_rest();
+    while (auto piece = co_await backend.read_some())
+    {
+        if (this->is_aborted())
+            co_return call_end::broken_off;
+        std::string complete = this->events.feed(*piece);
+        // Without a resumption there is no reason to hold back part of an event.
+        std::string output = can_resume ? std::move(complete) : std::move(*piece);
+        if (output.empty())
+            continue;
+        if (!this->stream_begun)
+            co_await this->begin_stream(backend.head());
+        co_await this->exchange.write_piece(std::move(output));
+    }
+    if (!this->stream_begun)
+        co_await this->begin_stream(backend.head());
+    if (can_resume && !this->events.rest().empty())
+        co_await this->exchange.write_piece(this->events.rest());
+    co_await this->exchange.end_stream();
+    co_return call_end::completed;
+}
+
+asio::awaitable<void> relayed_request::begin_stream(const transport::http_response& head)
+{
+    this->stream_begun = true;
+    transport::http_response response;
+    response.base() = head.base();
+    this->dialect.clean_answer(response);
+    response.erase(transport::field::content_length);
+    co_await this->exchange.begin_stream(std::move(response));
+}
+
+asio::awaitable<void> relayed_request::finish(call_end last)
+{
+    const abort_reason reason = this->aborted->reason;
+    if (reason == abort_reason::client_closed)
+    {
+        this->log_end("client_closed", 0);
+        co_return;
+    }
+    if (this->stream_begun)
+    {
+        this->log_end("broken_off", 0);
+        throw state::error(error_code::connection_lost, this->last_backend,
+                           "the rest of the stream");
+    }
+    if (this->error_answer)
+    {
+        const unsigned code = this->error_answer->result_int();
+        const bool is_false_promise =
+            promises_not_run(code) && !this->route->may_repeat();
+        if (!is_false_promise)
+        {
+            this->log_end("error_answer", code);
+            this->dialect.clean_answer(*this->error_answer);
+            co_await this->exchange.respond(std::move(*this->error_answer));
+            co_return;
+        }
+    }
+    const run_state run = this->may_have_run ? run_state::unknown : run_state::not_run;
+    if (reason == abort_reason::deadline_passed)
+    {
+        co_await this->refuse(this->may_have_run ? error_code::timed_out
+                                                 : error_code::deadline_unreachable,
+                              "an answer in time", run);
+        co_return;
+    }
+    if (this->may_have_run)
+    {
+        co_await this->refuse(error_code::connection_lost, this->last_problem, run);
+        co_return;
+    }
+    const bool is_missing = this->last_failure == choice_failure::model_missing ||
+                            this->last_failure == choice_failure::adapter_missing;
+    const error_code code =
+        is_missing ? error_code::model_not_resident : error_code::no_backend_server;
+    const bool was_refused = last == call_end::not_run && this->attempts > 0;
+    if (!was_refused)
+        this->last_problem = to_string(this->last_failure);
+    co_await this->refuse(code, this->last_problem, run);
+}
+
+asio::awaitable<void> relayed_request::refuse(error_code code, const std::string& expected,
+                                              run_state run)
+{
+    protocol::refusal refusal(
+        state::error(code, this->route == nullptr ? "" : this->route->name, expected));
+    refusal.run = run;
+    const unsigned status = protocol::status_of(code);
+    transport::http_response response;
+    if (promises_not_run(status))
+        refusal.retry_after = this->retry_after();
+    response = transport::json_response(static_cast<transport::status>(status),
+                                        refusal.to_json());
+    if (refusal.retry_after)
+        response.set(transport::field::retry_after, format_seconds(*refusal.retry_after));
+    this->log_end(to_string(code), status);
+    co_await this->exchange.respond(std::move(response));
+}
+
+milliseconds relayed_request::retry_after() const
+{
+    const bool is_missing = this->last_failure == choice_failure::model_missing;
+    const milliseconds after = is_missing ? long_retry_after : short_retry_after;
+    // Callers that were refused together come back spread out.
+    const double spread = 0.75 + 0.5 * this->shared.random.unit();
+    return std::chrono::duration_cast<milliseconds>(after * spread);
+}
+
+void relayed_request::log_end(std::string_view outcome, unsigned status)
+{
+    state::log_event(state::log_level::info, "request")
+        .field("request", this->facts.attempt_id)
+        .field("route", this->route == nullptr ? "" : this->route->name)
+        .field("service", this->demand.service)
+        .field("weights", this->demand.weights())
+        .field("outcome", outcome)
+        .field("status", static_cast<std::int64_t>(status))
+        .field("backend", this->last_backend)
+        .field("attempts", this->attempts)
+        .field("events", this->events.events())
+        .field("first_byte_ms", this->first_byte_time.count())
+        .field("elapsed_ms", since(this->started).count())
+        .field("problem", this->last_problem);
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/store/keyed_store.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "state/clock.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::app
+{
+
+/// The topics of the platform's store that a gateway uses.
+enum class store_topic
+{
+    /// Written by the operator.
+    settings,
+    /// Written by the backend servers.
+    backend_servers,
+    /// Written by the gateways: who runs, and who may order engines.
+    members,
+    lease,
+};
+
+/// One record of a topic: the newest value of its key, or the key's removal.
+struct keyed_record
+{
+    std::uint64_t offset = 0;
+    std::string key;
+    std::string value;
+    bool is_removal = false;
+};
+
+struct keyed_page
+{
+    /// Offset to read from next.
+    std::uint64_t next = 0;
+    std::vector<keyed_record> records;
+};
+
+/// Result of a conditional append.
+struct append_result
+{
+    /// Whether the record was appended; otherwise the topic had another end.
+    bool is_appended = false;
+    /// End of the topic after the call, as far as the answer says.
+    std::uint64_t end = 0;
+};
+
+/// The platform's store: topics of records with keys.
+class keyed_store
+{
+public:
+    virtual ~keyed_store() = default;
+
+    /// Reads the records from `from` on, waiting up to `wait` for one. Throws
+    /// `transport::log_truncated` if they have expired, or `state::error`.
+    virtual boost::asio::awaitable<keyed_page>
+    changes(store_topic topic, std::uint64_t from, state::milliseconds wait) = 0;
+    /// Reads the newest record of each key. Throws `state::error`.
+    virtual boost::asio::awaitable<keyed_page> newest(store_topic topic) = 0;
+    /// Appends a record if the topic ends at `expected_end`, or in any case if none is
+    /// given. Throws `state::error`; after `connection_lost` or `timed_out` the record
+    /// may have been appended, or may yet be.
+    virtual boost::asio::awaitable<append_result>
+    append(store_topic topic, std::string key, std::string value,
+           std::optional<std::uint64_t> expected_end) = 0;
+};
+
+} // namespace pomelorouter::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,9 +1,11 @@
 #include "app/commands/exit_code.hpp"
+#include "app/commands/gateway_command.hpp"
 #include "app/commands/node_client.hpp"
 #include "app/commands/node_command.hpp"
 #include "app/commands/settings_command.hpp"
 #include "app/commands/status_command.hpp"
 #include "app/commands/timeline_command.hpp"
+#include "platform/adapter.hpp"
 #include "state/error.hpp"
 
 #include <boost/program_options/errors.hpp>
@@ -26,7 +28,15 @@
     exit_code (*run)(const std::vector<std::string>&);
 };
 
-constexpr std::array<command, 4> commands{{
+exit_code run_gateway_command(const std::vector<std::string>& arguments)
+{
+    return pomelorouter::app::gateway_command(arguments,
+                                              *pomelorouter::platform::make_adapter());
+}
+
+constexpr std::array<command, 5> commands{{
+    {"gateway", "run a gateway on the platform of the settings file",
+     run_gateway_command},
     {"node", "run a serving process", pomelorouter::app::node_command},
     {"settings", "check, apply and show the settings tree",
      pomelorouter::app::settings_command},
--- /dev/null
+++ b/src/libs/coordination/backend_choice.cpp
@@ -0,0 +1,162 @@
+#include "coordination/backend_choice.hpp"
+
+#include "state/enum_table.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+constexpr std::array<state::enum_name<choice_failure>, 5> failure_names{{
+    {choice_failure::none, "none"},
+    {choice_failure::no_backend, "no_backend"},
+    {choice_failure::model_missing, "model_missing"},
+    {choice_failure::adapter_missing, "adapter_missing"},
+    {choice_failure::all_tried, "all_tried"},
+}};
+
+/// Estimates that differ by less are taken as equal, so that gateways with the same view
+/// do not all choose the same backend server.
+constexpr double equal_ms = 2.0;
+
+} // namespace
+
+std::string backend_demand::weights() const
+{
+    return this->adapter.empty() ? this->model : this->model + "/" + this->adapter;
+}
+
+std::string_view to_string(choice_failure failure)
+{
+    return name_of(failure_names, failure);
+}
+
+backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds)
+    : zone(std::move(own_zone)), speed(speeds)
+{
+}
+
+std::string backend_chooser::process_key(const state::backend_entry& entry)
+{
+    return entry.id + "@" + std::to_string(entry.incarnation);
+}
+
+backend_choice backend_chooser::choose(state::time_point now,
+                                       const backend_directory& directory,
+                                       const backend_loads& loads,
+                                       const backend_demand& demand,
+                                       const std::set<std::string>& tried,
+                                       double draw) const
+{
+    backend_choice best;
+    best.failure = choice_failure::no_backend;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (const auto& [id, backend] : directory.all())
+    {
+        const state::backend_entry& entry = backend->entry;
+        if (entry.service != demand.service || backend->is_leaving)
+            continue;
+        if (!demand.model.empty() && entry.find_model(demand.model) == nullptr)
+        {
+            if (best.failure == choice_failure::no_backend)
+                best.failure = choice_failure::model_missing;
+            continue;
+        }
+        if (!demand.adapter.empty() && !entry.has_adapter(demand.model, demand.adapter))
+        {
+            if (best.failure != choice_failure::none &&
+                best.failure != choice_failure::all_tried)
+                best.failure = choice_failure::adapter_missing;
+            continue;
+        }
+        if (tried.count(id) > 0)
+        {
+            if (best.failure != choice_failure::none)
+                best.failure = choice_failure::all_tried;
+            continue;
+        }
+        ++best.candidates;
+        backend_choice option;
+        // A different part of the draw for each candidate breaks ties at random.
+        draw = draw * 7.0 + 0.137;
+        draw -= static_cast<double>(static_cast<std::int64_t>(draw));
+        const double cost =
+            this->estimate(now, *backend, loads, demand, option) + draw * equal_ms;
+        if (cost >= best_cost)
+            continue;
+        best_cost = cost;
+        best.backend = backend;
+        best.failure = choice_failure::none;
+        best.expected_ms = option.expected_ms;
+        best.idle_ms = option.idle_ms;
+        best.uncached_tokens = option.uncached_tokens;
+    }
+    return best;
+}
+
+double backend_chooser::estimate(state::time_point now, const known_backend& backend,
+                                 const backend_loads& loads, const backend_demand& demand,
+                                 backend_choice& result) const
+{
+    const std::string key = process_key(backend.entry);
+    const load_summary load = loads.summary(now, key);
+    const double active = load.active + load.peer_active;
+    const double slots = std::max(backend.entry.slots, 1);
+    double wait_ms = 0.0;
+    if (demand.model.empty())
+    {
+        result.idle_ms = this->speed.plain_work_ms;
+        wait_ms = std::max(0.0, active + 1.0 - slots) * this->speed.plain_work_ms / slots;
+        // A backend server slows down before its slots are taken.
+        wait_ms += active / slots * this->speed.plain_work_ms;
+    }
+    else
+    {
+        std::uint32_t cached = 0;
+        const auto cache = this->caches.find(key);
+        if (cache != this->caches.end())
+            cached = cache->second.cached_tokens(demand.weights(), demand.parts);
+        result.uncached_tokens =
+            demand.prompt_tokens - std::min(cached, demand.prompt_tokens);
+        result.idle_ms = this->speed.first_step_ms +
+                         result.uncached_tokens / this->speed.prompt_tokens_per_ms;
+        wait_ms = load.waiting_tokens / this->speed.prompt_tokens_per_ms;
+        wait_ms += std::max(0.0, active + 1.0 - slots) * this->speed.first_step_ms;
+        wait_ms += active;
+    }
+    result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 0.5);
+    double cost = result.expected_ms + std::max(load.overdue_ms, 0.0);
+    cost += load.failure_share * this->speed.failure_cost_ms;
+    if (load.is_full)
+        cost += this->speed.full_cost_ms;
+    if (backend.entry.zone != this->zone)
+        cost += this->speed.zone_hop_ms;
+    return cost;
+}
+
+void backend_chooser::on_sent(const known_backend& backend, const backend_demand& demand,
+                              std::int64_t cache_tokens)
+{
+    if (demand.model.empty())
+        return;
+    const auto cache = this->caches
+                           .try_emplace(process_key(backend.entry),
+                                        prompt_cache(cache_tokens))
+                           .first;
+    cache->second.record(demand.weights(), demand.parts);
+}
+
+void backend_chooser::retain(const backend_directory& directory)
+{
+    std::set<std::string, std::less<>> known;
+    for (const auto& [id, backend] : directory.all())
+        known.insert(process_key(backend->entry));
+    for (auto item = this->caches.begin(); item != this->caches.end();)
+        item = known.count(item->first) == 0 ? this->caches.erase(item) : std::next(item);
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/backend_directory.cpp
@@ -0,0 +1,190 @@
+#include "coordination/backend_directory.hpp"
+
+#include "state/enum_table.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+constexpr std::array<state::enum_name<directory_change>, 6> change_names{{
+    {directory_change::none, "none"},
+    {directory_change::added, "added"},
+    {directory_change::updated, "updated"},
+    {directory_change::restarted, "restarted"},
+    {directory_change::leaving, "leaving"},
+    {directory_change::gone, "gone"},
+}};
+
+} // namespace
+
+std::string_view to_string(directory_change change)
+{
+    return name_of(change_names, change);
+}
+
+directory_change backend_directory::apply(state::time_point now,
+                                          state::backend_entry entry)
+{
+    this->removed.erase(entry.id);
+    const known_backend_ptr before = this->find(entry.id);
+    auto next = std::make_shared<known_backend>();
+    next->seen = now;
+    directory_change change = directory_change::added;
+    if (before)
+    {
+        const bool is_older = entry.incarnation < before->entry.incarnation;
+        if (is_older)
+            return directory_change::none;
+        const bool same = entry.incarnation == before->entry.incarnation;
+        change = same ? directory_change::updated : directory_change::restarted;
+        // A process that announced its end does not take it back.
+        next->is_leaving = same && before->is_leaving &&
+                           before->entry.phase == state::backend_phase::draining;
+        if (same)
+        {
+            next->removal = before->removal;
+            next->weights_announced = before->weights_announced;
+            next->order_sequence = before->order_sequence;
+            if (now - before->weights_announced < this->timing.entry_lag)
+                entry.models = before->entry.models;
+        }
+    }
+    if (entry.phase == state::backend_phase::draining)
+    {
+        if (!next->is_leaving)
+            change = directory_change::leaving;
+        next->is_leaving = true;
+        if (entry.remaining && !next->removal)
+            next->removal = now + *entry.remaining;
+    }
+    next->entry = std::move(entry);
+    this->backends[next->entry.id] = next;
+    return change;
+}
+
+directory_change backend_directory::remove(state::time_point now, std::string_view id)
+{
+    if (this->backends.find(id) == this->backends.end())
+        return directory_change::none;
+    if (!this->store_is_settled(now))
+    {
+        this->removed.emplace(std::string(id), now);
+        return directory_change::none;
+    }
+    this->backends.erase(this->backends.find(id));
+    return directory_change::gone;
+}
+
+void backend_directory::replace_all(state::time_point now,
+                                    std::vector<state::backend_entry> entries)
+{
+    std::set<std::string, std::less<>> named;
+    for (state::backend_entry& entry : entries)
+    {
+        named.insert(entry.id);
+        this->apply(now, std::move(entry));
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, backend] : this->backends)
+    {
+        if (named.count(id) == 0)
+            missing.push_back(id);
+    }
+    for (const std::string& id : missing)
+        this->remove(now, id);
+}
+
+void backend_directory::on_store_contact(state::time_point now, bool is_reachable)
+{
+    if (is_reachable && !this->reachable)
+        this->reachable_since = now;
+    this->reachable = is_reachable;
+}
+
+void backend_directory::on_misdirected(std::string_view id, std::int64_t incarnation)
+{
+    const auto found = this->backends.find(id);
+    if (found != this->backends.end() && found->second->entry.incarnation == incarnation)
+        this->backends.erase(found);
+}
+
+bool backend_directory::on_weights(state::time_point now, std::string_view id,
+                                   std::int64_t incarnation, std::int64_t sequence,
+                                   const std::vector<state::loaded_model>& models)
+{
+    const auto found = this->backends.find(id);
+    if (found == this->backends.end() ||
+        found->second->entry.incarnation != incarnation ||
+        found->second->order_sequence > sequence)
+        return false;
+    auto next = std::make_shared<known_backend>(*found->second);
+    next->weights_announced = now;
+    next->order_sequence = sequence;
+    next->entry.models = models;
+    found->second = std::move(next);
+    return true;
+}
+
+void backend_directory::on_draining(state::time_point now, std::string_view id,
+                                    std::int64_t incarnation)
+{
+    const known_backend_ptr backend = this->find(id);
+    if (backend && backend->entry.incarnation == incarnation)
+        this->mark_leaving(now, id);
+}
+
+std::vector<std::string> backend_directory::tick(state::time_point now)
+{
+    std::vector<std::string> gone;
+    if (!this->store_is_settled(now))
+        return gone;
+    for (const auto& [id, when] : this->removed)
+    {
+        this->backends.erase(id);
+        gone.push_back(id);
+    }
+    this->removed.clear();
+    return gone;
+}
+
+known_backend_ptr backend_directory::find(std::string_view id) const
+{
+    const auto found = this->backends.find(id);
+    return found == this->backends.end() ? nullptr : found->second;
+}
+
+std::vector<known_backend_ptr>
+backend_directory::of_service(std::string_view service) const
+{
+    std::vector<known_backend_ptr> result;
+    for (const auto& [id, backend] : this->backends)
+    {
+        if (backend->entry.service == service)
+            result.push_back(backend);
+    }
+    return result;
+}
+
+bool backend_directory::store_is_settled(state::time_point now) const
+{
+    return this->reachable && now - this->reachable_since >= this->timing.return_time;
+}
+
+void backend_directory::mark_leaving(state::time_point now, std::string_view id)
+{
+    const auto found = this->backends.find(id);
+    if (found == this->backends.end() || found->second->is_leaving)
+        return;
+    auto next = std::make_shared<known_backend>(*found->second);
+    next->is_leaving = true;
+    next->seen = now;
+    found->second = std::move(next);
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/backend_loads.cpp
@@ -0,0 +1,158 @@
+#include "coordination/backend_loads.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+/// Weight of the newest call in the means.
+constexpr double newest_weight = 0.2;
+/// Means return to normal with this time constant, so that a backend server that is
+/// avoided gets calls again.
+constexpr double recovery_s = 4.0;
+/// A backend server that refused a call is taken as full for this long.
+constexpr state::milliseconds full_time{150};
+/// Reports of peers are worth nothing after this time.
+constexpr state::milliseconds peer_report_life{1500};
+constexpr state::seconds record_life{60};
+constexpr double highest_slow_ratio = 20.0;
+
+double elapsed_ms(state::time_point from, state::time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+/// Returns how much of a past deviation still counts.
+double remaining_share(state::time_point changed, state::time_point now)
+{
+    return std::exp(-elapsed_ms(changed, now) / (recovery_s * 1000.0));
+}
+
+} // namespace
+
+backend_loads::call_id backend_loads::begin(state::time_point now,
+                                            const std::string& backend,
+                                            const call_work& work)
+{
+    const call_id id = ++this->last_call;
+    this->calls[id] = {backend, now, work, false};
+    this->records[backend].active.push_back(id);
+    return id;
+}
+
+void backend_loads::on_first_byte(state::time_point now, call_id id)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end() || found->second.has_first_byte)
+        return;
+    call& item = found->second;
+    item.has_first_byte = true;
+    if (item.work.expected_ms <= 0.0)
+        return;
+    record& target = this->records[item.backend];
+    const double ratio = std::min(
+        elapsed_ms(item.started, now) / item.work.expected_ms, highest_slow_ratio);
+    const double before =
+        1.0 + (target.slow_ratio - 1.0) * remaining_share(target.changed, now);
+    target.slow_ratio = before + (ratio - before) * newest_weight;
+    target.failure_share *= remaining_share(target.changed, now);
+    target.changed = now;
+}
+
+void backend_loads::end(state::time_point now, call_id id, call_result result)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end())
+        return;
+    record& target = this->records[found->second.backend];
+    auto& active = target.active;
+    active.erase(std::remove(active.begin(), active.end(), id), active.end());
+    this->calls.erase(found);
+    if (result == call_result::refused)
+        target.full_until = now + full_time;
+    if (result != call_result::answered && result != call_result::failed)
+        return;
+    const double share = remaining_share(target.changed, now);
+    target.slow_ratio = 1.0 + (target.slow_ratio - 1.0) * share;
+    const double before = target.failure_share * share;
+    const double sample = result == call_result::failed ? 1.0 : 0.0;
+    target.failure_share = before + (sample - before) * newest_weight;
+    target.changed = now;
+}
+
+void backend_loads::set_peer(state::time_point now, const std::string& peer,
+                             std::map<std::string, peer_load, std::less<>> loads)
+{
+    this->peers[peer] = {now, std::move(loads)};
+}
+
+void backend_loads::forget_peer(const std::string& peer)
+{
+    this->peers.erase(peer);
+}
+
+std::map<std::string, peer_load, std::less<>> backend_loads::own_loads() const
+{
+    std::map<std::string, peer_load, std::less<>> result;
+    for (const auto& [id, item] : this->calls)
+    {
+        peer_load& load = result[item.backend];
+        ++load.active;
+        if (!item.has_first_byte)
+            load.waiting_tokens += item.work.prompt_tokens;
+    }
+    return result;
+}
+
+load_summary backend_loads::summary(state::time_point now, std::string_view backend) const
+{
+    load_summary result;
+    const auto found = this->records.find(backend);
+    if (found != this->records.end())
+    {
+        const record& item = found->second;
+        const double share = remaining_share(item.changed, now);
+        result.failure_share = item.failure_share * share;
+        result.slow_ratio = 1.0 + (item.slow_ratio - 1.0) * share;
+        result.is_full = now < item.full_until;
+        result.active = static_cast<std::uint32_t>(item.active.size());
+        for (const call_id id : item.active)
+        {
+            const call& current = this->calls.at(id);
+            if (current.has_first_byte)
+                continue;
+            result.waiting_tokens += current.work.prompt_tokens;
+            result.overdue_ms =
+                std::max(result.overdue_ms, elapsed_ms(current.started, now) -
+                                                current.work.expected_ms);
+        }
+    }
+    for (const auto& [peer, report] : this->peers)
+    {
+        if (now - report.received > peer_report_life)
+            continue;
+        const auto load = report.loads.find(backend);
+        if (load == report.loads.end())
+            continue;
+        result.peer_active += load->second.active;
+        result.waiting_tokens += load->second.waiting_tokens;
+    }
+    return result;
+}
+
+void backend_loads::forget_idle(state::time_point now)
+{
+    for (auto item = this->records.begin(); item != this->records.end();)
+    {
+        const bool idle = item->second.active.empty() &&
+                          now - item->second.changed > record_life &&
+                          now >= item->second.full_until;
+        item = idle ? this->records.erase(item) : std::next(item);
+    }
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/backend_loads.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "coordination/prompt_cache.hpp"
+#include "state/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelorouter::coordination
+{
+
+/// Size of one call to a backend server.
+struct call_work
+{
+    /// Prompt tokens that the engine has to compute; 0 for plain services.
+    std::uint32_t prompt_tokens = 0;
+    /// How long the first byte of the answer should take on an idle backend server.
+    double expected_ms = 0.0;
+};
+
+/// How a call ended.
+enum class call_result
+{
+    answered,
+    /// The backend server refused it without running it.
+    refused,
+    /// No connection, a broken answer, silence, or an error of the backend server.
+    failed,
+    /// This process ended it, for a reason that says nothing of the backend server.
+    cancelled,
+};
+
+/// Work of other gateways at one backend server.
+struct peer_load
+{
+    std::uint32_t active = 0;
+    std::uint32_t waiting_tokens = 0;
+};
+
+/// What the calls of this process and the reports of its peers say of one backend server.
+struct load_summary
+{
+    std::uint32_t active = 0;
+    std::uint32_t peer_active = 0;
+    /// Prompt tokens of calls that have had no first event yet.
+    double waiting_tokens = 0.0;
+    /// Longest time by which a call's first byte is later than expected.
+    double overdue_ms = 0.0;
+    /// Share of calls that failed lately, and how much slower than expected the others
+    /// were.
+    double failure_share = 0.0;
+    double slow_ratio = 1.0;
+    /// Refused a call a short time ago.
+    bool is_full = false;
+};
+
+/// Calls in flight and their outcomes, for each backend server. Owned by the serving
+/// loop.
+class backend_loads
+{
+public:
+    using call_id = std::uint64_t;
+
+    /// `backend` identifies one process: id and incarnation.
+    call_id begin(state::time_point now, const std::string& backend,
+                  const call_work& work);
+    /// The first byte of the answer arrived.
+    void on_first_byte(state::time_point now, call_id call);
+    void end(state::time_point now, call_id call, call_result result);
+
+    /// Replaces what `peer` said of its calls.
+    void set_peer(state::time_point now, const std::string& peer,
+                  std::map<std::string, peer_load, std::less<>> loads);
+    void forget_peer(const std::string& peer);
+    /// Own calls by backend server, for the peers.
+    std::map<std::string, peer_load, std::less<>> own_loads() const;
+
+    load_summary summary(state::time_point now, std::string_view backend) const;
+    std::size_t active_calls() const { return this->calls.size(); }
+    /// Forgets backend servers that no call was sent to for a while.
+    void forget_idle(state::time_point now);
+
+private:
+    struct call
+    {
+        std::string backend;
+        state::time_point started{};
+        call_work work;
+        bool has_first_byte = false;
+    };
+    struct record
+    {
+        std::vector<call_id> active;
+        double failure_share = 0.0;
+        double slow_ratio = 1.0;
+        state::time_point full_until{};
+        state::time_point changed{};
+    };
+    struct peer_report
+    {
+        state::time_point received{};
+        std::map<std::string, peer_load, std::less<>> loads;
+    };
+
+    std::map<std::string, record, std::less<>> records;
+    std::map<call_id, call> calls;
+    std::map<std::string, peer_report, std::less<>> peers;
+    call_id last_call = 0;
+};
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/load_allowance.cpp
@@ -0,0 +1,33 @@
+#include "coordination/load_allowance.hpp"
+
+#include <algorithm>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+/// Most loads that may be saved up.
+constexpr double most_saved = 2.0;
+} // namespace
+
+void load_allowance::reset(state::time_point now)
+{
+    this->tokens = 0.0;
+    this->updated = now;
+}
+
+int load_allowance::available(state::time_point now, double per_s)
+{
+    const double passed = std::chrono::duration<double>(now - this->updated).count();
+    this->updated = now;
+    this->tokens = std::min(most_saved, this->tokens + passed * per_s);
+    return static_cast<int>(this->tokens);
+}
+
+void load_allowance::take()
+{
+    this->tokens -= 1.0;
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/route_table.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "state/gateway_config.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelorouter::coordination
+{
+
+/// The routes of one configuration, ordered for look-up.
+class route_table
+{
+public:
+    explicit route_table(state::gateway_config_ptr source);
+
+    /// Returns the route of `host` with the longest prefix that begins `path`, or null.
+    /// A port after the host is ignored, and so is the case of its letters.
+    const state::gateway_route* find(std::string_view host, std::string_view path) const;
+    const state::gateway_config& config() const { return *this->source; }
+
+private:
+    state::gateway_config_ptr source;
+    /// Routes of each host, longest prefix first.
+    std::map<std::string, std::vector<const state::gateway_route*>, std::less<>> hosts;
+};
+
+/// Chooses one of the services of a route by weight; `draw` is in [0, 1). Returns null if
+/// no service has a positive weight.
+const state::service_share* choose_service(const state::gateway_route& route, double draw);
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/store_lease.cpp
@@ -0,0 +1,129 @@
+#include "coordination/store_lease.hpp"
+
+#include <utility>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+/// Time between the claims of candidates of neighbouring rank.
+constexpr state::milliseconds rank_step{300};
+
+} // namespace
+
+store_lease::store_lease(std::string own_node, std::uint64_t own_incarnation,
+                         const store_lease_timing& times)
+    : node(std::move(own_node)), incarnation(own_incarnation), timing(times)
+{
+}
+
+void store_lease::on_read(state::time_point now, const lease_record& record,
+                          std::uint64_t new_end)
+{
+    this->read_needed = false;
+    if (new_end == this->end && this->end_known_at != state::time_point{})
+        return;
+    if (new_end < this->end)
+        return;
+    this->adopt(now, record, new_end);
+}
+
+void store_lease::adopt(state::time_point now, const lease_record& record,
+                        std::uint64_t new_end)
+{
+    const bool is_own = record.holder == this->node &&
+                        record.incarnation == this->incarnation && !record.is_release;
+    // An append without an answer that did take effect counts from when it was sent.
+    if (is_own && this->sending_at > this->renewed_at)
+        this->renewed_at = this->sending_at;
+    if (is_own && record.epoch > this->newest.epoch)
+        this->order_from = this->end > 0 ? now + this->timing.separation : now;
+    this->holding = is_own;
+    this->newest = record;
+    this->end = new_end;
+    this->end_known_at = now;
+}
+
+void store_lease::on_heard(state::time_point now, const std::string& heard_holder,
+                           std::uint64_t heard_epoch, std::uint64_t heard_end)
+{
+    if (heard_end <= this->end)
+        return;
+    this->read_needed = false;
+    const bool is_own = heard_holder == this->node;
+    // Only the topic itself tells whether an own append took effect.
+    if (is_own)
+    {
+        this->read_needed = true;
+        return;
+    }
+    this->adopt(now, {heard_holder, 0, heard_epoch, false}, heard_end);
+}
+
+bool store_lease::next_append(state::time_point now, std::size_t rank, bool may_hold,
+                              lease_append& append) const
+{
+    if (this->read_needed)
+        return false;
+    append.expected_end = this->end;
+    append.record = {this->node, this->incarnation, this->newest.epoch, false};
+    if (this->holding)
+    {
+        append.record.is_release = !may_hold;
+        return !may_hold || now - this->renewed_at >= this->timing.renew;
+    }
+    if (!may_hold)
+        return false;
+    ++append.record.epoch;
+    const auto stagger = rank_step * static_cast<int>(rank);
+    const bool is_free = this->end == 0 || this->newest.is_release;
+    const auto silence = this->timing.order_window + this->timing.margin;
+    return now - this->end_known_at >= (is_free ? stagger : silence + stagger);
+}
+
+void store_lease::on_sending(state::time_point now)
+{
+    this->sending_at = now;
+}
+
+void store_lease::on_append_answer(state::time_point now, const lease_append& append,
+                                   bool is_appended, std::uint64_t new_end)
+{
+    if (!is_appended)
+    {
+        // Another process was first, or an earlier append without an answer took effect.
+        this->holding = false;
+        this->read_needed = true;
+        return;
+    }
+    const bool is_claim = append.record.epoch > this->newest.epoch;
+    const bool had_holder = this->end > 0;
+    this->newest = append.record;
+    this->end = new_end;
+    this->end_known_at = now;
+    this->holding = !append.record.is_release;
+    this->renewed_at = this->sending_at;
+    if (is_claim)
+        this->order_from = had_holder ? now + this->timing.separation : now;
+}
+
+void store_lease::on_append_unknown()
+{
+    this->read_needed = true;
+}
+
+void store_lease::on_fenced()
+{
+    this->holding = false;
+    this->read_needed = true;
+}
+
+bool store_lease::may_order(state::time_point now) const
+{
+    return this->holding && now >= this->order_from &&
+           now - this->renewed_at < this->timing.order_window;
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/weight_demand.cpp
@@ -0,0 +1,94 @@
+#include "coordination/weight_demand.hpp"
+
+#include <cmath>
+#include <utility>
+
+namespace pomelorouter::coordination
+{
+
+namespace
+{
+
+/// Time constant of the rates: shorter than a wave of demand, longer than the gaps
+/// between the requests of one model.
+constexpr double window_s = 2.0;
+constexpr state::milliseconds peer_life{2000};
+/// Below this rate nothing is reported.
+constexpr double lowest_rate = 0.02;
+
+double decay(state::time_point from, state::time_point to)
+{
+    return std::exp(-std::chrono::duration<double>(to - from).count() / window_s);
+}
+
+void add(weight_rate& sum, const weight_rate& more)
+{
+    sum.per_s += more.per_s;
+    sum.tokens_per_s += more.tokens_per_s;
+    sum.waiting += more.waiting;
+}
+
+} // namespace
+
+void weight_demand::on_request(state::time_point now, const weight_name& name,
+                               double tokens)
+{
+    meter& item = this->meters[name];
+    const double share = decay(item.updated, now);
+    item.requests = item.requests * share + 1.0;
+    item.tokens = item.tokens * share + tokens;
+    item.updated = now;
+}
+
+void weight_demand::on_wait(const weight_name& name)
+{
+    ++this->waiting[name];
+}
+
+void weight_demand::on_wait_ended(const weight_name& name)
+{
+    const auto found = this->waiting.find(name);
+    if (found != this->waiting.end() && --found->second == 0)
+        this->waiting.erase(found);
+}
+
+weight_demand::rates weight_demand::own(state::time_point now) const
+{
+    rates result;
+    for (const auto& [name, item] : this->meters)
+    {
+        const double share = decay(item.updated, now) / window_s;
+        const double per_s = item.requests * share;
+        if (per_s >= lowest_rate)
+            result[name] = {per_s, item.tokens * share, 0};
+    }
+    for (const auto& [name, count] : this->waiting)
+        result[name].waiting = count;
+    return result;
+}
+
+void weight_demand::set_peer(state::time_point now, const std::string& peer,
+                             rates reported)
+{
+    this->peers[peer] = {now, std::move(reported)};
+}
+
+void weight_demand::forget_peer(const std::string& peer)
+{
+    this->peers.erase(peer);
+}
+
+weight_demand::rates weight_demand::total(state::time_point now) const
+{
+    rates result = this->own(now);
+    for (const auto& [peer, report] : this->peers)
+    {
+        if (now - report.received > peer_life)
+            continue;
+        for (const auto& [name, rate] : report.values)
+            add(result[name], rate);
+    }
+    return result;
+}
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/weight_demand.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "state/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace pomelorouter::coordination
+{
+
+/// Weights that requests ask for: a model, or an adapter of it.
+struct weight_name
+{
+    std::string service;
+    std::string model;
+    std::string adapter;
+
+    auto operator<=>(const weight_name&) const = default;
+};
+
+/// Demand for one model or adapter.
+struct weight_rate
+{
+    /// Requests a second, over the last seconds.
+    double per_s = 0.0;
+    /// Prompt tokens a second.
+    double tokens_per_s = 0.0;
+    /// Requests that wait because no engine holds the weights.
+    std::uint32_t waiting = 0;
+};
+
+/// What the requests of this process, and those that its peers report, ask for.
+class weight_demand
+{
+public:
+    using rates = std::map<weight_name, weight_rate>;
+
+    void on_request(state::time_point now, const weight_name& name, double tokens);
+    /// A request begins and ends to wait for the weights.
+    void on_wait(const weight_name& name);
+    void on_wait_ended(const weight_name& name);
+    bool has_waiting() const { return !this->waiting.empty(); }
+
+    /// Demand of this process alone.
+    rates own(state::time_point now) const;
+    void set_peer(state::time_point now, const std::string& peer, rates reported);
+    void forget_peer(const std::string& peer);
+    /// Demand over all gateways.
+    rates total(state::time_point now) const;
+
+private:
+    struct meter
+    {
+        double requests = 0.0;
+        double tokens = 0.0;
+        state::time_point updated{};
+    };
+    struct peer_rates
+    {
+        state::time_point received{};
+        rates values;
+    };
+
+    std::map<weight_name, meter> meters;
+    std::map<weight_name, std::uint32_t> waiting;
+    std::map<std::string, peer_rates, std::less<>> peers;
+};
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/coordination/weight_planner.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "coordination/weight_demand.hpp"
+#include "state/backend_entry.hpp"
+#include "state/clock.hpp"
+#include "state/gateway_config.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::coordination
+{
+
+/// One engine as the planner sees it.
+struct planned_engine
+{
+    std::string id;
+    std::vector<state::loaded_model> models;
+    /// Models that load without the weight store.
+    std::set<std::string, std::less<>> cached;
+    /// Requests at the engine, over all gateways.
+    double active = 0.0;
+    /// An order is under way or about to be given.
+    bool is_busy = false;
+    /// A model that the order under way loads.
+    std::string loading;
+};
+
+enum class plan_operation
+{
+    load_model,
+    unload_model,
+    load_adapter,
+    unload_adapter,
+};
+
+std::string_view to_string(plan_operation operation);
+
+struct planned_order
+{
+    std::string engine;
+    plan_operation operation = plan_operation::load_model;
+    std::string model;
+    std::string adapter;
+    /// Whether the load draws on the weight store.
+    bool from_store = false;
+    /// Why, for the log.
+    std::string_view reason;
+};
+
+/// Decides which engine holds which models and adapters. It is pure: it answers the
+/// demand of the last seconds with at most one order for each engine that is free.
+class weight_planner
+{
+public:
+    /// `store_loads` is the number of loads from the weight store that may begin now.
+    /// Models are moved only once `is_settled`: the list of engines is complete.
+    std::vector<planned_order> plan(const state::engine_profile& profile,
+                                    std::vector<planned_engine> engines,
+                                    const std::string& service,
+                                    const weight_demand::rates& demand,
+                                    int store_loads, bool is_settled) const;
+
+private:
+    struct workspace;
+
+    void place_waiting_adapters(workspace& work) const;
+    void place_missing_models(workspace& work) const;
+    void fill_adapter_places(workspace& work) const;
+    static bool make_adapter_place(workspace& work, planned_engine& engine);
+    static bool load_model(workspace& work, const std::string& model,
+                           std::string_view reason);
+};
+
+} // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/protocol/event_cutter.cpp
@@ -0,0 +1,65 @@
+#include "protocol/event_cutter.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pomelorouter::protocol
+{
+
+namespace
+{
+
+/// Returns the length of the first event with the blank line that ends it, or `npos`.
+std::size_t event_length(std::string_view text, std::size_t from)
+{
+    const std::size_t plain = text.find("\n\n", from);
+    const std::size_t with_returns = text.find("\n\r\n", from);
+    const std::size_t first = std::min(plain, with_returns);
+    if (first == std::string_view::npos)
+        return first;
+    return first + (first == plain ? 2 : 3);
+}
+
+} // namespace
+
+std::string event_cutter::feed(std::string_view bytes)
+{
+    this->pending += bytes;
+    std::size_t complete = 0;
+    for (;;)
+    {
+        const std::size_t end = event_length(this->pending, complete);
+        if (end == std::string::npos)
+            break;
+        this->read_event(
+            std::string_view(this->pending).substr(complete, end - complete));
+        complete = end;
+    }
+    std::string result = this->pending.substr(0, complete);
+    this->pending.erase(0, complete);
+    return result;
+}
+
+void event_cutter::read_event(std::string_view event)
+{
+    ++this->count;
+    constexpr std::string_view name = "id:";
+    std::size_t begin = 0;
+    while (begin < event.size())
+    {
+        const std::size_t end = std::min(event.find('\n', begin), event.size());
+        std::string_view line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (line.substr(0, name.size()) != name)
+            continue;
+        line.remove_prefix(name.size());
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        std::uint64_t value = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
+        if (parsed.ec == std::errc())
+            this->id = value;
+    }
+}
+
+} // namespace pomelorouter::protocol
--- /dev/null
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -0,0 +1,194 @@
+#include "protocol/gateway_heartbeat.hpp"
+
+#include "state/error.hpp"
+
+#include <peer_types.h>
+#include <thrift/Thrift.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+#include <utility>
+
+namespace pomelorouter::protocol
+{
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using state::error;
+using state::error_code;
+
+namespace
+{
+
+constexpr char datagram_version = 1;
+constexpr const char* place = "gateway datagram";
+
+template <typename Unsigned, typename Signed>
+Unsigned to_unsigned(Signed value)
+{
+    return static_cast<Unsigned>(value);
+}
+
+std::int32_t to_wire_count(std::uint32_t value)
+{
+    return static_cast<std::int32_t>(value);
+}
+
+gen::GatewayMember to_wire(const gateway_member& member)
+{
+    gen::GatewayMember result;
+    result.__set_node(member.node);
+    result.__set_incarnation(static_cast<std::int64_t>(member.incarnation));
+    result.__set_zone(member.zone);
+    result.__set_frontend(member.frontend);
+    result.__set_control(member.control);
+    result.__set_datagrams(member.datagrams);
+    result.__set_ready(member.ready);
+    return result;
+}
+
+gateway_member from_wire(const gen::GatewayMember& member)
+{
+    return {member.node,    to_unsigned<std::uint64_t>(member.incarnation),
+            member.zone,    member.frontend,
+            member.control, member.datagrams,
+            member.ready};
+}
+
+gen::EngineWeights to_wire(const engine_weights& weights)
+{
+    gen::EngineWeights result;
+    result.__set_engine(weights.engine);
+    result.__set_incarnation(weights.incarnation);
+    result.__set_orderSequence(weights.order_sequence);
+    for (const state::loaded_model& model : weights.models)
+    {
+        gen::LoadedModel& item = result.models.emplace_back();
+        item.__set_model(model.name);
+        item.__set_version(model.version);
+        item.__set_adapters(model.adapters);
+    }
+    return result;
+}
+
+engine_weights from_wire(const gen::EngineWeights& weights)
+{
+    engine_weights result{weights.engine, weights.incarnation, weights.orderSequence, {}};
+    for (const gen::LoadedModel& model : weights.models)
+        result.models.push_back({model.model, model.version, model.adapters});
+    return result;
+}
+
+gen::GatewayHeartbeat to_wire(const gateway_heartbeat& heartbeat)
+{
+    gen::GatewayHeartbeat result;
+    result.__set_origin(to_wire(heartbeat.origin));
+    result.__set_counter(static_cast<std::int64_t>(heartbeat.counter));
+    result.__set_configVersion(heartbeat.config_version);
+    gen::LeaseView lease;
+    lease.__set_holder(heartbeat.lease.holder);
+    lease.__set_epoch(static_cast<std::int64_t>(heartbeat.lease.epoch));
+    lease.__set_endOffset(static_cast<std::int64_t>(heartbeat.lease.end_offset));
+    result.__set_lease(lease);
+    for (const backend_load_entry& load : heartbeat.loads)
+    {
+        gen::BackendLoad& item = result.loads.emplace_back();
+        item.__set_backend(load.backend);
+        item.__set_active(to_wire_count(load.active));
+        item.__set_waitingTokens(to_wire_count(load.waiting_tokens));
+    }
+    for (const weight_rate_entry& rate : heartbeat.rates)
+    {
+        gen::WeightRate& item = result.rates.emplace_back();
+        item.__set_serviceName(rate.service);
+        item.__set_model(rate.model);
+        item.__set_adapter(rate.adapter);
+        item.__set_perSecond(rate.per_s);
+        item.__set_tokensPerSecond(rate.tokens_per_s);
+        item.__set_waiting(to_wire_count(rate.waiting));
+    }
+    for (const engine_weights& weights : heartbeat.weights)
+        result.weights.push_back(to_wire(weights));
+    for (const leaving_process& process : heartbeat.leaving)
+    {
+        gen::LeavingBackend& item = result.leaving.emplace_back();
+        item.__set_id(process.id);
+        item.__set_incarnation(process.incarnation);
+    }
+    return result;
+}
+
+gateway_heartbeat from_wire(const gen::GatewayHeartbeat& heartbeat)
+{
+    gateway_heartbeat result;
+    result.origin = from_wire(heartbeat.origin);
+    result.counter = to_unsigned<std::uint64_t>(heartbeat.counter);
+    result.config_version = heartbeat.configVersion;
+    result.lease = {heartbeat.lease.holder,
+                    to_unsigned<std::uint64_t>(heartbeat.lease.epoch),
+                    to_unsigned<std::uint64_t>(heartbeat.lease.endOffset)};
+    for (const gen::BackendLoad& load : heartbeat.loads)
+    {
+        result.loads.push_back({load.backend, to_unsigned<std::uint32_t>(load.active),
+                                to_unsigned<std::uint32_t>(load.waitingTokens)});
+    }
+    for (const gen::WeightRate& rate : heartbeat.rates)
+    {
+        result.rates.push_back({rate.serviceName, rate.model, rate.adapter,
+                                rate.perSecond, rate.tokensPerSecond,
+                                to_unsigned<std::uint32_t>(rate.waiting)});
+    }
+    for (const gen::EngineWeights& weights : heartbeat.weights)
+        result.weights.push_back(from_wire(weights));
+    for (const gen::LeavingBackend& process : heartbeat.leaving)
+        result.leaving.push_back({process.id, process.incarnation});
+    return result;
+}
+
+} // namespace
+
+std::string encode_gateway_heartbeat(const gateway_heartbeat& heartbeat)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> writer(buffer);
+    to_wire(heartbeat).write(&writer);
+    std::string result(1, datagram_version);
+    result += buffer->getBufferAsString();
+    if (result.size() > gateway_datagram_max_bytes)
+    {
+        throw error(error_code::too_large, place,
+                    "at most " + std::to_string(gateway_datagram_max_bytes) + " bytes");
+    }
+    return result;
+}
+
+gateway_heartbeat decode_gateway_heartbeat(std::string_view datagram)
+{
+    if (datagram.empty())
+        throw error(error_code::malformed_frame, place, "a version byte");
+    if (datagram.front() != datagram_version)
+        throw error(error_code::unsupported_version, place, "version 1");
+    datagram.remove_prefix(1);
+    try
+    {
+        // The buffer only reads from the body in this mode; its interface is not const.
+        std::string copy(datagram);
+        const auto buffer = std::make_shared<TMemoryBuffer>(
+            reinterpret_cast<std::uint8_t*>(copy.data()),
+            static_cast<std::uint32_t>(copy.size()), TMemoryBuffer::OBSERVE);
+        // Sizes in a broken datagram must not lead to large allocations.
+        TCompactProtocolT<TMemoryBuffer> reader(
+            buffer, static_cast<std::int32_t>(gateway_datagram_max_bytes),
+            static_cast<std::int32_t>(copy.size()));
+        gen::GatewayHeartbeat heartbeat;
+        heartbeat.read(&reader);
+        return from_wire(heartbeat);
+    }
+    catch (const apache::thrift::TException& failure)
+    {
+        throw error(error_code::malformed_frame, place, failure.what());
+    }
+}
+
+} // namespace pomelorouter::protocol
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -949,6 +949,1391 @@
 }
 
 
+GatewayMember::~GatewayMember() noexcept {
+}
+
+
+void GatewayMember::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void GatewayMember::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void GatewayMember::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void GatewayMember::__set_frontend(const std::string& val) {
+  this->frontend = val;
+}
+
+void GatewayMember::__set_control(const std::string& val) {
+  this->control = val;
+}
+
+void GatewayMember::__set_datagrams(const std::string& val) {
+  this->datagrams = val;
+}
+
+void GatewayMember::__set_ready(const bool val) {
+  this->ready = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayMember& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_node = false;
+  bool isset_incarnation = false;
+  bool isset_zone = false;
+  bool isset_frontend = false;
+  bool isset_control = false;
+  bool isset_datagrams = false;
+  bool isset_ready = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          isset_node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          isset_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->frontend);
+          isset_frontend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->control);
+          isset_control = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->datagrams);
+          isset_datagrams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          isset_ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_node)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_incarnation)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_frontend)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_control)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_datagrams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ready)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayMember::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayMember");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("frontend", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->frontend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->control);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("datagrams", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->datagrams);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayMember &a, GatewayMember &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.incarnation, b.incarnation);
+  swap(a.zone, b.zone);
+  swap(a.frontend, b.frontend);
+  swap(a.control, b.control);
+  swap(a.datagrams, b.datagrams);
+  swap(a.ready, b.ready);
+}
+
+GatewayMember::GatewayMember(const GatewayMember& other30) {
+  node = other30.node;
+  incarnation = other30.incarnation;
+  zone = other30.zone;
+  frontend = other30.frontend;
+  control = other30.control;
+  datagrams = other30.datagrams;
+  ready = other30.ready;
+}
+GatewayMember& GatewayMember::operator=(const GatewayMember& other31) {
+  node = other31.node;
+  incarnation = other31.incarnation;
+  zone = other31.zone;
+  frontend = other31.frontend;
+  control = other31.control;
+  datagrams = other31.datagrams;
+  ready = other31.ready;
+  return *this;
+}
+void GatewayMember::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayMember(";
+  out << "node=" << to_string(node);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "frontend=" << to_string(frontend);
+  out << ", " << "control=" << to_string(control);
+  out << ", " << "datagrams=" << to_string(datagrams);
+  out << ", " << "ready=" << to_string(ready);
+  out << ")";
+}
+
+
+BackendLoad::~BackendLoad() noexcept {
+}
+
+
+void BackendLoad::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void BackendLoad::__set_active(const int32_t val) {
+  this->active = val;
+}
+
+void BackendLoad::__set_waitingTokens(const int32_t val) {
+  this->waitingTokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend = false;
+  bool isset_active = false;
+  bool isset_waitingTokens = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          isset_backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->active);
+          isset_active = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitingTokens);
+          isset_waitingTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_active)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitingTokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t BackendLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendLoad");
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->active);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitingTokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waitingTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendLoad &a, BackendLoad &b) {
+  using ::std::swap;
+  swap(a.backend, b.backend);
+  swap(a.active, b.active);
+  swap(a.waitingTokens, b.waitingTokens);
+}
+
+BackendLoad::BackendLoad(const BackendLoad& other32) {
+  backend = other32.backend;
+  active = other32.active;
+  waitingTokens = other32.waitingTokens;
+}
+BackendLoad& BackendLoad::operator=(const BackendLoad& other33) {
+  backend = other33.backend;
+  active = other33.active;
+  waitingTokens = other33.waitingTokens;
+  return *this;
+}
+void BackendLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendLoad(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "active=" << to_string(active);
+  out << ", " << "waitingTokens=" << to_string(waitingTokens);
+  out << ")";
+}
+
+
+WeightRate::~WeightRate() noexcept {
+}
+
+
+void WeightRate::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void WeightRate::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void WeightRate::__set_adapter(const std::string& val) {
+  this->adapter = val;
+}
+
+void WeightRate::__set_perSecond(const double val) {
+  this->perSecond = val;
+}
+
+void WeightRate::__set_tokensPerSecond(const double val) {
+  this->tokensPerSecond = val;
+}
+
+void WeightRate::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+std::ostream& operator<<(std::ostream& out, const WeightRate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WeightRate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_serviceName = false;
+  bool isset_model = false;
+  bool isset_adapter = false;
+  bool isset_perSecond = false;
+  bool isset_tokensPerSecond = false;
+  bool isset_waiting = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          isset_model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter);
+          isset_adapter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          isset_perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokensPerSecond);
+          isset_tokensPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          isset_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_model)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_adapter)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_perSecond)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokensPerSecond)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waiting)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WeightRate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WeightRate");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->perSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokensPerSecond", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->tokensPerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WeightRate &a, WeightRate &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.model, b.model);
+  swap(a.adapter, b.adapter);
+  swap(a.perSecond, b.perSecond);
+  swap(a.tokensPerSecond, b.tokensPerSecond);
+  swap(a.waiting, b.waiting);
+}
+
+WeightRate::WeightRate(const WeightRate& other34) {
+  serviceName = other34.serviceName;
+  model = other34.model;
+  adapter = other34.adapter;
+  perSecond = other34.perSecond;
+  tokensPerSecond = other34.tokensPerSecond;
+  waiting = other34.waiting;
+}
+WeightRate& WeightRate::operator=(const WeightRate& other35) {
+  serviceName = other35.serviceName;
+  model = other35.model;
+  adapter = other35.adapter;
+  perSecond = other35.perSecond;
+  tokensPerSecond = other35.tokensPerSecond;
+  waiting = other35.waiting;
+  return *this;
+}
+void WeightRate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WeightRate(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "perSecond=" << to_string(perSecond);
+  out << ", " << "tokensPerSecond=" << to_string(tokensPerSecond);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ")";
+}
+
+
+LoadedModel::~LoadedModel() noexcept {
+}
+
+
+void LoadedModel::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void LoadedModel::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void LoadedModel::__set_adapters(const std::vector<std::string> & val) {
+  this->adapters = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadedModel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadedModel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_model = false;
+  bool isset_version = false;
+  bool isset_adapters = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          isset_model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->adapters.clear();
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->adapters.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
+            {
+              xfer += iprot->readString(this->adapters[_i40]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_adapters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_model)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_adapters)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LoadedModel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadedModel");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
+    std::vector<std::string> ::const_iterator _iter41;
+    for (_iter41 = this->adapters.begin(); _iter41 != this->adapters.end(); ++_iter41)
+    {
+      xfer += oprot->writeString((*_iter41));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadedModel &a, LoadedModel &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.version, b.version);
+  swap(a.adapters, b.adapters);
+}
+
+LoadedModel::LoadedModel(const LoadedModel& other42) {
+  model = other42.model;
+  version = other42.version;
+  adapters = other42.adapters;
+}
+LoadedModel& LoadedModel::operator=(const LoadedModel& other43) {
+  model = other43.model;
+  version = other43.version;
+  adapters = other43.adapters;
+  return *this;
+}
+void LoadedModel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadedModel(";
+  out << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "adapters=" << to_string(adapters);
+  out << ")";
+}
+
+
+EngineWeights::~EngineWeights() noexcept {
+}
+
+
+void EngineWeights::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void EngineWeights::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void EngineWeights::__set_orderSequence(const int64_t val) {
+  this->orderSequence = val;
+}
+
+void EngineWeights::__set_models(const std::vector<LoadedModel> & val) {
+  this->models = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineWeights& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineWeights::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_engine = false;
+  bool isset_incarnation = false;
+  bool isset_orderSequence = false;
+  bool isset_models = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          isset_engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          isset_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderSequence);
+          isset_orderSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->models.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->models.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->models[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_engine)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_incarnation)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_orderSequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_models)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t EngineWeights::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineWeights");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderSequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->orderSequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
+    std::vector<LoadedModel> ::const_iterator _iter49;
+    for (_iter49 = this->models.begin(); _iter49 != this->models.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineWeights &a, EngineWeights &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.incarnation, b.incarnation);
+  swap(a.orderSequence, b.orderSequence);
+  swap(a.models, b.models);
+}
+
+EngineWeights::EngineWeights(const EngineWeights& other50) {
+  engine = other50.engine;
+  incarnation = other50.incarnation;
+  orderSequence = other50.orderSequence;
+  models = other50.models;
+}
+EngineWeights& EngineWeights::operator=(const EngineWeights& other51) {
+  engine = other51.engine;
+  incarnation = other51.incarnation;
+  orderSequence = other51.orderSequence;
+  models = other51.models;
+  return *this;
+}
+void EngineWeights::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineWeights(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "orderSequence=" << to_string(orderSequence);
+  out << ", " << "models=" << to_string(models);
+  out << ")";
+}
+
+
+LeaseView::~LeaseView() noexcept {
+}
+
+
+void LeaseView::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void LeaseView::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void LeaseView::__set_endOffset(const int64_t val) {
+  this->endOffset = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseView& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseView::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_holder = false;
+  bool isset_epoch = false;
+  bool isset_endOffset = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          isset_holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          isset_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endOffset);
+          isset_endOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_holder)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_epoch)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_endOffset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LeaseView::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseView");
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->endOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseView &a, LeaseView &b) {
+  using ::std::swap;
+  swap(a.holder, b.holder);
+  swap(a.epoch, b.epoch);
+  swap(a.endOffset, b.endOffset);
+}
+
+LeaseView::LeaseView(const LeaseView& other52) {
+  holder = other52.holder;
+  epoch = other52.epoch;
+  endOffset = other52.endOffset;
+}
+LeaseView& LeaseView::operator=(const LeaseView& other53) {
+  holder = other53.holder;
+  epoch = other53.epoch;
+  endOffset = other53.endOffset;
+  return *this;
+}
+void LeaseView::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseView(";
+  out << "holder=" << to_string(holder);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "endOffset=" << to_string(endOffset);
+  out << ")";
+}
+
+
+GatewayHeartbeat::~GatewayHeartbeat() noexcept {
+}
+
+
+void GatewayHeartbeat::__set_origin(const GatewayMember& val) {
+  this->origin = val;
+}
+
+void GatewayHeartbeat::__set_counter(const int64_t val) {
+  this->counter = val;
+}
+
+void GatewayHeartbeat::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
+void GatewayHeartbeat::__set_lease(const LeaseView& val) {
+  this->lease = val;
+}
+
+void GatewayHeartbeat::__set_loads(const std::vector<BackendLoad> & val) {
+  this->loads = val;
+}
+
+void GatewayHeartbeat::__set_rates(const std::vector<WeightRate> & val) {
+  this->rates = val;
+}
+
+void GatewayHeartbeat::__set_weights(const std::vector<EngineWeights> & val) {
+  this->weights = val;
+}
+
+void GatewayHeartbeat::__set_leaving(const std::vector<LeavingBackend> & val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayHeartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_origin = false;
+  bool isset_counter = false;
+  bool isset_configVersion = false;
+  bool isset_lease = false;
+  bool isset_loads = false;
+  bool isset_rates = false;
+  bool isset_weights = false;
+  bool isset_leaving = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->origin.read(iprot);
+          isset_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->counter);
+          isset_counter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          isset_configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->lease.read(iprot);
+          isset_lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->loads.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              xfer += this->loads[_i58].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rates.clear();
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->rates.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
+            {
+              xfer += this->rates[_i63].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_rates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->weights.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->weights.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->weights[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->leaving.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->leaving[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_origin)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_counter)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_configVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lease)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_loads)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_rates)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_weights)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_leaving)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayHeartbeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayHeartbeat");
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->origin.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counter", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->counter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->lease.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<BackendLoad> ::const_iterator _iter74;
+    for (_iter74 = this->loads.begin(); _iter74 != this->loads.end(); ++_iter74)
+    {
+      xfer += (*_iter74).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
+    std::vector<WeightRate> ::const_iterator _iter75;
+    for (_iter75 = this->rates.begin(); _iter75 != this->rates.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
+    std::vector<EngineWeights> ::const_iterator _iter76;
+    for (_iter76 = this->weights.begin(); _iter76 != this->weights.end(); ++_iter76)
+    {
+      xfer += (*_iter76).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<LeavingBackend> ::const_iterator _iter77;
+    for (_iter77 = this->leaving.begin(); _iter77 != this->leaving.end(); ++_iter77)
+    {
+      xfer += (*_iter77).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayHeartbeat &a, GatewayHeartbeat &b) {
+  using ::std::swap;
+  swap(a.origin, b.origin);
+  swap(a.counter, b.counter);
+  swap(a.configVersion, b.configVersion);
+  swap(a.lease, b.lease);
+  swap(a.loads, b.loads);
+  swap(a.rates, b.rates);
+  swap(a.weights, b.weights);
+  swap(a.leaving, b.leaving);
+}
+
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other78) {
+  origin = other78.origin;
+  counter = other78.counter;
+  configVersion = other78.configVersion;
+  lease = other78.lease;
+  loads = other78.loads;
+  rates = other78.rates;
+  weights = other78.weights;
+  leaving = other78.leaving;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other79) {
+  origin = other79.origin;
+  counter = other79.counter;
+  configVersion = other79.configVersion;
+  lease = other79.lease;
+  loads = other79.loads;
+  rates = other79.rates;
+  weights = other79.weights;
+  leaving = other79.leaving;
+  return *this;
+}
+void GatewayHeartbeat::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayHeartbeat(";
+  out << "origin=" << to_string(origin);
+  out << ", " << "counter=" << to_string(counter);
+  out << ", " << "configVersion=" << to_string(configVersion);
+  out << ", " << "lease=" << to_string(lease);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "rates=" << to_string(rates);
+  out << ", " << "weights=" << to_string(weights);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -1064,17 +2449,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other30) {
-  heartbeat = other30.heartbeat;
-  settingsPull = other30.settingsPull;
-  settingsState = other30.settingsState;
-  __isset = other30.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other80) {
+  heartbeat = other80.heartbeat;
+  settingsPull = other80.settingsPull;
+  settingsState = other80.settingsState;
+  __isset = other80.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other31) {
-  heartbeat = other31.heartbeat;
-  settingsPull = other31.settingsPull;
-  settingsState = other31.settingsState;
-  __isset = other31.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other81) {
+  heartbeat = other81.heartbeat;
+  settingsPull = other81.settingsPull;
+  settingsState = other81.settingsState;
+  __isset = other81.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -1184,13 +2569,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other32) {
-  sender = other32.sender;
-  message = other32.message;
+Envelope::Envelope(const Envelope& other82) {
+  sender = other82.sender;
+  message = other82.message;
 }
-Envelope& Envelope::operator=(const Envelope& other33) {
-  sender = other33.sender;
-  message = other33.message;
+Envelope& Envelope::operator=(const Envelope& other83) {
+  sender = other83.sender;
+  message = other83.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -33,6 +33,20 @@
 
 class SettingsState;
 
+class GatewayMember;
+
+class BackendLoad;
+
+class WeightRate;
+
+class LoadedModel;
+
+class EngineWeights;
+
+class LeaseView;
+
+class GatewayHeartbeat;
+
 class PeerMessage;
 
 class Envelope;
@@ -364,6 +378,419 @@
 
 std::ostream& operator<<(std::ostream& out, const SettingsState& obj);
 
+
+class GatewayMember : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayMember(const GatewayMember&);
+  GatewayMember& operator=(const GatewayMember&);
+  GatewayMember() noexcept
+                : node(),
+                  incarnation(0),
+                  zone(),
+                  frontend(),
+                  control(),
+                  datagrams(),
+                  ready(0) {
+  }
+
+  virtual ~GatewayMember() noexcept;
+  std::string node;
+  int64_t incarnation;
+  std::string zone;
+  std::string frontend;
+  std::string control;
+  std::string datagrams;
+  bool ready;
+
+  void __set_node(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_frontend(const std::string& val);
+
+  void __set_control(const std::string& val);
+
+  void __set_datagrams(const std::string& val);
+
+  void __set_ready(const bool val);
+
+  bool operator == (const GatewayMember & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(frontend == rhs.frontend))
+      return false;
+    if (!(control == rhs.control))
+      return false;
+    if (!(datagrams == rhs.datagrams))
+      return false;
+    if (!(ready == rhs.ready))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayMember &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayMember & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayMember &a, GatewayMember &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayMember& obj);
+
+
+class BackendLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendLoad(const BackendLoad&);
+  BackendLoad& operator=(const BackendLoad&);
+  BackendLoad() noexcept
+              : backend(),
+                active(0),
+                waitingTokens(0) {
+  }
+
+  virtual ~BackendLoad() noexcept;
+  std::string backend;
+  int32_t active;
+  int32_t waitingTokens;
+
+  void __set_backend(const std::string& val);
+
+  void __set_active(const int32_t val);
+
+  void __set_waitingTokens(const int32_t val);
+
+  bool operator == (const BackendLoad & rhs) const
+  {
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    if (!(waitingTokens == rhs.waitingTokens))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendLoad &a, BackendLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendLoad& obj);
+
+
+class WeightRate : public virtual ::apache::thrift::TBase {
+ public:
+
+  WeightRate(const WeightRate&);
+  WeightRate& operator=(const WeightRate&);
+  WeightRate() noexcept
+             : serviceName(),
+               model(),
+               adapter(),
+               perSecond(0),
+               tokensPerSecond(0),
+               waiting(0) {
+  }
+
+  virtual ~WeightRate() noexcept;
+  std::string serviceName;
+  std::string model;
+  std::string adapter;
+  double perSecond;
+  double tokensPerSecond;
+  int32_t waiting;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_adapter(const std::string& val);
+
+  void __set_perSecond(const double val);
+
+  void __set_tokensPerSecond(const double val);
+
+  void __set_waiting(const int32_t val);
+
+  bool operator == (const WeightRate & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(perSecond == rhs.perSecond))
+      return false;
+    if (!(tokensPerSecond == rhs.tokensPerSecond))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    return true;
+  }
+  bool operator != (const WeightRate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WeightRate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WeightRate &a, WeightRate &b);
+
+std::ostream& operator<<(std::ostream& out, const WeightRate& obj);
+
+
+class LoadedModel : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadedModel(const LoadedModel&);
+  LoadedModel& operator=(const LoadedModel&);
+  LoadedModel() noexcept
+              : model(),
+                version(0) {
+  }
+
+  virtual ~LoadedModel() noexcept;
+  std::string model;
+  int64_t version;
+  std::vector<std::string>  adapters;
+
+  void __set_model(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_adapters(const std::vector<std::string> & val);
+
+  bool operator == (const LoadedModel & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(adapters == rhs.adapters))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadedModel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadedModel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadedModel &a, LoadedModel &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadedModel& obj);
+
+
+class EngineWeights : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineWeights(const EngineWeights&);
+  EngineWeights& operator=(const EngineWeights&);
+  EngineWeights() noexcept
+                : engine(),
+                  incarnation(0),
+                  orderSequence(0) {
+  }
+
+  virtual ~EngineWeights() noexcept;
+  std::string engine;
+  int64_t incarnation;
+  int64_t orderSequence;
+  std::vector<LoadedModel>  models;
+
+  void __set_engine(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_orderSequence(const int64_t val);
+
+  void __set_models(const std::vector<LoadedModel> & val);
+
+  bool operator == (const EngineWeights & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(orderSequence == rhs.orderSequence))
+      return false;
+    if (!(models == rhs.models))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineWeights &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineWeights & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineWeights &a, EngineWeights &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineWeights& obj);
+
+
+class LeaseView : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaseView(const LeaseView&);
+  LeaseView& operator=(const LeaseView&);
+  LeaseView() noexcept
+            : holder(),
+              epoch(0),
+              endOffset(0) {
+  }
+
+  virtual ~LeaseView() noexcept;
+  std::string holder;
+  int64_t epoch;
+  int64_t endOffset;
+
+  void __set_holder(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_endOffset(const int64_t val);
+
+  bool operator == (const LeaseView & rhs) const
+  {
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(endOffset == rhs.endOffset))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaseView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaseView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaseView &a, LeaseView &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaseView& obj);
+
+
+class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayHeartbeat(const GatewayHeartbeat&);
+  GatewayHeartbeat& operator=(const GatewayHeartbeat&);
+  GatewayHeartbeat() noexcept
+                   : counter(0),
+                     configVersion(0) {
+  }
+
+  virtual ~GatewayHeartbeat() noexcept;
+  GatewayMember origin;
+  int64_t counter;
+  int64_t configVersion;
+  LeaseView lease;
+  std::vector<BackendLoad>  loads;
+  std::vector<WeightRate>  rates;
+  std::vector<EngineWeights>  weights;
+  std::vector<LeavingBackend>  leaving;
+
+  void __set_origin(const GatewayMember& val);
+
+  void __set_counter(const int64_t val);
+
+  void __set_configVersion(const int64_t val);
+
+  void __set_lease(const LeaseView& val);
+
+  void __set_loads(const std::vector<BackendLoad> & val);
+
+  void __set_rates(const std::vector<WeightRate> & val);
+
+  void __set_weights(const std::vector<EngineWeights> & val);
+
+  void __set_leaving(const std::vector<LeavingBackend> & val);
+
+  bool operator == (const GatewayHeartbeat & rhs) const
+  {
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(counter == rhs.counter))
+      return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
+    if (!(lease == rhs.lease))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(rates == rhs.rates))
+      return false;
+    if (!(weights == rhs.weights))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayHeartbeat &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayHeartbeat & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayHeartbeat &a, GatewayHeartbeat &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj);
+
 typedef struct _PeerMessage__isset {
   _PeerMessage__isset() : heartbeat(false), settingsPull(false), settingsState(false) {}
   bool heartbeat :1;
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -44,6 +44,68 @@
   1: required string snapshot
 }
 
+// A gateway process, as it describes itself.
+struct GatewayMember {
+  1: required string node
+  2: required i64 incarnation
+  3: required string zone
+  // Addresses for callers, for questions of other gateways, and for datagrams.
+  4: required string frontend
+  5: required string control
+  6: required string datagrams
+  7: required bool ready
+}
+
+// Calls of a gateway to one process of a backend server.
+struct BackendLoad {
+  1: required string backend
+  2: required i32 active
+  3: required i32 waitingTokens
+}
+
+// Requests of a gateway for one model or adapter.
+struct WeightRate {
+  1: required string serviceName
+  2: required string model
+  3: required string adapter
+  4: required double perSecond
+  5: required double tokensPerSecond
+  6: required i32 waiting
+}
+
+struct LoadedModel {
+  1: required string model
+  2: required i64 version
+  3: required list<string> adapters
+}
+
+// What an engine holds, as the holder of the placement lease knows it.
+struct EngineWeights {
+  1: required string engine
+  2: required i64 incarnation
+  3: required i64 orderSequence
+  4: required list<LoadedModel> models
+}
+
+struct LeaseView {
+  1: required string holder
+  2: required i64 epoch
+  3: required i64 endOffset
+}
+
+// Sent as a datagram several times a second.
+struct GatewayHeartbeat {
+  1: required GatewayMember origin
+  2: required i64 counter
+  3: required i64 configVersion
+  4: required LeaseView lease
+  5: required list<BackendLoad> loads
+  6: required list<WeightRate> rates
+  7: required list<EngineWeights> weights
+  // Backend servers that the sender knows to be leaving.
+  8: required list<LeavingBackend> leaving
+}
+
 union PeerMessage {
   1: Heartbeat heartbeat
   2: SettingsPull settingsPull
--- /dev/null
+++ b/src/libs/state/bounded_log.cpp
@@ -0,0 +1,133 @@
+#include "state/bounded_log.hpp"
+
+#include <boost/log/attributes/value_extraction.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <ctime>
+#include <map>
+#include <poll.h>
+#include <unistd.h>
+
+namespace pomelorouter::state
+{
+
+namespace
+{
+
+namespace blog = boost::log;
+
+constexpr std::int64_t us_per_s = 1'000'000;
+
+std::string_view event_name(std::string_view line)
+{
+    constexpr std::string_view key = "event=";
+    const std::size_t begin = line.find(key);
+    if (begin == std::string_view::npos)
+        return "other";
+    const std::size_t from = begin + key.size();
+    return line.substr(from, line.find(' ', from) - from);
+}
+
+std::string timestamp(std::int64_t wall_us)
+{
+    const std::time_t whole = wall_us / us_per_s;
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    std::array<char, 40> text{};
+    const std::size_t length =
+        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 16> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%06dZ",
+                  static_cast<int>(wall_us % us_per_s));
+    return std::string(text.data(), length) + fraction.data();
+}
+
+/// Writes whole lines to a descriptor as long as it takes them at once. A gateway logs on
+/// one thread only, so that nothing is locked.
+class line_backend
+    : public blog::sinks::basic_sink_backend<blog::sinks::concurrent_feeding>
+{
+public:
+    line_backend(std::string process_name, std::int64_t budget)
+        : process(std::move(process_name)), lines_per_s(budget)
+    {
+    }
+
+    void consume(const blog::record_view& record)
+    {
+        const auto level = record["Severity"].extract<log_level>();
+        const auto message = record["Message"].extract<std::string>();
+        if (!level || !message)
+            return;
+        const std::int64_t wall_us =
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+        this->begin_second(wall_us);
+        const bool urgent = *level >= log_level::warning;
+        std::int64_t& used = urgent ? this->urgent_lines : this->lines;
+        if (used >= this->lines_per_s || !this->write(wall_us, *message))
+        {
+            ++this->left_out[std::string(event_name(*message))];
+            return;
+        }
+        ++used;
+    }
+
+private:
+    void begin_second(std::int64_t wall_us)
+    {
+        if (wall_us / us_per_s == this->second)
+            return;
+        this->second = wall_us / us_per_s;
+        this->lines = 0;
+        this->urgent_lines = 0;
+        if (this->left_out.empty())
+            return;
+        std::string line = "level=warning event=log_lines_left_out";
+        for (const auto& [event, count] : this->left_out)
+            line += " " + event + "=" + std::to_string(count);
+        if (this->write(wall_us, line))
+            this->left_out.clear();
+    }
+
+    bool write(std::int64_t wall_us, const std::string& message)
+    {
+        pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&descriptor, 1, 0) <= 0 || (descriptor.revents & POLLOUT) == 0)
+            return false;
+        const std::string line =
+            "ts=" + timestamp(wall_us) + " process=" + this->process + " " + message + "\n";
+        return ::write(STDOUT_FILENO, line.data(), line.size()) ==
+               static_cast<ssize_t>(line.size());
+    }
+
+    std::string process;
+    std::int64_t lines_per_s;
+    std::int64_t second = 0;
+    std::int64_t lines = 0;
+    std::int64_t urgent_lines = 0;
+    std::map<std::string, std::int64_t> left_out;
+};
+
+} // namespace
+
+void init_bounded_logging(const std::string& process, log_level minimum,
+                          std::int64_t lines_per_s)
+{
+    auto sink = boost::make_shared<blog::sinks::unlocked_sink<line_backend>>(
+        boost::make_shared<line_backend>(process, lines_per_s));
+    blog::core::get()->remove_all_sinks();
+    blog::core::get()->set_filter(blog::expressions::attr<log_level>("Severity") >=
+                                  minimum);
+    blog::core::get()->add_sink(sink);
+}
+
+} // namespace pomelorouter::state
--- a/src/libs/state/process_settings.cpp
+++ b/src/libs/state/process_settings.cpp
@@ -20,6 +20,8 @@
     {log_level::error, "error"},
 }};
 
+} // namespace
+
 std::string read_address(json_reader& reader, std::string_view key)
 {
     const std::string address = reader.get_string(key);
@@ -33,7 +35,31 @@
     return address;
 }
 
-} // namespace
+std::vector<std::string> read_address_list(json_reader& reader, std::string_view key)
+{
+    std::vector<std::string> result;
+    for (const boost::json::value& item : reader.get_array(key))
+    {
+        if (!item.is_string())
+        {
+            throw error(error_code::wrong_type, reader.where(key),
+                        "expected an array of ip:port");
+        }
+        result.emplace_back(item.get_string());
+    }
+    return result;
+}
+
+log_level read_log_level(json_reader& reader, std::string_view key)
+{
+    const auto known = value_of(level_names, reader.get_string(key, "info"));
+    if (!known)
+    {
+        throw error(error_code::out_of_range, reader.where(key),
+                    "expected debug, info, warning or error");
+    }
+    return *known;
+}
 
 process_settings read_process_settings(const boost::json::value& value,
                                        const std::string& place)
@@ -54,25 +80,8 @@
         result.peer_advertise = read_address(reader, "peer_advertise");
     result.platform = read_address(reader, "platform");
     if (reader.find("seed_peers") != nullptr)
-    {
-        for (const boost::json::value& peer : reader.get_array("seed_peers"))
-        {
-            if (!peer.is_string())
-            {
-                throw error(error_code::wrong_type, reader.where("seed_peers"),
-                            "expected an array of ip:port");
-            }
-            result.seed_peers.emplace_back(peer.get_string());
-        }
-    }
-    const std::string level = reader.get_string("log_level", "info");
-    const auto known = value_of(level_names, level);
-    if (!known)
-    {
-        throw error(error_code::out_of_range, reader.where("log_level"),
-                    "expected debug, info, warning or error");
-    }
-    result.minimum_log_level = *known;
+        result.seed_peers = read_address_list(reader, "seed_peers");
+    result.minimum_log_level = read_log_level(reader, "log_level");
     result.max_connections =
         reader.get_int("max_connections", 1, 1'000'000, result.max_connections);
     result.max_body_bytes =
--- a/src/libs/state/process_settings.hpp
+++ b/src/libs/state/process_settings.hpp
@@ -6,11 +6,14 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pomelorouter::state
 {
 
+class json_reader;
+
 /// Settings file of one node process: its own addresses and those of the platform.
 struct process_settings
 {
@@ -38,6 +41,13 @@
 process_settings read_process_settings(const boost::json::value& value,
                                        const std::string& place);
 
+/// Reads a required `ip:port`; throws `error`.
+std::string read_address(json_reader& reader, std::string_view key);
+/// Reads a required array of `ip:port`; throws `error`.
+std::vector<std::string> read_address_list(json_reader& reader, std::string_view key);
+/// Reads a log level, `info` if there is none; throws `error`.
+log_level read_log_level(json_reader& reader, std::string_view key);
+
 /// Reads a whole file; throws `error` naming the file.
 std::string read_file(const std::string& path);
 
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -12,7 +12,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <netinet/tcp.h>
 #include <utility>
 
 namespace pomelorouter::transport
@@ -28,6 +31,18 @@
 constexpr std::size_t piece_bytes = 16 * 1024;
 constexpr std::size_t max_head_bytes = 16 * 1024;
 constexpr std::size_t max_idle_per_address = 256;
+/// An idle connection is not used again when the other end may be closing it: the time it
+/// announced, less this margin.
+constexpr state::milliseconds idle_margin{700};
+/// For other ends that announce nothing.
+constexpr state::milliseconds default_idle_life{120000};
+/// Bytes that nobody acknowledges for this long show that the path is gone.
+constexpr int unacknowledged_limit_ms = 2000;
+/// Probes of a connection on which nothing arrives.
+constexpr int keepalive_idle_s = 1;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+constexpr int ms_per_s = 1000;
 
 error_code classify(const boost::system::error_code& failure)
 {
@@ -35,6 +50,43 @@
                                             : error_code::connection_lost;
 }
 
+using keepalive_idle_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keepalive_interval_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keepalive_probes_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using user_timeout_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// Makes the kernel notice a path that has gone silent. Failures are ignored: the time
+/// limits of the calls still hold.
+void configure_socket(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(keepalive_idle_option(keepalive_idle_s), ignored);
+    socket.set_option(keepalive_interval_option(keepalive_interval_s), ignored);
+    socket.set_option(keepalive_probes_option(keepalive_probes), ignored);
+    socket.set_option(user_timeout_option(unacknowledged_limit_ms), ignored);
+}
+
+/// Reads `timeout=N` of a Keep-Alive field; N is in whole seconds.
+state::milliseconds announced_idle_life(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t position = value.find(name);
+    if (position == std::string_view::npos)
+        return default_idle_life;
+    int seconds = 0;
+    const char* const begin = value.data() + position + name.size();
+    const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
+    if (parsed.ec != std::errc() || seconds < 0)
+        return default_idle_life;
+    return state::milliseconds(seconds * ms_per_s);
+}
+
 } // namespace
 
 namespace internal
@@ -63,46 +115,119 @@
     beast::flat_buffer buffer;
     std::string address;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
+    bool write_done = false;
+    boost::system::error_code write_failure;
+    state::milliseconds idle_life = default_idle_life;
+    state::time_point idle_since{};
 };
 
 } // namespace internal
 
 http_call::http_call(http_client& owner,
-                     std::unique_ptr<internal::http_connection> call_connection,
+                     std::shared_ptr<internal::http_connection> call_connection,
                      const http_call_options& call_options)
     : client(owner), connection(std::move(call_connection)), options(call_options)
 {
 }
 
-http_call::~http_call() = default;
+http_call::~http_call()
+{
+    // A pending write still refers to the connection, which must not linger.
+    this->abort();
+}
 
 const http_response& http_call::head() const
 {
     return this->response_head;
 }
 
-asio::awaitable<void> http_call::send(const http_request& request)
+void http_call::abort()
+{
+    if (this->connection)
+        this->connection->stream.close();
+}
+
+asio::awaitable<void> http_call::send(std::shared_ptr<const http_request> request,
+                                      const response_filter* filter)
+{
+    internal::http_connection& link = *this->connection;
+    link.write_done = false;
+    link.stream.expires_after(this->options.progress_timeout);
+    beast::http::async_write(
+        link.stream, *request,
+        [request, owner = this->connection](boost::system::error_code failure,
+                                            std::size_t)
+        {
+            owner->write_done = true;
+            owner->write_failure = failure;
+        });
+    // The answer to HEAD has the length of a body that does not follow.
+    const bool is_head_request = request->method() == verb::head;
+    co_await this->read_head(is_head_request);
+    while (this->response_head.result_int() < 200 ||
+           (filter != nullptr && !filter->is_answer(this->response_head)))
+    {
+        co_await this->skip_body();
+        co_await this->read_head(is_head_request);
+    }
+}
+
+asio::awaitable<void> http_call::read_head(bool is_head_request)
 {
     internal::http_connection& link = *this->connection;
     link.parser.emplace();
     link.parser->header_limit(max_head_bytes);
     link.parser->body_limit(this->options.max_body_bytes);
-    // The answer to HEAD has the length of a body that does not follow.
-    link.parser->skip(request.method() == verb::head);
-    try
+    link.parser->skip(is_head_request);
+    boost::system::error_code failure;
+    co_await beast::http::async_read_header(
+        link.stream, link.buffer, *link.parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        throw http_error(classify(failure), link.address, failure.message(), true);
+    this->response_head.base() = link.parser->get().base();
+}
+
+asio::awaitable<void> http_call::skip_body()
+{
+    const std::shared_ptr<internal::http_connection> link = this->connection;
+    std::string piece(piece_bytes, '\0');
+    while (!link->parser->is_done())
     {
-        link.stream.expires_after(this->options.progress_timeout);
-        co_await beast::http::async_write(link.stream, request, asio::use_awaitable);
-        link.stream.expires_after(this->options.progress_timeout);
-        co_await beast::http::async_read_header(link.stream, link.buffer, *link.parser,
-                                                asio::use_awaitable);
+        auto& body = link->parser->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        body.more = true;
+        boost::system::error_code failure;
+        co_await beast::http::async_read_some(
+            link->stream, link->buffer, *link->parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure && failure != beast::http::error::need_buffer)
+            throw http_error(classify(failure), link->address, failure.message(), true);
     }
-    catch (const boost::system::system_error& failure)
+    if (!link->parser->get().keep_alive())
     {
-        throw http_error(classify(failure.code()), link.address, failure.code().message(),
-                         true);
+        throw http_error(error_code::connection_lost, link->address,
+                         "the connection ended with another response", true);
     }
-    this->response_head.base() = link.parser->get().base();
+}
+
+void http_call::finish()
+{
+    internal::http_connection& link = *this->connection;
+    // Bytes beyond the response belong to no request, and the rest of a request that was
+    // answered early would be taken for the next one.
+    const bool reusable = link.parser->get().keep_alive() && link.write_done &&
+                          !link.write_failure && link.buffer.size() == 0;
+    const auto announced = link.parser->get().find("Keep-Alive");
+    if (announced != link.parser->get().end())
+        link.idle_life = announced_idle_life(announced->value());
+    link.parser.reset();
+    if (reusable)
+        this->client.keep_idle(std::move(this->connection));
+    else
+        this->abort();
+    this->connection.reset();
 }
 
 asio::awaitable<std::optional<std::string>> http_call::read_some()
@@ -131,12 +256,7 @@
             co_return piece;
         }
     }
-    const bool reusable = link.parser->get().keep_alive();
-    link.parser.reset();
-    if (reusable)
-        this->client.keep_idle(std::move(this->connection));
-    else
-        this->connection.reset();
+    this->finish();
     co_return std::nullopt;
 }
 
@@ -156,15 +276,15 @@
 http_client::~http_client() = default;
 
 asio::awaitable<std::unique_ptr<http_call>>
-http_client::open(const std::string& address, const http_request& request,
-                  const http_call_options& options)
+http_client::connect(const std::string& address, const http_call_options& options)
 {
-    std::unique_ptr<internal::http_connection> connection;
+    std::shared_ptr<internal::http_connection> connection;
     if (!options.fresh_connection)
         connection = this->take_idle(address);
+    const bool reused = connection != nullptr;
     if (!connection)
     {
-        connection = std::make_unique<internal::http_connection>(this->executor, address);
+        connection = std::make_shared<internal::http_connection>(this->executor, address);
         const auto endpoint = parse_address(address);
         connection->stream.expires_after(options.connect_timeout);
         boost::system::error_code failure;
@@ -175,10 +295,22 @@
             throw http_error(error_code::connect_failed, address, failure.message(),
                              false);
         }
-        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+        configure_socket(connection->stream.socket());
     }
     auto call = std::make_unique<http_call>(*this, std::move(connection), options);
-    co_await call->send(request);
+    call->reused = reused;
+    co_return call;
+}
+
+asio::awaitable<std::unique_ptr<http_call>>
+http_client::open(const std::string& address, const http_request& request,
+                  const http_call_options& options)
+{
+    auto call = co_await this->connect(address, options);
+    auto sent = std::make_shared<http_request>(request);
+    if (sent->count(field::host) == 0)
+        sent->set(field::host, address);
+    co_await call->send(std::move(sent));
     co_return call;
 }
 
@@ -197,31 +329,48 @@
     this->idle.erase(address);
 }
 
-std::unique_ptr<internal::http_connection>
+void http_client::drop_expired(state::time_point now)
+{
+    for (auto item = this->idle.begin(); item != this->idle.end();)
+    {
+        auto& connections = item->second;
+        const auto expired = [now](const auto& connection)
+        { return now - connection->idle_since > connection->idle_life - idle_margin; };
+        connections.erase(
+            std::remove_if(connections.begin(), connections.end(), expired),
+            connections.end());
+        item = connections.empty() ? this->idle.erase(item) : std::next(item);
+    }
+}
+
+std::shared_ptr<internal::http_connection>
 http_client::take_idle(const std::string& address)
 {
     const auto found = this->idle.find(address);
     if (found == this->idle.end())
         return nullptr;
+    const auto now = std::chrono::steady_clock::now();
     auto& connections = found->second;
     while (!connections.empty())
     {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        if (!connection->is_stale())
+        const bool is_expired =
+            now - connection->idle_since > connection->idle_life - idle_margin;
+        if (!is_expired && !connection->is_stale())
             return connection;
     }
     return nullptr;
 }
 
-void http_client::keep_idle(std::unique_ptr<internal::http_connection> connection)
+void http_client::keep_idle(std::shared_ptr<internal::http_connection> connection)
 {
     auto& connections = this->idle[connection->address];
-    if (connections.size() < max_idle_per_address)
-    {
-        connection->stream.expires_never();
-        connections.push_back(std::move(connection));
-    }
+    if (connections.size() >= max_idle_per_address)
+        return;
+    connection->stream.expires_never();
+    connection->idle_since = std::chrono::steady_clock::now();
+    connections.push_back(std::move(connection));
 }
 
 } // namespace pomelorouter::transport
--- a/src/libs/transport/http_client.hpp
+++ b/src/libs/transport/http_client.hpp
@@ -32,6 +32,17 @@
     std::size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
+/// Says which responses on a connection belong to the request that was sent on it.
+class response_filter
+{
+public:
+    virtual ~response_filter() = default;
+
+    /// Whether `head` answers the request; otherwise the response is read to its end and
+    /// the next one is taken.
+    virtual bool is_answer(const http_response& head) const = 0;
+};
+
 class http_client;
 
 /// One request in flight whose response body is read piece by piece. Destroying the call
@@ -39,12 +50,23 @@
 class http_call
 {
 public:
-    http_call(http_client& owner, std::unique_ptr<internal::http_connection> connection,
+    http_call(http_client& owner, std::shared_ptr<internal::http_connection> connection,
               const http_call_options& options);
     ~http_call();
     http_call(const http_call&) = delete;
     http_call& operator=(const http_call&) = delete;
 
+    /// Sends a request and reads the head of its response, at most once for each call.
+    /// The response is read while the request is still being written, since the other end
+    /// may answer early. Throws `http_error`.
+    boost::asio::awaitable<void> send(std::shared_ptr<const http_request> request,
+                                      const response_filter* filter = nullptr);
+    /// Closes the connection; a pending `send()` or `read_some()` fails with
+    /// `connection_lost`.
+    void abort();
+    /// Whether the connection has carried an earlier request.
+    bool is_reused() const { return this->reused; }
+
     /// Status and header of the response.
     const http_response& head() const;
     /// Reads the next bytes of the body, waiting at most the progress timeout; nothing at
@@ -61,12 +83,15 @@
 private:
     friend class http_client;
 
-    boost::asio::awaitable<void> send(const http_request& request);
+    boost::asio::awaitable<void> read_head(bool is_head_request);
+    boost::asio::awaitable<void> skip_body();
+    void finish();
 
     http_client& client;
-    std::unique_ptr<internal::http_connection> connection;
+    std::shared_ptr<internal::http_connection> connection;
     http_call_options options;
     http_response response_head;
+    bool reused = false;
 };
 
 /// HTTP client with a pool of idle connections for each address. All calls must be made
@@ -79,6 +104,9 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
+    /// Takes an idle connection or opens one; nothing is sent. Throws `http_error`.
+    boost::asio::awaitable<std::unique_ptr<http_call>>
+    connect(const std::string& address, const http_call_options& options);
     /// Sends a request and reads the head of the response; throws `http_error`.
     boost::asio::awaitable<std::unique_ptr<http_call>>
     open(const std::string& address, const http_request& request,
@@ -90,15 +118,17 @@
     /// Closes the idle connections to an address. Called after a call has gone silent,
     /// since whatever lost track of one connection may have lost the others.
     void forget(const std::string& address);
+    /// Closes the connections that the other end is about to close for being idle.
+    void drop_expired(state::time_point now);
 
 private:
     friend class http_call;
 
-    std::unique_ptr<internal::http_connection> take_idle(const std::string& address);
-    void keep_idle(std::unique_ptr<internal::http_connection> connection);
+    std::shared_ptr<internal::http_connection> take_idle(const std::string& address);
+    void keep_idle(std::shared_ptr<internal::http_connection> connection);
 
     boost::asio::any_io_executor executor;
-    std::map<std::string, std::vector<std::unique_ptr<internal::http_connection>>,
+    std::map<std::string, std::vector<std::shared_ptr<internal::http_connection>>,
              std::less<>>
         idle;
 };
