--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -76,6 +77,13 @@
         bool expired = false;
     };
 
+    /// Who wants to know that the client has closed; outlives the session.
+    struct close_watch
+    {
+        bool is_waiting = false;
+        std::function<void()> callback;
+    };
+
 public:
     session(std::shared_ptr<shared_state> server, asio::ip::tcp::socket socket)
         : shared(std::move(server)),
@@ -91,6 +99,7 @@
     ~session() override
     {
         this->limit->active = false;
+        this->watch->callback = nullptr;
         this->shared->sessions.erase(this);
         this->shared->open_connections.set(
             static_cast<std::int64_t>(this->shared->sessions.size()));
@@ -110,6 +119,29 @@
     const http_request& request() const override { return this->current_request; }
     std::uint64_t connection() const override { return this->number; }
     bool has_responded() const override { return this->responded; }
+    state::time_point received_at() const override { return this->arrival; }
+
+    void on_client_closed(std::function<void()> callback) override
+    {
+        this->watch->callback = std::move(callback);
+        if (this->watch->is_waiting || this->buffer.size() > 0)
+            return;
+        this->watch->is_waiting = true;
+        this->stream.socket().async_wait(
+            asio::socket_base::wait_read,
+            [this, shared_watch = this->watch](boost::system::error_code failure)
+            {
+                shared_watch->is_waiting = false;
+                // The callback is unset once the handler has returned, and with the
+                // session.
+                if (!shared_watch->callback || failure == asio::error::operation_aborted)
+                    return;
+                if (!this->client_has_closed())
+                    return;
+                const auto notify = std::exchange(shared_watch->callback, nullptr);
+                notify();
+            });
+    }
 
     bool client_has_closed() override
     {
@@ -188,6 +220,7 @@
                 co_return false;
         }
         const in_flight_guard guard(this->shared->in_flight);
+        this->arrival = std::chrono::steady_clock::now();
         co_await this->read_request(parser, failure);
         if (failure)
         {
@@ -198,6 +231,7 @@
         this->current_request = parser.release();
         this->stream.expires_never();
         const bool completed = co_await this->call_handler();
+        this->watch->callback = nullptr;
         co_return completed&& this->keep_alive;
     }
 
@@ -207,21 +241,65 @@
                                        boost::system::error_code& failure)
     {
         this->stream.expires_never();
-        this->start_read_limit();
-        co_await http::async_read(this->stream, this->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, failure));
+        const http_server_limits& limits = this->shared->limits;
+        this->start_read_limit(limits.header_timeout.count() > 0 ? limits.header_timeout
+                                                                 : limits.io_timeout);
+        co_await http::async_read_header(
+            this->stream, this->buffer, parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+            this->check_framing(parser, failure);
+        if (!failure && !parser.is_done())
+        {
+            this->limit_timer.cancel();
+            this->start_read_limit(this->shared->limits.io_timeout);
+            if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+                co_await this->ask_for_body(failure);
+            if (!failure)
+            {
+                co_await http::async_read(
+                    this->stream, this->buffer, parser,
+                    asio::redirect_error(asio::use_awaitable, failure));
+            }
+        }
         this->limit->active = false;
         this->limit_timer.cancel();
         if (failure && this->limit->expired)
             failure = beast::error::timeout;
     }
 
-    void start_read_limit()
+    /// Refuses framings that two readers may understand differently.
+    static void check_framing(const http::request_parser<http::string_body>& parser,
+                              boost::system::error_code& failure)
+    {
+        const auto& head = parser.get();
+        const auto encodings = head.equal_range(http::field::transfer_encoding);
+        for (auto item = encodings.first; item != encodings.second; ++item)
+        {
+            if (!beast::iequals(item->value(), "chunked") ||
+                std::next(item) != encodings.second)
+                failure = http::error::bad_transfer_encoding;
+        }
+        if (encodings.first != encodings.second &&
+            head.count(http::field::content_length) > 0)
+            failure = http::error::bad_content_length;
+        if (head.count(http::field::host) > 1)
+            failure = http::error::bad_value;
+    }
+
+    asio::awaitable<void> ask_for_body(boost::system::error_code& failure)
+    {
+        static constexpr std::string_view answer = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(this->stream, asio::buffer(answer),
+                                   asio::redirect_error(asio::use_awaitable, failure));
+    }
+
+    void start_read_limit(state::milliseconds duration)
     {
         this->limit->active = true;
         this->limit->expired = false;
         const std::uint64_t request_number = ++this->limit->request_number;
-        this->limit_timer.expires_after(this->shared->limits.io_timeout);
+        this->limit_timer.expires_after(duration);
         this->limit_timer.async_wait(
             [this, shared_limit = this->limit, request_number](boost::system::error_code)
             {
@@ -342,6 +420,8 @@
     beast::flat_buffer buffer;
     asio::steady_timer limit_timer;
     std::shared_ptr<read_limit> limit = std::make_shared<read_limit>();
+    std::shared_ptr<close_watch> watch = std::make_shared<close_watch>();
+    state::time_point arrival{};
     http_request current_request;
     std::uint64_t number;
     bool responded = false;
@@ -366,6 +446,11 @@
     return bound;
 }
 
+void http_server::set_limits(const http_server_limits& limits)
+{
+    this->shared->limits = limits;
+}
+
 void http_server::announce_close()
 {
     this->shared->closing = true;
--- a/src/libs/transport/http_server.hpp
+++ b/src/libs/transport/http_server.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,7 +21,10 @@
     std::size_t max_connections = 10000;
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 8 * 1024 * 1024;
-    /// Longest time to receive one request, and to write one piece of a response.
+    /// Longest time to receive the header of a request; zero for `io_timeout`.
+    state::milliseconds header_timeout{0};
+    /// Longest time to receive the body of a request, and to write one piece of a
+    /// response.
     state::milliseconds io_timeout{10000};
     /// An idle connection is closed after this time.
     state::milliseconds idle_timeout{120000};
@@ -46,6 +50,11 @@
     virtual bool has_responded() const = 0;
     /// Whether the client has closed its end of the connection.
     virtual bool client_has_closed() = 0;
+    /// Calls back once if the client closes its end before the handler returns. A client
+    /// that sends its next request meanwhile is not watched any further.
+    virtual void on_client_closed(std::function<void()> /*callback*/) {}
+    /// When the first byte of the request was received.
+    virtual state::time_point received_at() const { return {}; }
 };
 
 /// Answers requests; called on the server's thread, once for each request.
@@ -69,6 +78,8 @@
 
     /// Starts to accept connections; returns the bound `ip:port`.
     std::string listen(const std::string& address);
+    /// Limits of the requests from now on.
+    void set_limits(const http_server_limits& limits);
     /// From now on each response asks the client to close the connection.
     void announce_close();
     /// Closes the listener. Open connections are served on, since a request may be
--- /dev/null
+++ b/src/libs/transport/loop_signal.cpp
@@ -0,0 +1,32 @@
+#include "transport/loop_signal.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace pomelorouter::transport
+{
+
+loop_signal::loop_signal(boost::asio::any_io_executor loop_executor)
+    : executor(std::move(loop_executor))
+{
+}
+
+boost::asio::awaitable<void> loop_signal::wait(state::milliseconds limit)
+{
+    boost::asio::steady_timer timer(this->executor, limit);
+    this->waiting.insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    this->waiting.erase(&timer);
+}
+
+void loop_signal::notify()
+{
+    for (boost::asio::steady_timer* const timer : this->waiting)
+        timer->cancel();
+}
+
+} // namespace pomelorouter::transport
