--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -90,6 +90,12 @@
     asio::co_spawn(this->shared.executor, this->discovery_loop(), asio::detached);
 }
 
+void peer_gossip::set_addresses(std::string frontend, std::string control)
+{
+    this->self.frontend = std::move(frontend);
+    this->self.control = std::move(control);
+}
+
 asio::awaitable<void> peer_gossip::heartbeat_loop()
 {
     for (;;)
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -30,6 +30,8 @@
     /// Binds the socket and starts to send and receive.
     void start(fill_callback fill, heartbeat_callback on_heartbeat);
     void set_ready(bool ready) { this->self.ready = ready; }
+    /// The addresses that were bound.
+    void set_addresses(std::string frontend, std::string control);
     /// Sends a heartbeat now, for a change that should not wait.
     void send_heartbeat();
 
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -301,9 +301,20 @@
 {
     const int store_loads = this->loads.available(
         now(), service.engine->loads_per_s * this->shared.settings.load_rate_factor);
+    std::vector<coordination::planned_engine> engine_list = this->planned_engines(service);
+    const bool settled = this->is_settled();
+    std::map<std::string, int>& copies = this->first_copies[service.name];
+    if (settled && copies.empty())
+    {
+        for (const coordination::planned_engine& engine : engine_list)
+        {
+            for (const state::loaded_model& model : engine.models)
+                ++copies[model.name];
+        }
+    }
     const auto orders = this->planner.plan(
-        *service.engine, this->planned_engines(service), service.name,
-        this->shared.demand.total(now()), store_loads, this->is_settled());
+        *service.engine, std::move(engine_list), service.name,
+        this->shared.demand.total(now()), copies, store_loads, settled);
     for (const planned_order& order : orders)
     {
         const state::hosted_model* const model = service.engine->find_model(order.model);
@@ -397,7 +408,11 @@
     if (was_known)
         answer = co_await this->send_order(entry, order);
     const bool is_done = answer == order_answer::accepted || answer == order_answer::already_done;
-    if (answer == order_answer::accepted)
+    // An adapter is unloaded at once, and the engine counts that order as well.
+    const bool is_counted =
+        answer == order_answer::accepted ||
+        (answer == order_answer::already_done && is_unload(order.operation));
+    if (is_counted)
         ++this->control_of(entry).sequence;
     if (is_done && order.operation == plan_operation::load_adapter)
     {
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -82,6 +82,8 @@
     coordination::weight_planner planner;
     coordination::load_allowance loads;
     std::map<std::string, engine_control, std::less<>> engines;
+    /// Copies of each model when the engines were first known, for each service.
+    std::map<std::string, std::map<std::string, int>, std::less<>> first_copies;
     std::size_t most_engines = 0;
     state::time_point engines_changed{};
     bool was_holder = false;
--- /dev/null
+++ b/src/app/gateway/process/gateway.cpp
@@ -0,0 +1,241 @@
+#include "app/gateway/process/gateway.hpp"
+
+#include "state/error.hpp"
+#include "state/log.hpp"
+#include "transport/http_error.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using state::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds housekeeping_period{500};
+/// After the signal to stop, callers that still have the address are served this long.
+constexpr milliseconds farewell{2500};
+/// What is left at this time before the end of the grace period is broken off.
+constexpr milliseconds kill_margin{350};
+constexpr milliseconds stop_poll{50};
+/// A newer configuration that a peer has is fetched from it after this time. The store
+/// mostly brings it first.
+constexpr milliseconds store_head_start{150};
+constexpr milliseconds peer_answer_limit{1000};
+
+std::uint64_t wall_clock_ms()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+protocol::gateway_member own_member(const state::gateway_settings& settings)
+{
+    return {settings.node_id,        wall_clock_ms(),      settings.zone, settings.listen,
+            settings.control_listen, settings.peer_listen, false};
+}
+
+transport::http_server_limits server_limits(const state::client_limits& limits)
+{
+    transport::http_server_limits result;
+    result.max_header_bytes = limits.max_header_bytes;
+    result.max_body_bytes = limits.max_body_bytes;
+    result.header_timeout = limits.header_timeout;
+    result.idle_timeout = limits.idle_timeout;
+    return result;
+}
+
+} // namespace
+
+gateway::gateway(asio::io_context& event_loop,
+                 const state::gateway_settings& process_settings,
+                 std::string settings_path, const platform_adapter& platform,
+                 state::counter_registry& counters)
+    : loop(event_loop),
+      settings(process_settings),
+      settings_file(std::move(settings_path), this->settings),
+      adapter(platform),
+      shared(this->loop.get_executor(), this->settings, counters, wall_clock_ms()),
+      client(this->loop.get_executor()),
+      store(this->adapter.make_store(this->settings.platform, this->client)),
+      watcher(this->shared, *this->store, this->adapter.documents(),
+              [this](const state::gateway_config_ptr& config)
+              { this->on_config(*config); }),
+      peers(this->shared, *this->store, this->client, own_member(this->settings)),
+      placement(this->shared, *this->store, this->client, this->adapter.engines(),
+                this->peers),
+      relay(this->shared, this->adapter.requests(), this->client),
+      directory(
+          this->shared, this->adapter.directory(),
+          [this] { return this->peers.ready_addresses(); },
+          [this] { return this->is_ready(); }),
+      control(this->shared, this->peers, this->watcher),
+      frontend_server(this->loop, {}, this->relay, this->shared.counters),
+      readiness_server(this->loop, {}, this->directory, this->shared.counters),
+      directory_server(this->loop, {}, this->directory, this->shared.counters),
+      control_server(this->loop, {}, this->control, this->shared.counters),
+      metrics_server(this->loop, {}, this->control, this->shared.counters)
+{
+}
+
+void gateway::start()
+{
+    this->settings.listen = this->frontend_server.listen(this->settings.listen);
+    this->readiness_server.listen(this->settings.readiness_listen);
+    this->settings.directory_listen =
+        this->directory_server.listen(this->settings.directory_listen);
+    this->settings.control_listen =
+        this->control_server.listen(this->settings.control_listen);
+    if (!this->settings.metrics_listen.empty())
+        this->metrics_server.listen(this->settings.metrics_listen);
+    this->peers.set_addresses(this->settings.listen, this->settings.control_listen);
+    state::log_event(state::log_level::info, "gateway_started")
+        .field("version", POMELOROUTER_VERSION)
+        .field("zone", this->settings.zone)
+        .field("listen", this->settings.listen);
+    this->watcher.start();
+    this->peers.start([this](protocol::gateway_heartbeat& heartbeat)
+                      { this->fill(heartbeat); },
+                      [this](const protocol::gateway_heartbeat& heartbeat)
+                      { this->on_heartbeat(heartbeat); });
+    this->placement.start();
+    asio::co_spawn(this->loop, this->housekeeping(), asio::detached);
+}
+
+void gateway::stop(std::function<void()> on_stopped)
+{
+    if (this->shared.is_stopping)
+        return;
+    this->shared.is_stopping = true;
+    state::log_event(state::log_level::info, "gateway_stopping")
+        .field("in_flight",
+               static_cast<std::uint64_t>(this->frontend_server.requests_in_flight()));
+    asio::co_spawn(this->loop, this->wind_down(std::move(on_stopped)), asio::detached);
+}
+
+bool gateway::is_ready() const
+{
+    return this->shared.routes != nullptr && this->watcher.has_backends() &&
+           !this->shared.is_stopping;
+}
+
+void gateway::on_config(const state::gateway_config& config)
+{
+    this->frontend_server.set_limits(server_limits(config.limits));
+}
+
+void gateway::fill(protocol::gateway_heartbeat& heartbeat)
+{
+    this->peers.set_ready(this->is_ready());
+    heartbeat.origin.ready = this->is_ready();
+    heartbeat.config_version = this->watcher.config_version();
+    for (const auto& [backend, load] : this->shared.loads.own_loads())
+        heartbeat.loads.push_back({backend, load.active, load.waiting_tokens});
+    for (const auto& [name, rate] : this->shared.demand.own(now()))
+    {
+        heartbeat.rates.push_back({name.service, name.model, name.adapter, rate.per_s,
+                                   rate.tokens_per_s, rate.usual_tokens_per_s,
+                                   rate.waiting});
+    }
+    this->placement.fill(heartbeat);
+}
+
+void gateway::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
+{
+    const std::string& peer = heartbeat.origin.node;
+    std::map<std::string, coordination::peer_load, std::less<>> loads;
+    for (const protocol::backend_load_entry& load : heartbeat.loads)
+        loads[load.backend] = {load.active, load.waiting_tokens};
+    this->shared.loads.set_peer(now(), peer, std::move(loads));
+    coordination::weight_demand::rates rates;
+    for (const protocol::weight_rate_entry& rate : heartbeat.rates)
+    {
+        rates[{rate.service, rate.model, rate.adapter}] = {
+            rate.per_s, rate.tokens_per_s, rate.usual_tokens_per_s, rate.waiting};
+    }
+    this->shared.demand.set_peer(now(), peer, std::move(rates));
+    this->placement.on_heartbeat(heartbeat);
+    if (heartbeat.config_version > this->watcher.config_version() &&
+        !this->is_fetching_config)
+    {
+        this->is_fetching_config = true;
+        asio::co_spawn(this->loop, this->fetch_config(heartbeat.origin.control),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void> gateway::fetch_config(std::string address)
+{
+    co_await this->pause(store_head_start);
+    transport::http_call_options options;
+    options.progress_timeout = peer_answer_limit;
+    try
+    {
+        const transport::http_response response = co_await this->client.fetch(
+            address, transport::make_request(transport::verb::get, "/gateway/config"),
+            options);
+        if (response.result() == transport::status::ok)
+            this->watcher.on_peer_config(response.body());
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::info, "peer_config_failed")
+            .field("peer", address)
+            .field("problem", failure.what());
+    }
+    this->is_fetching_config = false;
+}
+
+asio::awaitable<void> gateway::housekeeping()
+{
+    for (;;)
+    {
+        co_await this->pause(housekeeping_period);
+        this->client.drop_expired(now());
+        this->shared.loads.forget_idle(now());
+        this->shared.chooser.retain(this->shared.directory);
+        this->settings_file.reload_if_changed();
+    }
+}
+
+asio::awaitable<void> gateway::wind_down(std::function<void()> on_stopped)
+{
+    const state::time_point begun = now();
+    this->peers.send_heartbeat();
+    this->frontend_server.announce_close();
+    co_await this->pause(farewell);
+    this->shared.refuses_new = true;
+    this->frontend_server.stop_accepting();
+    const state::time_point last = begun + this->settings.grace_period - kill_margin;
+    while (now() < last && this->frontend_server.requests_in_flight() > 0)
+        co_await this->pause(stop_poll);
+    state::log_event(state::log_level::info, "gateway_leaving")
+        .field("broken_off",
+               static_cast<std::uint64_t>(this->frontend_server.requests_in_flight()));
+    on_stopped();
+}
+
+asio::awaitable<void> gateway::pause(milliseconds duration)
+{
+    asio::steady_timer timer(this->loop, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/process/gateway.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "app/gateway/peers/peer_gossip.hpp"
+#include "app/gateway/placement/placement_agent.hpp"
+#include "app/gateway/process/control_handler.hpp"
+#include "app/gateway/process/platform_adapter.hpp"
+#include "app/gateway/process/settings_watch.hpp"
+#include "app/gateway/serving/directory_handler.hpp"
+#include "app/gateway/serving/gateway_state.hpp"
+#include "app/gateway/serving/request_relay.hpp"
+#include "app/gateway/store/store_watcher.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// All parts of one gateway, on one event loop.
+class gateway
+{
+public:
+    gateway(boost::asio::io_context& event_loop,
+            const state::gateway_settings& process_settings, std::string settings_path,
+            const platform_adapter& platform, state::counter_registry& counters);
+
+    /// Binds the addresses and starts all loops. Throws `state::error`.
+    void start();
+    /// Begins a planned stop; `on_stopped` is called when nothing is left to do.
+    void stop(std::function<void()> on_stopped);
+    /// Reads the settings file again.
+    void reload() { this->settings_file.reload(); }
+    bool is_ready() const;
+    const state::gateway_settings& own_settings() const { return this->settings; }
+    const gateway_state& knowledge() const { return this->shared; }
+
+private:
+    void fill(protocol::gateway_heartbeat& heartbeat);
+    void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
+    void on_config(const state::gateway_config& config);
+    boost::asio::awaitable<void> fetch_config(std::string address);
+    boost::asio::awaitable<void> housekeeping();
+    boost::asio::awaitable<void> wind_down(std::function<void()> on_stopped);
+    boost::asio::awaitable<void> pause(state::milliseconds duration);
+
+    boost::asio::io_context& loop;
+    state::gateway_settings settings;
+    settings_watch settings_file;
+    const platform_adapter& adapter;
+    gateway_state shared;
+    transport::http_client client;
+    std::unique_ptr<keyed_store> store;
+    store_watcher watcher;
+    peer_gossip peers;
+    placement_agent placement;
+    request_relay relay;
+    directory_handler directory;
+    control_handler control;
+    transport::http_server frontend_server;
+    transport::http_server readiness_server;
+    transport::http_server directory_server;
+    transport::http_server control_server;
+    transport::http_server metrics_server;
+    bool is_fetching_config = false;
+};
+
+} // namespace pomelorouter::app
--- a/src/app/gateway/process/gateway_process.cpp
+++ b/src/app/gateway/process/gateway_process.cpp
@@ -1,292 +1,61 @@
 #include "app/gateway/process/gateway_process.hpp"
 
-#include "app/gateway/peers/peer_gossip.hpp"
-#include "app/gateway/placement/placement_agent.hpp"
-#include "app/gateway/process/control_handler.hpp"
-#include "app/gateway/process/settings_watch.hpp"
-#include "app/gateway/serving/directory_handler.hpp"
-#include "app/gateway/serving/gateway_state.hpp"
-#include "app/gateway/serving/request_relay.hpp"
-#include "app/gateway/store/store_watcher.hpp"
-#include "state/error.hpp"
+#include "app/gateway/process/gateway.hpp"
+#include "state/counters.hpp"
 #include "state/log.hpp"
-#include "transport/http_client.hpp"
-#include "transport/http_error.hpp"
-#include "transport/http_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
-#include <memory>
+#include <cstdlib>
+#include <unistd.h>
 
 namespace pomelorouter::app
 {
 
 namespace asio = boost::asio;
-using state::milliseconds;
 
 namespace
 {
 
-constexpr milliseconds housekeeping_period{500};
-/// After the signal to stop, callers that still have the address are served this long.
-constexpr milliseconds farewell{2500};
-/// What is left at this time before the end of the grace period is broken off.
-constexpr milliseconds kill_margin{350};
-constexpr milliseconds stop_poll{50};
-
-std::uint64_t wall_clock_ms()
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
-state::time_point now()
+asio::awaitable<void> wait_for_signals(gateway& process)
 {
-    return std::chrono::steady_clock::now();
-}
-
-protocol::gateway_member own_member(const state::gateway_settings& settings)
-{
-    return {settings.node_id,        wall_clock_ms(),      settings.zone, settings.listen,
-            settings.control_listen, settings.peer_listen, false};
-}
-
-transport::http_server_limits server_limits(const state::client_limits& limits)
-{
-    transport::http_server_limits result;
-    result.max_header_bytes = limits.max_header_bytes;
-    result.max_body_bytes = limits.max_body_bytes;
-    result.header_timeout = limits.header_timeout;
-    result.idle_timeout = limits.idle_timeout;
-    return result;
-}
-
-/// All parts of one gateway, on one event loop.
-class gateway
-{
-public:
-    gateway(const state::gateway_settings& process_settings, std::string path,
-            const platform_adapter& platform)
-        : settings(process_settings),
-          settings_file(std::move(path), this->settings),
-          adapter(platform),
-          shared(this->loop.get_executor(), this->settings, wall_clock_ms()),
-          client(this->loop.get_executor()),
-          store(this->adapter.make_store(this->settings.platform, this->client)),
-          watcher(this->shared, *this->store, this->adapter.documents(),
-                  [this](const state::gateway_config_ptr& config)
-                  { this->on_config(*config); }),
-          peers(this->shared, *this->store, this->client, own_member(this->settings)),
-          placement(this->shared, *this->store, this->client, this->adapter.engines(),
-                    this->peers),
-          relay(this->shared, this->adapter.requests(), this->client),
-          directory(
-              this->shared, this->adapter.directory(),
-              [this] { return this->peers.ready_addresses(); },
-              [this] { return this->is_ready(); }),
-          control(this->shared, this->peers, this->watcher),
-          frontend_server(this->loop, {}, this->relay, this->shared.counters),
-          readiness_server(this->loop, {}, this->directory, this->shared.counters),
-          directory_server(this->loop, {}, this->directory, this->shared.counters),
-          control_server(this->loop, {}, this->control, this->shared.counters),
-          metrics_server(this->loop, {}, this->control, this->shared.counters),
-          signals(this->loop, SIGTERM, SIGINT, SIGHUP)
-    {
-    }
-
-    void run()
-    {
-        this->frontend_server.listen(this->settings.listen);
-        this->readiness_server.listen(this->settings.readiness_listen);
-        this->directory_server.listen(this->settings.directory_listen);
-        this->control_server.listen(this->settings.control_listen);
-        if (!this->settings.metrics_listen.empty())
-            this->metrics_server.listen(this->settings.metrics_listen);
-        state::log_event(state::log_level::info, "gateway_started")
-            .field("version", POMELOROUTER_VERSION)
-            .field("zone", this->settings.zone)
-            .field("listen", this->settings.listen);
-        this->watcher.start();
-        this->peers.start([this](protocol::gateway_heartbeat& heartbeat)
-                          { this->fill(heartbeat); },
-                          [this](const protocol::gateway_heartbeat& heartbeat)
-                          { this->on_heartbeat(heartbeat); });
-        this->placement.start();
-        asio::co_spawn(this->loop, this->housekeeping(), asio::detached);
-        asio::co_spawn(this->loop, this->wait_for_signals(), asio::detached);
-        this->loop.run();
-        state::log_event(state::log_level::info, "gateway_stopped");
-    }
-
-private:
-    bool is_ready() const
-    {
-        return this->shared.routes != nullptr && this->watcher.has_backends() &&
-               !this->shared.is_stopping;
-    }
-
-    void on_config(const state::gateway_config& config)
-    {
-        this->frontend_server.set_limits(server_limits(config.limits));
-    }
-
-    void fill(protocol::gateway_heartbeat& heartbeat)
-    {
-        this->peers.set_ready(this->is_ready());
-        heartbeat.origin.ready = this->is_ready();
-        heartbeat.config_version = this->watcher.config_version();
-        for (const auto& [backend, load] : this->shared.loads.own_loads())
-            heartbeat.loads.push_back({backend, load.active, load.waiting_tokens});
-        for (const auto& [name, rate] : this->shared.demand.own(now()))
-        {
-            heartbeat.rates.push_back({name.service, name.model, name.adapter, rate.per_s,
-                                       rate.tokens_per_s, rate.waiting});
-        }
-        this->placement.fill(heartbeat);
-    }
-
-    void on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+    for (;;)
     {
-        const std::string& peer = heartbeat.origin.node;
-        std::map<std::string, coordination::peer_load, std::less<>> loads;
-        for (const protocol::backend_load_entry& load : heartbeat.loads)
-            loads[load.backend] = {load.active, load.waiting_tokens};
-        this->shared.loads.set_peer(now(), peer, std::move(loads));
-        coordination::weight_demand::rates rates;
-        for (const protocol::weight_rate_entry& rate : heartbeat.rates)
+        const int signal = co_await signals.async_wait(asio::use_awaitable);
+        if (signal == SIGHUP)
         {
-            rates[{rate.service, rate.model, rate.adapter}] = {
-                rate.per_s, rate.tokens_per_s, rate.waiting};
+            process.reload();
+            continue;
         }
-        this->shared.demand.set_peer(now(), peer, std::move(rates));
-        this->placement.on_heartbeat(heartbeat);
-        if (heartbeat.config_version > this->watcher.config_version() &&
-            !this->is_fetching_config)
-        {
-            this->is_fetching_config = true;
-            asio::co_spawn(this->loop, this->fetch_config(heartbeat.origin.control),
-                           asio::detached);
-        }
-    }
-
-    /// A peer has a newer configuration. The store mostly brings it first.
-    asio::awaitable<void> fetch_config(std::string address)
-    {
-        constexpr milliseconds head_start{150};
-        co_await this->pause(head_start);
-        transport::http_call_options options;
-        options.progress_timeout = milliseconds(1000);
-        try
-        {
-            const transport::http_response response = co_await this->client.fetch(
-                address, transport::make_request(transport::verb::get, "/gateway/config"),
-                options);
-            if (response.result() == transport::status::ok)
-                this->watcher.on_peer_config(response.body());
-        }
-        catch (const state::error& failure)
-        {
-            state::log_event(state::log_level::info, "peer_config_failed")
-                .field("peer", address)
-                .field("problem", failure.what());
-        }
-        this->is_fetching_config = false;
-    }
-
-    asio::awaitable<void> housekeeping()
-    {
-        for (;;)
-        {
-            co_await this->pause(housekeeping_period);
-            this->client.drop_expired(now());
-            this->shared.loads.forget_idle(now());
-            this->shared.chooser.retain(this->shared.directory);
-            this->settings_file.reload_if_changed();
-        }
-    }
-
-    asio::awaitable<void> wait_for_signals()
-    {
-        for (;;)
-        {
-            const int signal = co_await this->signals.async_wait(asio::use_awaitable);
-            if (signal == SIGHUP)
+        process.stop(
+            []
             {
-                this->settings_file.reload();
-                continue;
-            }
-            if (this->shared.is_stopping)
-                continue;
-            asio::co_spawn(this->loop, this->stop(), asio::detached);
-        }
-    }
-
-    asio::awaitable<void> stop()
-    {
-        const state::time_point begun = now();
-        this->shared.is_stopping = true;
-        state::log_event(state::log_level::info, "gateway_stopping")
-            .field("in_flight",
-                   static_cast<std::uint64_t>(this->frontend_server.requests_in_flight()));
-        this->peers.send_heartbeat();
-        this->frontend_server.announce_close();
-        co_await this->pause(farewell);
-        this->shared.refuses_new = true;
-        this->frontend_server.stop_accepting();
-        const state::time_point last = begun + this->settings.grace_period - kill_margin;
-        while (now() < last && this->frontend_server.requests_in_flight() > 0)
-            co_await this->pause(stop_poll);
-        state::log_event(state::log_level::info, "gateway_leaving")
-            .field("broken_off",
-                   static_cast<std::uint64_t>(this->frontend_server.requests_in_flight()));
-        this->loop.stop();
+                state::log_event(state::log_level::info, "gateway_stopped");
+                // Connections that are still open end with the process; nothing else of
+                // its memory needs care.
+                ::_exit(EXIT_SUCCESS);
+            });
     }
-
-    asio::awaitable<void> pause(milliseconds duration)
-    {
-        asio::steady_timer timer(this->loop, duration);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-
-    asio::io_context loop{1};
-    state::gateway_settings settings;
-    settings_watch settings_file;
-    const platform_adapter& adapter;
-    gateway_state shared;
-    transport::http_client client;
-    std::unique_ptr<keyed_store> store;
-    store_watcher watcher;
-    peer_gossip peers;
-    placement_agent placement;
-    request_relay relay;
-    directory_handler directory;
-    control_handler control;
-    transport::http_server frontend_server;
-    transport::http_server readiness_server;
-    transport::http_server directory_server;
-    transport::http_server control_server;
-    transport::http_server metrics_server;
-    asio::signal_set signals;
-    bool is_fetching_config = false;
-};
+}
 
 } // namespace
 
 void run_gateway(const state::gateway_settings& settings, const std::string& settings_path,
                  const platform_adapter& adapter)
 {
-    gateway process(settings, settings_path, adapter);
-    process.run();
+    // Before the loop: connections that the loop destroys still count.
+    state::counter_registry counters;
+    asio::io_context loop{1};
+    gateway process(loop, settings, settings_path, adapter, counters);
+    process.start();
+    asio::co_spawn(loop, wait_for_signals(process), asio::detached);
+    loop.run();
 }
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/serving/gateway_state.cpp
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -15,9 +15,11 @@
 
 gateway_state::gateway_state(const boost::asio::any_io_executor& loop_executor,
                              const state::gateway_settings& process_settings,
+                             state::counter_registry& process_counters,
                              std::uint64_t seed)
     : executor(loop_executor),
       settings(process_settings),
+      counters(process_counters),
       chooser(process_settings.zone, coordination::speed_model{}),
       random(seed),
       backends_changed(loop_executor)
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -24,15 +24,16 @@
 /// thread.
 struct gateway_state
 {
-    gateway_state(const boost::asio::any_io_executor& executor,
-                  const state::gateway_settings& process_settings, std::uint64_t seed);
+    gateway_state(const boost::asio::any_io_executor& loop_executor,
+                  const state::gateway_settings& process_settings,
+                  state::counter_registry& process_counters, std::uint64_t seed);
 
     /// Budget of repeated calls to a service.
     coordination::retry_budget& budget_of(const std::string& service);
 
     boost::asio::any_io_executor executor;
     const state::gateway_settings& settings;
-    state::counter_registry counters;
+    state::counter_registry& counters;
     /// Routes of the newest configuration; null until one is known.
     std::shared_ptr<const coordination::route_table> routes;
     coordination::backend_directory directory;
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -38,6 +38,7 @@
 }};
 
 constexpr milliseconds connect_limit{400};
+constexpr milliseconds deadline_margin{1000};
 /// Answers up to this size are read as a whole before they are passed on, so that a
 /// broken one can still be replaced.
 constexpr std::size_t whole_answer_bytes = 256 * 1024;
@@ -155,15 +156,17 @@
       exchange(client_exchange),
       routes(gateway.routes),
       started(client_exchange.received_at()),
-      deadline_timer(gateway.executor)
+      deadline_timer(gateway.executor),
+      progress_timer(gateway.executor)
 {
+    this->aborted->request = this;
 }
 
 relayed_request::~relayed_request()
 {
     // Callbacks that are already queued find no call to abort.
     this->aborted->call = nullptr;
-    this->aborted->wait = nullptr;
+    this->aborted->request = nullptr;
 }
 
 asio::awaitable<void> relayed_request::run()
@@ -259,8 +262,6 @@
     target.reason = reason;
     if (target.call != nullptr)
         target.call->abort();
-    if (target.wait != nullptr)
-        target.wait->cancel();
 }
 
 milliseconds relayed_request::time_left() const
@@ -280,7 +281,7 @@
             this->last_failure = choice.failure;
             break;
         }
-        if (this->attempts > 0 &&
+        if (this->attempts > 0 && !std::exchange(this->has_retry_right, false) &&
             !this->shared.budget_of(this->demand.service).try_take())
         {
             this->last_problem += "; retry budget used up";
@@ -349,16 +350,64 @@
     return last != call_end::broken_off || this->events.last_id().has_value();
 }
 
-milliseconds relayed_request::first_byte_limit(const backend_choice& choice) const
+milliseconds relayed_request::first_byte_patience(const backend_choice& choice) const
 {
-    const milliseconds left = this->time_left();
-    if (!this->route->may_repeat() || this->attempts >= this->route->max_attempts)
-        return left;
     const milliseconds least =
         this->route->is_stream() ? least_stream_patience : least_call_patience;
-    const milliseconds patience(
+    const milliseconds usual(
         static_cast<std::int64_t>(choice.expected_ms * patience_factor));
-    return std::min(left, std::max(least, patience));
+    return std::max(least, usual);
+}
+
+void relayed_request::watch_progress(milliseconds longest_pause)
+{
+    const bool can_go_elsewhere =
+        this->route->may_repeat() && this->attempts < this->route->max_attempts;
+    if (!can_go_elsewhere)
+        return;
+    this->on_progress();
+    this->patience = longest_pause;
+    this->arm_progress_timer(longest_pause);
+}
+
+void relayed_request::arm_progress_timer(milliseconds delay)
+{
+    this->progress_timer.expires_after(delay);
+    this->progress_timer.async_wait(
+        [target = this->aborted](boost::system::error_code failure)
+        {
+            if (!failure && target->request != nullptr)
+                target->request->on_progress_timer();
+        });
+}
+
+/// Gives the call up if another backend server is expected to be faster by far. One that
+/// is slow because all are is left to go on.
+void relayed_request::on_progress_timer()
+{
+    if (this->aborted->call == nullptr || this->is_aborted())
+        return;
+    const milliseconds pause = since(this->last_progress);
+    if (pause < this->patience)
+    {
+        this->arm_progress_timer(this->patience - pause + milliseconds(1));
+        return;
+    }
+    const backend_choice other =
+        this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
+                                    this->demand, this->tried, this->shared.random.unit());
+    const bool is_worth_it =
+        other.backend &&
+        other.expected_ms * 2.0 < static_cast<double>(pause.count()) &&
+        other.expected_ms < static_cast<double>(this->time_left().count());
+    if (!is_worth_it || !this->shared.budget_of(this->demand.service).try_take())
+    {
+        this->arm_progress_timer(this->patience);
+        return;
+    }
+    this->has_retry_right = true;
+    this->last_problem = "no progress for " + std::to_string(pause.count()) + " ms";
+    this->aborted->call->abort();
 }
 
 asio::awaitable<call_end> relayed_request::call(const backend_choice& choice)
@@ -374,24 +423,31 @@
     {
         transport::http_call_options options;
         options.connect_timeout = std::min(connect_limit, this->time_left());
-        options.progress_timeout = this->first_byte_limit(choice);
+        // The deadline of the request and its progress are watched apart.
+        options.progress_timeout = this->time_left() + deadline_margin;
         backend = co_await this->client.connect(entry.address, options);
         if (this->is_aborted())
             co_return call_end::not_run;
         this->aborted->call = backend.get();
+        this->watch_progress(this->first_byte_patience(choice));
         end = co_await this->exchange_with(*backend, choice, record);
     }
     catch (const transport::http_error& failure)
     {
-        this->last_problem = failure.what();
+        if (!this->has_retry_right)
+            this->last_problem = failure.what();
         if (!this->is_aborted())
             record.set_result(call_result::failed);
         if (failure.request_may_have_left())
             end = this->stream_begun ? call_end::broken_off : call_end::failed;
-        if (failure.code() == error_code::timed_out)
-            this->client.forget(entry.address);
     }
     this->aborted->call = nullptr;
+    this->progress_timer.cancel();
+    if (this->has_retry_right)
+    {
+        // What made this connection silent may have made the idle ones silent as well.
+        this->client.forget(entry.address);
+    }
     if (end != call_end::completed)
     {
         state::log_event(state::log_level::info, "call_failed")
@@ -509,14 +565,11 @@
 asio::awaitable<call_end> relayed_request::relay_events(transport::http_call& backend)
 {
     const bool can_resume = this->route->may_repeat();
-    const bool may_go_on_elsewhere =
-        can_resume && this->attempts < this->route->max_attempts;
-    backend.set_progress_timeout(
-        may_go_on_elsewhere ? std::min(stream_stall_limit, this->time_left())
-                            : this->time_left());
+    this->watch_progress(stream_stall_limit);
     this->events.drop_rest();
     while (auto piece = co_await backend.read_some())
     {
+        this->on_progress();
         if (this->is_aborted())
             co_return call_end::broken_off;
         std::string complete = this->events.feed(*piece);
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -64,7 +64,8 @@
     {
         abort_reason reason = abort_reason::none;
         transport::http_call* call = nullptr;
-        boost::asio::steady_timer* wait = nullptr;
+        /// The request itself; null once it is gone.
+        relayed_request* request = nullptr;
     };
     class call_record;
 
@@ -93,7 +94,12 @@
     boost::asio::awaitable<void> refuse(state::error_code code, const std::string& expected,
                                         protocol::run_state run);
     state::milliseconds retry_after() const;
-    state::milliseconds first_byte_limit(const coordination::backend_choice& choice) const;
+    /// Starts to watch the progress of a call that could be made elsewhere instead.
+    void watch_progress(state::milliseconds patience);
+    void arm_progress_timer(state::milliseconds delay);
+    void on_progress_timer();
+    void on_progress() { this->last_progress = std::chrono::steady_clock::now(); }
+    state::milliseconds first_byte_patience(const coordination::backend_choice& choice) const;
     void log_end(std::string_view outcome, unsigned status);
 
     gateway_state& shared;
@@ -107,6 +113,13 @@
     state::time_point started{};
     state::time_point deadline{};
     boost::asio::steady_timer deadline_timer;
+    boost::asio::steady_timer progress_timer;
+    state::time_point last_progress{};
+    /// Longest time without progress; zero while nothing is watched.
+    state::milliseconds patience{0};
+    /// The call under way was given up for another backend server, for which the budget
+    /// has been drawn on.
+    bool has_retry_right = false;
     std::shared_ptr<abort_state> aborted = std::make_shared<abort_state>();
 
     int attempts = 0;
--- a/src/libs/coordination/weight_demand.cpp
+++ b/src/libs/coordination/weight_demand.cpp
@@ -12,19 +12,21 @@
 /// Time constant of the rates: shorter than a wave of demand, longer than the gaps
 /// between the requests of one model.
 constexpr double window_s = 2.0;
+constexpr double usual_window_s = 20.0;
 constexpr state::milliseconds peer_life{2000};
 /// Below this rate nothing is reported.
-constexpr double lowest_rate = 0.02;
+constexpr double lowest_tokens_per_s = 5.0;
 
-double decay(state::time_point from, state::time_point to)
+double decay(state::time_point from, state::time_point to, double time_constant_s)
 {
-    return std::exp(-std::chrono::duration<double>(to - from).count() / window_s);
+    return std::exp(-std::chrono::duration<double>(to - from).count() / time_constant_s);
 }
 
 void add(weight_rate& sum, const weight_rate& more)
 {
     sum.per_s += more.per_s;
     sum.tokens_per_s += more.tokens_per_s;
+    sum.usual_tokens_per_s += more.usual_tokens_per_s;
     sum.waiting += more.waiting;
 }
 
@@ -34,9 +36,11 @@
                                double tokens)
 {
     meter& item = this->meters[name];
-    const double share = decay(item.updated, now);
+    const double share = decay(item.updated, now, window_s);
     item.requests = item.requests * share + 1.0;
     item.tokens = item.tokens * share + tokens;
+    item.usual_tokens =
+        item.usual_tokens * decay(item.updated, now, usual_window_s) + tokens;
     item.updated = now;
 }
 
@@ -57,10 +61,12 @@
     rates result;
     for (const auto& [name, item] : this->meters)
     {
-        const double share = decay(item.updated, now) / window_s;
-        const double per_s = item.requests * share;
-        if (per_s >= lowest_rate)
-            result[name] = {per_s, item.tokens * share, 0};
+        const double share = decay(item.updated, now, window_s) / window_s;
+        const double usual_share =
+            decay(item.updated, now, usual_window_s) / usual_window_s;
+        const double usual = item.usual_tokens * usual_share;
+        if (usual >= lowest_tokens_per_s)
+            result[name] = {item.requests * share, item.tokens * share, usual, 0};
     }
     for (const auto& [name, count] : this->waiting)
         result[name].waiting = count;
--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -27,6 +27,8 @@
     double per_s = 0.0;
     /// Prompt tokens a second.
     double tokens_per_s = 0.0;
+    /// Prompt tokens a second over a longer time.
+    double usual_tokens_per_s = 0.0;
     /// Requests that wait because no engine holds the weights.
     std::uint32_t waiting = 0;
 };
@@ -55,6 +57,7 @@
     {
         double requests = 0.0;
         double tokens = 0.0;
+        double usual_tokens = 0.0;
         state::time_point updated{};
     };
     struct peer_rates
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -18,6 +18,26 @@
     {plan_operation::unload_adapter, "unload_adapter"},
 }};
 
+/// Share of the last seconds in the demand that models are placed for; the rest is the
+/// usual demand.
+constexpr double present_share = 0.75;
+/// Demand that is assumed before any was seen, in prompt tokens a second.
+constexpr double first_tokens_per_s = 20000.0;
+/// Share of all demand that each model with adapters, and each other one, is kept ready
+/// for: adapters are made for models that are in use.
+constexpr double adapted_reserve = 0.05;
+constexpr double plain_reserve = 0.002;
+/// A copy is moved to a model whose copies carry this many times as much as those of the
+/// model that gives way would after it.
+constexpr double move_gain = 1.5;
+/// Engines that change their models at the same time, as a share of all.
+constexpr double most_changing_share = 0.25;
+/// A load from the weight store takes this share of the gain.
+constexpr double store_load_cost = 0.25;
+/// An adapter is copied to another engine if the one that holds it has this many more
+/// requests.
+constexpr double adapter_copy_gap = 10.0;
+
 bool holds_model(const planned_engine& engine, std::string_view model)
 {
     return std::any_of(engine.models.begin(), engine.models.end(),
@@ -59,8 +79,11 @@
     std::vector<planned_engine>& engines;
     const std::string& service;
     const weight_demand::rates& demand;
+    const std::map<std::string, int>& first_copies;
     int store_loads;
     std::vector<planned_order> orders;
+    /// Demand that each model is to be ready for, in prompt tokens a second.
+    std::map<std::string, double> weights;
 
     weight_rate rate_of(const std::string& model, const std::string& adapter) const
     {
@@ -68,6 +91,61 @@
         return found == this->demand.end() ? weight_rate{} : found->second;
     }
 
+    void weigh_models()
+    {
+        double total = 0.0;
+        for (const auto& [name, rate] : this->demand)
+        {
+            if (name.service != this->service)
+                continue;
+            const double tokens = rate.tokens_per_s * present_share +
+                                  rate.usual_tokens_per_s * (1.0 - present_share);
+            this->weights[name.model] += tokens;
+            total += tokens;
+        }
+        int copies = 0;
+        for (const auto& [name, count] : this->first_copies)
+            copies += count;
+        const double unseen = std::max(0.0, first_tokens_per_s - total);
+        for (const auto& [name, count] : this->first_copies)
+            this->weights[name] += unseen * count / std::max(copies, 1);
+        total += unseen;
+        for (const state::hosted_model& model : this->profile.models)
+        {
+            this->weights[model.name] +=
+                total * (model.adapters.empty() ? plain_reserve : adapted_reserve);
+        }
+    }
+
+    /// Demand that one copy of a model has to carry, with `change` more copies.
+    double weight_per_copy(const std::string& model, int change = 0) const
+    {
+        const auto found = this->weights.find(model);
+        const int copies = this->model_copies(model) + change;
+        if (copies <= 0)
+            return std::numeric_limits<double>::infinity();
+        return found == this->weights.end() ? 0.0 : found->second / copies;
+    }
+
+    /// Demand that an engine has to carry with all its models.
+    double engine_weight(const planned_engine& engine) const
+    {
+        double sum = 0.0;
+        for (const state::loaded_model& item : engine.models)
+            sum += this->weight_per_copy(item.name);
+        if (!engine.loading.empty())
+            sum += this->weight_per_copy(engine.loading);
+        return sum;
+    }
+
+    int held_copies(const std::string& model) const
+    {
+        return static_cast<int>(
+            std::count_if(this->engines.begin(), this->engines.end(),
+                          [&model](const planned_engine& engine)
+                          { return holds_model(engine, model); }));
+    }
+
     /// Requests a second for a model with all its adapters.
     double model_rate(const std::string& model) const
     {
@@ -126,13 +204,19 @@
                                                 std::vector<planned_engine> engines,
                                                 const std::string& service,
                                                 const weight_demand::rates& demand,
+                                                const std::map<std::string, int>& first_copies,
                                                 int store_loads,
                                                 bool is_settled) const
 {
-    workspace work{profile, engines, service, demand, store_loads, {}};
+    workspace work{profile, engines, service, demand, first_copies, store_loads, {}, {}};
+    work.weigh_models();
     this->place_waiting_adapters(work);
     if (is_settled)
+    {
         this->place_missing_models(work);
+        this->balance_models(work);
+    }
+    this->copy_busy_adapters(work);
     this->fill_adapter_places(work);
     return std::move(work.orders);
 }
@@ -265,6 +349,117 @@
     return true;
 }
 
+/// Gives a copy to the model whose copies carry most, at the cost of the model that can
+/// spare one best.
+void weight_planner::balance_models(workspace& work) const
+{
+    const auto changing = std::count_if(work.engines.begin(), work.engines.end(),
+                                        [](const planned_engine& engine)
+                                        { return !engine.loading.empty(); });
+    auto most = static_cast<int>(most_changing_share *
+                                 static_cast<double>(work.engines.size()));
+    for (most -= static_cast<int>(changing); most > 0; --most)
+    {
+        const state::hosted_model* wanted = nullptr;
+        for (const state::hosted_model& model : work.profile.models)
+        {
+            const bool is_everywhere =
+                work.model_copies(model.name) >= static_cast<int>(work.engines.size());
+            if (!is_everywhere &&
+                (wanted == nullptr || work.weight_per_copy(model.name) >
+                                          work.weight_per_copy(wanted->name)))
+                wanted = &model;
+        }
+        if (wanted == nullptr || !move_copy(work, *wanted))
+            return;
+    }
+}
+
+/// Returns whether a copy of `wanted` is loaded, or room is made for one.
+bool weight_planner::move_copy(workspace& work, const state::hosted_model& wanted)
+{
+    const double need = work.weight_per_copy(wanted.name);
+    planned_engine* best = nullptr;
+    const std::string* victim = nullptr;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (planned_engine& engine : work.engines)
+    {
+        if (engine.is_busy || holds_model(engine, wanted.name))
+            continue;
+        const bool from_store = engine.cached.count(wanted.name) == 0;
+        if (from_store && work.store_loads <= 0)
+            continue;
+        const std::string* spare = nullptr;
+        double spare_weight = 0.0;
+        if (work.used_mb(engine) + wanted.weight_mb > work.profile.weight_mb)
+        {
+            spare_weight = need / move_gain;
+            for (const state::loaded_model& item : engine.models)
+            {
+                if (work.held_copies(item.name) < 2)
+                    continue;
+                const double weight = work.weight_per_copy(item.name, -1);
+                if (weight >= spare_weight)
+                    continue;
+                spare_weight = weight;
+                spare = &item.name;
+            }
+            if (spare == nullptr)
+                continue;
+        }
+        const double cost = spare_weight + work.engine_weight(engine) +
+                            (from_store ? need * store_load_cost : 0.0);
+        if (cost >= best_cost)
+            continue;
+        best_cost = cost;
+        best = &engine;
+        victim = spare;
+    }
+    if (best == nullptr)
+        return false;
+    if (victim != nullptr)
+    {
+        work.give(*best, plan_operation::unload_model, *victim, "", false,
+                  "a model in demand needs the memory");
+        return true;
+    }
+    const bool from_store = best->cached.count(wanted.name) == 0;
+    work.store_loads -= from_store ? 1 : 0;
+    work.give(*best, plan_operation::load_model, wanted.name, "", from_store,
+              "the model is in demand");
+    best->loading = wanted.name;
+    return true;
+}
+
+/// Loads an adapter on a second engine if the one that holds it has far more to do than
+/// another that holds the model.
+void weight_planner::copy_busy_adapters(workspace& work) const
+{
+    for (const auto& [name, rate] : work.demand)
+    {
+        if (name.service != work.service || name.adapter.empty())
+            continue;
+        double least_held = std::numeric_limits<double>::infinity();
+        planned_engine* best = nullptr;
+        for (planned_engine& engine : work.engines)
+        {
+            if (holds_adapter(engine, name.model, name.adapter))
+                least_held = std::min(least_held, engine.active);
+            else if (!engine.is_busy && holds_model(engine, name.model) &&
+                     (best == nullptr || engine.active < best->active))
+                best = &engine;
+        }
+        const bool is_held = least_held < std::numeric_limits<double>::infinity();
+        if (!is_held || best == nullptr || best->active + adapter_copy_gap > least_held)
+            continue;
+        if (make_adapter_place(work, *best))
+        {
+            work.give(*best, plan_operation::load_adapter, name.model, name.adapter, false,
+                      "the engine with the adapter is busy");
+        }
+    }
+}
+
 void weight_planner::fill_adapter_places(workspace& work) const
 {
     for (const state::hosted_model& model : work.profile.models)
--- a/src/libs/coordination/weight_planner.hpp
+++ b/src/libs/coordination/weight_planner.hpp
@@ -57,10 +57,13 @@
 public:
     /// `store_loads` is the number of loads from the weight store that may begin now.
     /// Models are moved only once `is_settled`: the list of engines is complete.
+    /// `first_copies` are the copies of each model that the fleet started with: the only
+    /// sign of the usual demand before there is any.
     std::vector<planned_order> plan(const state::engine_profile& profile,
                                     std::vector<planned_engine> engines,
                                     const std::string& service,
                                     const weight_demand::rates& demand,
+                                    const std::map<std::string, int>& first_copies,
                                     int store_loads, bool is_settled) const;
 
 private:
@@ -69,7 +72,10 @@
     void place_waiting_adapters(workspace& work) const;
     void place_missing_models(workspace& work) const;
     void fill_adapter_places(workspace& work) const;
+    void copy_busy_adapters(workspace& work) const;
+    void balance_models(workspace& work) const;
     static bool make_adapter_place(workspace& work, planned_engine& engine);
+    static bool move_copy(workspace& work, const state::hosted_model& wanted);
     static bool load_model(workspace& work, const std::string& model,
                            std::string_view reason);
 };
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -106,6 +106,7 @@
         item.__set_adapter(rate.adapter);
         item.__set_perSecond(rate.per_s);
         item.__set_tokensPerSecond(rate.tokens_per_s);
+        item.__set_usualTokensPerSecond(rate.usual_tokens_per_s);
         item.__set_waiting(to_wire_count(rate.waiting));
     }
     for (const engine_weights& weights : heartbeat.weights)
@@ -137,6 +138,7 @@
     {
         result.rates.push_back({rate.serviceName, rate.model, rate.adapter,
                                 rate.perSecond, rate.tokensPerSecond,
+                                rate.usualTokensPerSecond,
                                 to_unsigned<std::uint32_t>(rate.waiting)});
     }
     for (const gen::EngineWeights& weights : heartbeat.weights)
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -40,6 +40,7 @@
     std::string adapter;
     double per_s = 0.0;
     double tokens_per_s = 0.0;
+    double usual_tokens_per_s = 0.0;
     std::uint32_t waiting = 0;
 };
 
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -1344,6 +1344,11 @@
 void WeightRate::__set_waiting(const int32_t val) {
   this->waiting = val;
 }
+
+void WeightRate::__set_usualTokensPerSecond(const double val) {
+  this->usualTokensPerSecond = val;
+__isset.usualTokensPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const WeightRate& obj)
 {
   obj.printTo(out);
@@ -1426,6 +1431,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->usualTokensPerSecond);
+          this->__isset.usualTokensPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1479,6 +1492,11 @@
   xfer += oprot->writeI32(this->waiting);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.usualTokensPerSecond) {
+    xfer += oprot->writeFieldBegin("usualTokensPerSecond", ::apache::thrift::protocol::T_DOUBLE, 7);
+    xfer += oprot->writeDouble(this->usualTokensPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1492,6 +1510,8 @@
   swap(a.perSecond, b.perSecond);
   swap(a.tokensPerSecond, b.tokensPerSecond);
   swap(a.waiting, b.waiting);
+  swap(a.usualTokensPerSecond, b.usualTokensPerSecond);
+  swap(a.__isset, b.__isset);
 }
 
 WeightRate::WeightRate(const WeightRate& other34) {
@@ -1501,6 +1521,8 @@
   perSecond = other34.perSecond;
   tokensPerSecond = other34.tokensPerSecond;
   waiting = other34.waiting;
+  usualTokensPerSecond = other34.usualTokensPerSecond;
+  __isset = other34.__isset;
 }
 WeightRate& WeightRate::operator=(const WeightRate& other35) {
   serviceName = other35.serviceName;
@@ -1509,6 +1531,8 @@
   perSecond = other35.perSecond;
   tokensPerSecond = other35.tokensPerSecond;
   waiting = other35.waiting;
+  usualTokensPerSecond = other35.usualTokensPerSecond;
+  __isset = other35.__isset;
   return *this;
 }
 void WeightRate::printTo(std::ostream& out) const {
@@ -1520,6 +1544,7 @@
   out << ", " << "perSecond=" << to_string(perSecond);
   out << ", " << "tokensPerSecond=" << to_string(tokensPerSecond);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "usualTokensPerSecond="; (__isset.usualTokensPerSecond ? (out << to_string(usualTokensPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -500,6 +500,10 @@
 
 std::ostream& operator<<(std::ostream& out, const BackendLoad& obj);
 
+typedef struct _WeightRate__isset {
+  _WeightRate__isset() : usualTokensPerSecond(false) {}
+  bool usualTokensPerSecond :1;
+} _WeightRate__isset;
 
 class WeightRate : public virtual ::apache::thrift::TBase {
  public:
@@ -512,7 +516,8 @@
                adapter(),
                perSecond(0),
                tokensPerSecond(0),
-               waiting(0) {
+               waiting(0),
+               usualTokensPerSecond(0) {
   }
 
   virtual ~WeightRate() noexcept;
@@ -522,6 +527,9 @@
   double perSecond;
   double tokensPerSecond;
   int32_t waiting;
+  double usualTokensPerSecond;
+
+  _WeightRate__isset __isset;
 
   void __set_serviceName(const std::string& val);
 
@@ -535,6 +543,8 @@
 
   void __set_waiting(const int32_t val);
 
+  void __set_usualTokensPerSecond(const double val);
+
   bool operator == (const WeightRate & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -549,6 +559,10 @@
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (__isset.usualTokensPerSecond != rhs.__isset.usualTokensPerSecond)
+      return false;
+    else if (__isset.usualTokensPerSecond && !(usualTokensPerSecond == rhs.usualTokensPerSecond))
+      return false;
     return true;
   }
   bool operator != (const WeightRate &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -71,6 +71,8 @@
   4: required double perSecond
   5: required double tokensPerSecond
   6: required i32 waiting
+  // Tokens a second over a longer time.
+  7: optional double usualTokensPerSecond
 }
 
 struct LoadedModel {
--- /dev/null
+++ b/tests/auto/platform/fake_store.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "transport/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::test
+{
+
+/// The part of the platform's store that a gateway uses, in memory.
+class fake_store : public transport::http_handler
+{
+public:
+    explicit fake_store(boost::asio::io_context& event_loop) : loop(event_loop) {}
+
+    boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
+
+    /// Appends a record; an empty value removes the key.
+    void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Forgets all records before the end, but keeps the newest of each key.
+    void compact(const std::string& topic);
+    std::uint64_t end(const std::string& topic) const;
+
+    /// Answers every call with 503.
+    bool is_down = false;
+    /// Carries appends out and gives no answer.
+    bool loses_answers = false;
+    int calls = 0;
+
+private:
+    struct record
+    {
+        std::string key;
+        std::string value;
+    };
+    struct topic_records
+    {
+        std::uint64_t first = 0;
+        std::vector<record> records;
+        std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    };
+
+    boost::asio::awaitable<void> read(transport::http_exchange& exchange);
+    transport::http_response newest(const std::string& topic);
+    transport::http_response append(const transport::http_request& request);
+
+    boost::asio::io_context& loop;
+    std::map<std::string, topic_records> topics;
+};
+
+} // namespace pomelorouter::test
--- /dev/null
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "app/gateway/process/gateway.hpp"
+#include "fake_store.hpp"
+#include "platform/adapter.hpp"
+#include "raw_backend.hpp"
+#include "transport/http_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::test
+{
+
+/// One gateway with the real adapter before a store and backend servers of the test, all
+/// on one event loop.
+class gateway_fixture
+{
+public:
+    gateway_fixture();
+    ~gateway_fixture();
+    gateway_fixture(const gateway_fixture&) = delete;
+    gateway_fixture& operator=(const gateway_fixture&) = delete;
+
+    raw_backend& add_backend(const std::string& id, const std::string& service,
+                             raw_backend::script script,
+                             const std::vector<std::string>& models = {});
+    /// Writes the entry of a backend server.
+    void put_entry(const std::string& id, const std::string& service,
+                   const std::string& address, const std::string& state = "ready",
+                   const std::vector<std::string>& models = {}, int born = 1);
+    /// Writes a configuration with the routes /stream/, /once/ and /again/.
+    void put_config(int version, int timeout_ms = 5000, int max_attempts = 2);
+    void start();
+    /// Runs the loop until the condition holds; the limit only bounds a failing test.
+    void run_until(const std::function<bool()>& condition);
+    void run_for(state::milliseconds duration);
+
+    transport::http_request request(const std::string& path, const std::string& attempt,
+                                    const std::string& model = "") const;
+    /// The answer, or nothing if the connection ended without a whole one.
+    std::optional<transport::http_response> fetch(const transport::http_request& request);
+    /// All bytes that come on a new connection after `bytes` were sent, until it is closed
+    /// or nothing has come for `quiet`.
+    std::string exchange(const std::string& bytes, state::milliseconds quiet);
+
+    state::counter_registry counters;
+    boost::asio::io_context loop{1};
+    fake_store store{this->loop};
+    transport::http_server store_server;
+    transport::http_client client{this->loop.get_executor()};
+    std::vector<std::unique_ptr<raw_backend>> backends;
+    std::unique_ptr<app::platform_adapter> adapter = platform::make_adapter();
+    state::gateway_settings settings;
+    std::string settings_path;
+    std::unique_ptr<app::gateway> gateway;
+};
+
+} // namespace pomelorouter::test
--- /dev/null
+++ b/tests/auto/platform/raw_backend.cpp
@@ -0,0 +1,111 @@
+#include "raw_backend.hpp"
+
+#include "transport/address.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace pomelorouter::test
+{
+
+namespace asio = boost::asio;
+
+raw_backend::raw_backend(asio::io_context& event_loop, script reply_function)
+    : loop(event_loop), acceptor(event_loop), reply(std::move(reply_function))
+{
+    this->address = transport::open_listener(this->acceptor, "127.0.0.1:0");
+    asio::co_spawn(this->loop, this->accept(), asio::detached);
+}
+
+asio::awaitable<void> raw_backend::accept()
+{
+    for (;;)
+    {
+        asio::ip::tcp::socket socket =
+            co_await this->acceptor.async_accept(asio::use_awaitable);
+        ++this->connections;
+        asio::co_spawn(this->loop, this->serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> raw_backend::serve(asio::ip::tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code failure;
+    for (;;)
+    {
+        transport::http_request request;
+        co_await boost::beast::http::async_read(
+            socket, buffer, request, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+        {
+            ++this->closed;
+            co_return;
+        }
+        this->requests.push_back(request);
+        const raw_reply answer = this->reply(request);
+        for (const std::string& piece : answer.pieces)
+        {
+            asio::steady_timer timer(this->loop, answer.pause);
+            co_await timer.async_wait(asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(piece),
+                                       asio::redirect_error(asio::use_awaitable, failure));
+        }
+        if (answer.end == reply_end::close)
+            co_return;
+        if (answer.end == reply_end::reset)
+        {
+            socket.set_option(asio::socket_base::linger(true, 0), failure);
+            socket.close(failure);
+            co_return;
+        }
+        if (answer.end == reply_end::silent)
+        {
+            std::array<char, 1> byte{};
+            co_await asio::async_read(socket, asio::buffer(byte),
+                                      asio::redirect_error(asio::use_awaitable, failure));
+            ++this->closed;
+            co_return;
+        }
+    }
+}
+
+std::string answer_text(const std::string& status_line, const std::string& attempt,
+                        const std::string& body, const std::string& more_fields)
+{
+    return "HTTP/1.1 " + status_line + "\r\nX-Pomelorouter-Attempt-Id: " + attempt +
+           "\r\nX-Pomelorouter-Server-Seal: seal\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n" + more_fields + "\r\n" + body;
+}
+
+std::string stream_head(const std::string& attempt)
+{
+    return "HTTP/1.1 200 OK\r\nX-Pomelorouter-Attempt-Id: " + attempt +
+           "\r\nX-Pomelorouter-Server-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string& text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+}
+
+} // namespace pomelorouter::test
--- /dev/null
+++ b/tests/auto/platform/raw_backend.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "state/clock.hpp"
+#include "transport/http_types.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::test
+{
+
+/// What a backend server does after it has written its bytes.
+enum class reply_end
+{
+    keep_open,
+    close,
+    reset,
+    /// Neither writes nor closes any more.
+    silent,
+};
+
+/// The bytes with which a backend server answers one request.
+struct raw_reply
+{
+    std::vector<std::string> pieces;
+    reply_end end = reply_end::keep_open;
+    /// Pause before each piece.
+    state::milliseconds pause{0};
+};
+
+/// Backend server that answers with any bytes that a test wants.
+class raw_backend
+{
+public:
+    using script = std::function<raw_reply(const transport::http_request&)>;
+
+    raw_backend(boost::asio::io_context& event_loop, script reply_function);
+
+    std::string address;
+    std::vector<transport::http_request> requests;
+    /// Connections that the other side has closed.
+    int closed = 0;
+    int connections = 0;
+
+private:
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context& loop;
+    boost::asio::ip::tcp::acceptor acceptor;
+    script reply;
+};
+
+/// A whole answer, as a backend server of the platform writes it.
+std::string answer_text(const std::string& status_line, const std::string& attempt,
+                        const std::string& body, const std::string& more_fields = "");
+/// The head of a stream of events that is sent in chunks, and one chunk.
+std::string stream_head(const std::string& attempt);
+std::string chunk(const std::string& text);
+std::string event(int id);
+
+} // namespace pomelorouter::test
--- /dev/null
+++ b/tests/auto/platform/tst_relay.cpp
@@ -0,0 +1,305 @@
+#include "gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using test::answer_text;
+using test::chunk;
+using test::event;
+using test::gateway_fixture;
+using test::raw_reply;
+using test::reply_end;
+using test::stream_head;
+
+std::string attempt_of(const transport::http_request& request)
+{
+    return std::string(request["X-Pomelorouter-Attempt-Id"]);
+}
+
+raw_reply ok(const transport::http_request& request)
+{
+    return {{answer_text("200 OK", attempt_of(request), "done")}};
+}
+
+std::string events(int from, int to)
+{
+    std::string text;
+    for (int id = from; id <= to; ++id)
+        text += event(id);
+    return text;
+}
+
+} // namespace
+
+// Guards against a request that reaches its backend server changed, and an answer that
+// reaches its caller changed.
+TEST_CASE("a request and its answer pass unchanged but for connection fields")
+{
+    gateway_fixture test;
+    auto& backend = test.add_backend(
+        "s1", "plain",
+        [](const transport::http_request& request)
+        {
+            return raw_reply{{answer_text("200 OK", attempt_of(request), "done",
+                                          "X-More: 7\r\nKeep-Alive: timeout=9\r\n")}};
+        });
+    test.put_config(1);
+    test.start();
+    auto request = test.request("/once/order?x=%20y", "a1");
+    request.set("X-Custom", "kept");
+    request.set("X-Pomelorouter-Hold", "stolen");
+    request.set(transport::field::connection, "X-Private");
+    request.set("X-Private", "not passed on");
+    const auto response = test.fetch(request);
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK(response->body() == "done");
+    CHECK((*response)["X-More"] == "7");
+    CHECK((*response)["X-Pomelorouter-Server-Seal"] == "seal");
+    CHECK(response->count("Keep-Alive") == 0);
+    REQUIRE(backend.requests.size() == 1);
+    const auto& received = backend.requests.front();
+    CHECK(received.target() == "/once/order?x=%20y");
+    CHECK(received.body() == "body of a1");
+    CHECK(received["X-Custom"] == "kept");
+    CHECK(received["X-Pomelorouter-Target-Instance"] == "s1");
+    CHECK(received.count("X-Pomelorouter-Hold") == 0);
+    CHECK(received.count("X-Private") == 0);
+    const int left = std::stoi(std::string(received["X-Pomelorouter-Deadline-Ms"]));
+    CHECK(left <= 4000);
+    CHECK(left > 3000);
+}
+
+// Guards against a second run of a request that may run once, and against a request that
+// could have been repeated and was not.
+TEST_CASE("failures of a backend server and what is repeated")
+{
+    struct row
+    {
+        const char* name;
+        const char* path;
+        raw_reply first;
+        unsigned expected_status;
+        std::size_t expected_calls;
+    };
+    const std::string half = answer_text("200 OK", "a1", "done").substr(0, 100);
+    const std::string not_run =
+        "HTTP/1.1 503 No\r\nX-Pomelorouter-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::vector<row> rows{
+        {"closed, once", "/once/x", {{}, reply_end::close}, 502, 1},
+        {"closed, repeatable", "/again/x", {{}, reply_end::close}, 200, 2},
+        {"reset, once", "/once/x", {{}, reply_end::reset}, 502, 1},
+        {"truncated, once", "/once/x", {{half}, reply_end::close}, 502, 1},
+        {"truncated, repeatable", "/again/x", {{half}, reply_end::close}, 200, 2},
+        {"not HTTP, once", "/once/x", {{"nonsense\r\n\r\n"}, reply_end::close}, 502, 1},
+        {"not HTTP, repeatable", "/again/x", {{"nonsense\r\n\r\n"}, reply_end::close}, 200, 2},
+        {"own error, once", "/once/x", {{answer_text("500 Error", "a1", "no")}}, 500, 1},
+        {"own error, repeatable", "/again/x", {{answer_text("500 Error", "a1", "no")}}, 200, 2},
+        {"false promise, once", "/once/x", {{answer_text("503 Busy", "a1", "no")}}, 502, 1},
+        {"not run, once", "/once/x", {{not_run}}, 503, 1},
+        {"not run, repeatable", "/again/x", {{not_run}}, 200, 2},
+        {"no mark, once", "/once/x", {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}, 502, 1},
+        {"unframed", "/once/x",
+         {{"HTTP/1.1 200 OK\r\nX-Pomelorouter-Server-Seal: s\r\n\r\nall"}, reply_end::close},
+         200, 1},
+        {"unframed and reset", "/once/x",
+         {{"HTTP/1.1 200 OK\r\nX-Pomelorouter-Server-Seal: s\r\n\r\nall"}, reply_end::reset},
+         502, 1},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        gateway_fixture test;
+        std::size_t calls = 0;
+        const auto script = [&](const transport::http_request& request)
+        { return ++calls == 1 ? item.first : ok(request); };
+        test.add_backend("s1", "plain", script);
+        test.add_backend("s2", "plain", script);
+        test.put_config(1);
+        test.start();
+        const auto response = test.fetch(test.request(item.path, "a1"));
+        REQUIRE(response);
+        CHECK(response->result_int() == item.expected_status);
+        CHECK(calls == item.expected_calls);
+        if (item.expected_status == 503)
+            CHECK(response->count("Retry-After") == 1);
+    }
+}
+
+// Guards against an answer to an earlier request that is taken for the present one.
+TEST_CASE("extra answers on a kept connection belong to no request")
+{
+    gateway_fixture test;
+    int calls = 0;
+    auto& backend = test.add_backend(
+        "s1", "plain",
+        [&](const transport::http_request& request)
+        {
+            ++calls;
+            if (calls == 1)
+            {
+                const std::string whole = answer_text("200 OK", "a1", "first");
+                return raw_reply{{whole + whole}};
+            }
+            // The second answer to an earlier request comes before the own one.
+            return raw_reply{{answer_text("200 OK", "old", "stale") +
+                              answer_text("200 OK", attempt_of(request), "own")}};
+        });
+    test.put_config(1);
+    test.start();
+    const auto first = test.fetch(test.request("/once/x", "a1"));
+    REQUIRE(first);
+    CHECK(first->body() == "first");
+    const auto second = test.fetch(test.request("/once/x", "a2"));
+    REQUIRE(second);
+    CHECK(second->body() == "own");
+    CHECK(backend.connections == 2);
+}
+
+// Guards against a stream with an event missing, twice, or cut in the middle.
+TEST_CASE("a broken stream goes on at another engine after its last whole event")
+{
+    gateway_fixture test;
+    int calls = 0;
+    std::string resumed_after;
+    const auto script = [&](const transport::http_request& request)
+    {
+        if (++calls == 1)
+        {
+            return raw_reply{{stream_head("a1"), chunk(events(1, 3) + "id: 4\nda")},
+                             reply_end::reset};
+        }
+        resumed_after = std::string(request["Last-Event-Id"]);
+        return raw_reply{{stream_head("a1"), chunk(events(4, 6)), "0\r\n\r\n"}};
+    };
+    test.add_backend("e1", "models", script, {"m1"});
+    test.add_backend("e2", "models", script, {"m1"});
+    test.put_config(1);
+    test.start();
+    const auto response = test.fetch(test.request("/stream/x", "a1", "m1"));
+    REQUIRE(response);
+    CHECK(response->body() == events(1, 6));
+    CHECK(resumed_after == "3");
+    CHECK(calls == 2);
+}
+
+// Guards against a broken stream that looks complete.
+TEST_CASE("a stream that cannot go on is broken off")
+{
+    gateway_fixture test;
+    test.add_backend(
+        "e1", "models",
+        [&](const transport::http_request&) {
+            return raw_reply{{stream_head("a1"), chunk(events(1, 3))}, reply_end::reset};
+        },
+        {"m1"});
+    test.put_config(1, 5000, 1);
+    test.start();
+    CHECK_FALSE(test.fetch(test.request("/stream/x", "a1", "m1")));
+}
+
+// Guards against a caller that waits beyond its route's time, and against a wrong promise.
+TEST_CASE("a silent backend server is given up at the time limit of the route")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", [](const transport::http_request&)
+                     { return raw_reply{{}, reply_end::silent}; });
+    test.put_config(1, 400);
+    test.start();
+    const auto begun = std::chrono::steady_clock::now();
+    const auto response = test.fetch(test.request("/once/x", "a1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 504);
+    CHECK(std::chrono::steady_clock::now() - begun >= state::milliseconds(390));
+    test.run_until([&] { return test.backends.front()->closed == 1; });
+}
+
+// Guards against work for a caller that has left.
+TEST_CASE("a call ends when its caller closes the connection")
+{
+    gateway_fixture test;
+    auto& backend = test.add_backend("s1", "plain", [](const transport::http_request&)
+                                     { return raw_reply{{}, reply_end::silent}; });
+    test.put_config(1);
+    test.start();
+    const std::string request =
+        "POST /once/x HTTP/1.1\r\nHost: shop.example\r\nX-Pomelorouter-Attempt-Id: "
+        "a1\r\nContent-Length: 0\r\n\r\n";
+    test.exchange(request, state::milliseconds(100));
+    test.run_until([&] { return backend.closed == 1; });
+}
+
+// Guards against requests that two readers understand differently, and against clients
+// that exceed the operator's limits.
+TEST_CASE("malformed requests get a typed answer and reach no backend server")
+{
+    struct row
+    {
+        const char* name;
+        std::string bytes;
+        const char* expected;
+    };
+    const std::string start = "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n";
+    const std::vector<row> rows{
+        {"two framings", start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"other order", start + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"two lengths", start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 400"},
+        {"encoding not chunked", start + "Transfer-Encoding: identity\r\n\r\n", "HTTP/1.1 400"},
+        {"chunked twice", start + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"two hosts", start + "Host: other.example\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 400"},
+        {"bad number", start + "X-Pomelorouter-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"long header", start + "X-Long: " + std::string(8000, 'x') + "\r\n\r\n", "HTTP/1.1 431"},
+        {"long body", start + "Content-Length: 100000\r\n\r\n", "HTTP/1.1 413"},
+        {"slow header", start, "HTTP/1.1 408"},
+        {"no route", "GET /none HTTP/1.1\r\nHost: shop.example\r\n\r\n", "HTTP/1.1 404"},
+        {"other host", "GET /once/x HTTP/1.1\r\nHost: elsewhere\r\n\r\n", "HTTP/1.1 404"},
+    };
+    gateway_fixture test;
+    auto& backend = test.add_backend("s1", "plain", ok);
+    test.put_config(1);
+    test.start();
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        const std::string answer = test.exchange(item.bytes, state::milliseconds(600));
+        CHECK(answer.substr(0, 12) == item.expected);
+    }
+    CHECK(backend.requests.empty());
+}
+
+// Guards against pipelined requests that are lost or answered out of order.
+TEST_CASE("pipelined requests are answered in order")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain",
+                     [](const transport::http_request& request)
+                     {
+                         const std::string attempt = attempt_of(request);
+                         return raw_reply{{answer_text("200 OK", attempt, attempt)}};
+                     });
+    test.put_config(1);
+    test.start();
+    std::string bytes;
+    for (const char* attempt : {"a1", "a2", "a3"})
+    {
+        bytes += std::string("POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+                             "X-Pomelorouter-Attempt-Id: ") +
+                 attempt + "\r\nContent-Length: 0\r\n\r\n";
+    }
+    const std::string answers = test.exchange(bytes, state::milliseconds(300));
+    const std::size_t first = answers.find("\r\n\r\na1");
+    const std::size_t second = answers.find("\r\n\r\na2");
+    const std::size_t third = answers.find("\r\n\r\na3");
+    CHECK(first != std::string::npos);
+    CHECK(second != std::string::npos);
+    CHECK(third != std::string::npos);
+    CHECK(first < second);
+    CHECK(second < third);
+}
