--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -37,12 +37,9 @@
 
 boost::json::object to_json(const protocol::gateway_member& member)
 {
-    return {{"node", member.node},
-            {"incarnation", member.incarnation},
-            {"zone", member.zone},
-            {"frontend", member.frontend},
-            {"control", member.control},
-            {"datagrams", member.datagrams}};
+    return {{"node", member.node},       {"incarnation", member.incarnation},
+            {"zone", member.zone},       {"frontend", member.frontend},
+            {"control", member.control}, {"datagrams", member.datagrams}};
 }
 
 protocol::gateway_member member_from_json(const boost::json::value& value)
--- a/src/app/gateway/placement/engine_protocol.hpp
+++ b/src/app/gateway/placement/engine_protocol.hpp
@@ -63,9 +63,9 @@
 public:
     virtual ~engine_protocol() = default;
 
-    virtual transport::http_request
-    order(const engine_order_request& request) const = 0;
-    virtual order_answer read_order_answer(const transport::http_response& response) const = 0;
+    virtual transport::http_request order(const engine_order_request& request) const = 0;
+    virtual order_answer
+    read_order_answer(const transport::http_response& response) const = 0;
     virtual transport::http_request report_request() const = 0;
     /// Throws `state::error`.
     virtual engine_report read_report(const transport::http_response& response) const = 0;
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -89,9 +89,8 @@
 {
     for (state::loaded_model& item : models)
     {
-        if (item.name == model &&
-            std::find(item.adapters.begin(), item.adapters.end(), adapter) ==
-                item.adapters.end())
+        if (item.name == model && std::find(item.adapters.begin(), item.adapters.end(),
+                                            adapter) == item.adapters.end())
             item.adapters.push_back(adapter);
     }
 }
@@ -301,7 +300,8 @@
 {
     const int store_loads = this->loads.available(
         now(), service.engine->loads_per_s * this->shared.settings.load_rate_factor);
-    std::vector<coordination::planned_engine> engine_list = this->planned_engines(service);
+    std::vector<coordination::planned_engine> engine_list =
+        this->planned_engines(service);
     const bool settled = this->is_settled();
     std::map<std::string, int>& copies = this->first_copies[service.name];
     if (settled && copies.empty())
@@ -312,9 +312,9 @@
                 ++copies[model.name];
         }
     }
-    const auto orders = this->planner.plan(
-        *service.engine, std::move(engine_list), service.name,
-        this->shared.demand.total(now()), copies, store_loads, settled);
+    const auto orders = this->planner.plan(*service.engine, std::move(engine_list),
+                                           service.name, this->shared.demand.total(now()),
+                                           copies, store_loads, settled);
     for (const planned_order& order : orders)
     {
         const state::hosted_model* const model = service.engine->find_model(order.model);
@@ -407,7 +407,8 @@
     }
     if (was_known)
         answer = co_await this->send_order(entry, order);
-    const bool is_done = answer == order_answer::accepted || answer == order_answer::already_done;
+    const bool is_done =
+        answer == order_answer::accepted || answer == order_answer::already_done;
     // An adapter is unloaded at once, and the engine counts that order as well.
     const bool is_counted =
         answer == order_answer::accepted ||
@@ -421,9 +422,8 @@
         this->announce(entry.id);
     }
     if (is_done && order.operation == plan_operation::load_model)
-        co_await this->wait_for_model(entry, model,
-                                      order.from_store ? model.store_load
-                                                       : model.disk_load);
+        co_await this->wait_for_model(
+            entry, model, order.from_store ? model.store_load : model.disk_load);
     engine_control& control = this->control_of(entry);
     control.has_order = false;
     control.loading.clear();
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -66,7 +66,8 @@
                                            state::hosted_model model);
     boost::asio::awaitable<bool> read_report(const state::backend_entry& entry);
     boost::asio::awaitable<std::optional<order_answer>>
-    send_order(const state::backend_entry& entry, const coordination::planned_order& order);
+    send_order(const state::backend_entry& entry,
+               const coordination::planned_order& order);
     boost::asio::awaitable<void> wait_for_model(const state::backend_entry& entry,
                                                 const state::hosted_model& model,
                                                 state::milliseconds expected);
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -145,8 +145,11 @@
     this->peers.set_ready(this->is_ready());
     heartbeat.origin.ready = this->is_ready();
     heartbeat.config_version = this->watcher.config_version();
-    for (const auto& [backend, load] : this->shared.loads.own_loads())
-        heartbeat.loads.push_back({backend, load.active, load.waiting_tokens});
+    for (const auto& [backend, load] : this->shared.loads.own_loads(now()))
+    {
+        heartbeat.loads.push_back({backend, load.active, load.waiting_tokens,
+                                   load.long_streams, load.prompt_rate});
+    }
     for (const auto& [name, rate] : this->shared.demand.own(now()))
     {
         heartbeat.rates.push_back({name.service, name.model, name.adapter, rate.per_s,
@@ -161,7 +164,10 @@
     const std::string& peer = heartbeat.origin.node;
     std::map<std::string, coordination::peer_load, std::less<>> loads;
     for (const protocol::backend_load_entry& load : heartbeat.loads)
-        loads[load.backend] = {load.active, load.waiting_tokens};
+    {
+        loads[load.backend] = {load.active, load.waiting_tokens, load.long_streams,
+                               load.prompt_rate};
+    }
     this->shared.loads.set_peer(now(), peer, std::move(loads));
     coordination::weight_demand::rates rates;
     for (const protocol::weight_rate_entry& rate : heartbeat.rates)
--- a/src/app/gateway/process/gateway_process.cpp
+++ b/src/app/gateway/process/gateway_process.cpp
@@ -24,7 +24,8 @@
 
 asio::awaitable<void> wait_for_signals(gateway& process)
 {
-    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    asio::signal_set signals(executor, SIGTERM, SIGINT, SIGHUP);
     for (;;)
     {
         const int signal = co_await signals.async_wait(asio::use_awaitable);
@@ -46,8 +47,8 @@
 
 } // namespace
 
-void run_gateway(const state::gateway_settings& settings, const std::string& settings_path,
-                 const platform_adapter& adapter)
+void run_gateway(const state::gateway_settings& settings,
+                 const std::string& settings_path, const platform_adapter& adapter)
 {
     // Before the loop: connections that the loop destroys still count.
     state::counter_registry counters;
--- a/src/app/gateway/process/platform_adapter.hpp
+++ b/src/app/gateway/process/platform_adapter.hpp
@@ -23,8 +23,8 @@
     virtual const document_reader& documents() const = 0;
     virtual const engine_protocol& engines() const = 0;
     /// Makes a client of the store at `address`, which uses `client` for its calls.
-    virtual std::unique_ptr<keyed_store> make_store(std::string address,
-                                                    transport::http_client& client) const = 0;
+    virtual std::unique_ptr<keyed_store>
+    make_store(std::string address, transport::http_client& client) const = 0;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/process/settings_watch.cpp
+++ b/src/app/gateway/process/settings_watch.cpp
@@ -37,8 +37,8 @@
     try
     {
         std::string text = state::read_file(this->path);
-        const state::gateway_settings next = state::read_gateway_settings(
-            state::parse_json(text, this->path), this->path);
+        const state::gateway_settings next =
+            state::read_gateway_settings(state::parse_json(text, this->path), this->path);
         this->last_text = std::move(text);
         this->current.seeds = next.seeds;
         this->current.grace_period = next.grace_period;
--- a/src/app/gateway/serving/directory_handler.cpp
+++ b/src/app/gateway/serving/directory_handler.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// With fewer gateways in its own availability zone, a caller is given all: one that fails
-/// must not leave it without another.
+/// With fewer gateways in its own availability zone, a caller is given all: one that
+/// fails must not leave it without another.
 constexpr std::size_t enough_in_zone = 2;
 constexpr std::size_t most_addresses = 64;
 
@@ -51,7 +51,8 @@
     const std::vector<std::string> chosen =
         choose_addresses(this->addresses(), query->zone);
     if (chosen.empty())
-        throw state::error(state::error_code::draining, "gateways", "a gateway that is ready");
+        throw state::error(state::error_code::draining, "gateways",
+                           "a gateway that is ready");
     return this->dialect.answer(chosen, this->shared.settings.address_ttl);
 }
 
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -126,11 +126,12 @@
 class relayed_request::call_record
 {
 public:
-    call_record(gateway_state& gateway, const backend_choice& choice)
+    call_record(gateway_state& gateway, const backend_choice& choice,
+                std::uint32_t output_tokens)
         : shared(gateway),
           id(gateway.loads.begin(
               now(), coordination::backend_chooser::process_key(choice.backend->entry),
-              {choice.uncached_tokens, choice.idle_ms}))
+              {choice.uncached_tokens, output_tokens, choice.idle_ms}))
     {
     }
     ~call_record() { this->shared.loads.end(now(), this->id, this->result); }
@@ -232,7 +233,9 @@
     this->demand.prompt_tokens = this->facts.prompt_tokens;
     this->demand.output_tokens = this->facts.output_tokens;
     this->demand.parts = this->facts.parts;
-    this->shared.budget_of(share->service).on_request(this->shared.settings.retry_percent);
+    this->demand.target_ms = static_cast<double>(this->route->target_latency.count());
+    this->shared.budget_of(share->service)
+        .on_request(this->shared.settings.retry_percent);
     if (!this->demand.model.empty())
     {
         this->shared.demand.on_request(
@@ -244,8 +247,8 @@
 
 void relayed_request::watch()
 {
-    this->exchange.on_client_closed(
-        [target = this->aborted] { abort(*target, abort_reason::client_closed); });
+    this->exchange.on_client_closed([target = this->aborted]
+                                    { abort(*target, abort_reason::client_closed); });
     this->deadline_timer.expires_at(this->deadline);
     this->deadline_timer.async_wait(
         [target = this->aborted](boost::system::error_code failure)
@@ -301,9 +304,9 @@
 
 asio::awaitable<backend_choice> relayed_request::choose()
 {
-    backend_choice choice =
-        this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
-                                    this->demand, this->tried, this->shared.random.unit());
+    backend_choice choice = this->shared.chooser.choose(
+        now(), this->shared.directory, this->shared.loads, this->demand, this->tried,
+        this->shared.random.unit());
     const bool is_missing = choice.failure == choice_failure::model_missing ||
                             choice.failure == choice_failure::adapter_missing;
     if (is_missing && this->attempts == 0)
@@ -315,18 +318,17 @@
 {
     const coordination::weight_name name{this->demand.service, this->demand.model,
                                          this->demand.adapter};
-    const auto share = std::chrono::duration_cast<milliseconds>(
-        this->time_left() * weight_wait_share);
-    const state::time_point limit =
-        now() + std::min(share, this->route->target_latency);
+    const auto share =
+        std::chrono::duration_cast<milliseconds>(this->time_left() * weight_wait_share);
+    const state::time_point limit = now() + std::min(share, this->route->target_latency);
     this->shared.demand.on_wait(name);
     this->shared.backends_changed.notify();
     backend_choice choice;
     for (;;)
     {
         choice = this->shared.chooser.choose(now(), this->shared.directory,
-                                             this->shared.loads, this->demand, this->tried,
-                                             this->shared.random.unit());
+                                             this->shared.loads, this->demand,
+                                             this->tried, this->shared.random.unit());
         const auto left = std::chrono::duration_cast<milliseconds>(limit - now());
         if (choice.backend || left.count() <= 0 || this->is_aborted())
             break;
@@ -393,12 +395,11 @@
         this->arm_progress_timer(this->patience - pause + milliseconds(1));
         return;
     }
-    const backend_choice other =
-        this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
-                                    this->demand, this->tried, this->shared.random.unit());
+    const backend_choice other = this->shared.chooser.choose(
+        now(), this->shared.directory, this->shared.loads, this->demand, this->tried,
+        this->shared.random.unit());
     const bool is_worth_it =
-        other.backend &&
-        other.expected_ms * 2.0 < static_cast<double>(pause.count()) &&
+        other.backend && other.expected_ms * 2.0 < static_cast<double>(pause.count()) &&
         other.expected_ms < static_cast<double>(this->time_left().count());
     if (!is_worth_it || !this->shared.budget_of(this->demand.service).try_take())
     {
@@ -416,7 +417,7 @@
     ++this->attempts;
     this->tried.insert(entry.id);
     this->last_backend = entry.id;
-    call_record record(this->shared, choice);
+    call_record record(this->shared, choice, this->demand.output_tokens);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
     try
@@ -649,8 +650,8 @@
     co_await this->refuse(code, this->last_problem, run);
 }
 
-asio::awaitable<void> relayed_request::refuse(error_code code, const std::string& expected,
-                                              run_state run)
+asio::awaitable<void> relayed_request::refuse(error_code code,
+                                              const std::string& expected, run_state run)
 {
     protocol::refusal refusal(
         state::error(code, this->route == nullptr ? "" : this->route->name, expected));
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -81,9 +81,9 @@
     bool may_try_again(call_end last) const;
     /// Sends the request to one backend server and passes its answer on.
     boost::asio::awaitable<call_end> call(const coordination::backend_choice& choice);
-    boost::asio::awaitable<call_end> exchange_with(transport::http_call& backend,
-                                                   const coordination::backend_choice& choice,
-                                                   call_record& record);
+    boost::asio::awaitable<call_end>
+    exchange_with(transport::http_call& backend,
+                  const coordination::backend_choice& choice, call_record& record);
     boost::asio::awaitable<call_end> relay_whole(transport::http_call& backend);
     boost::asio::awaitable<call_end> relay_pieces(transport::http_call& backend,
                                                   std::string first);
@@ -91,15 +91,16 @@
     boost::asio::awaitable<void> begin_stream(const transport::http_response& head);
 
     boost::asio::awaitable<void> finish(call_end last);
-    boost::asio::awaitable<void> refuse(state::error_code code, const std::string& expected,
-                                        protocol::run_state run);
+    boost::asio::awaitable<void>
+    refuse(state::error_code code, const std::string& expected, protocol::run_state run);
     state::milliseconds retry_after() const;
     /// Starts to watch the progress of a call that could be made elsewhere instead.
     void watch_progress(state::milliseconds patience);
     void arm_progress_timer(state::milliseconds delay);
     void on_progress_timer();
     void on_progress() { this->last_progress = std::chrono::steady_clock::now(); }
-    state::milliseconds first_byte_patience(const coordination::backend_choice& choice) const;
+    state::milliseconds
+    first_byte_patience(const coordination::backend_choice& choice) const;
     void log_end(std::string_view outcome, unsigned status);
 
     gateway_state& shared;
--- a/src/app/gateway/store/store_watcher.cpp
+++ b/src/app/gateway/store/store_watcher.cpp
@@ -21,8 +21,8 @@
 namespace
 {
 
-/// A read of the settings waits this long for a change, so that a connection that has gone
-/// silent is noticed well within the time in which a change must be in force.
+/// A read of the settings waits this long for a change, so that a connection that has
+/// gone silent is noticed well within the time in which a change must be in force.
 constexpr milliseconds settings_wait{1500};
 /// Pause between two reads of the list of backend servers. Each of them writes about once
 /// a second, so that a read which waits for a record returns at once.
@@ -115,9 +115,8 @@
             page = co_await this->store.newest(store_topic::backend_servers);
         else
         {
-            page = co_await this->store.changes(store_topic::backend_servers,
-                                                *this->backends_position,
-                                                milliseconds(0));
+            page = co_await this->store.changes(
+                store_topic::backend_servers, *this->backends_position, milliseconds(0));
         }
         this->backends_position = page.next;
         this->backends_known = true;
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -22,6 +22,18 @@
 /// Estimates that differ by less are taken as equal, so that gateways with the same view
 /// do not all choose the same backend server.
 constexpr double equal_ms = 2.0;
+/// Waiting below this share of the target is nearly free, and beyond it dear.
+constexpr double easy_share = 0.4;
+constexpr double easy_cost = 0.3;
+constexpr double dear_cost = 2.0;
+
+/// What waiting for the first byte costs a request.
+double wait_cost(double expected_ms, double target_ms)
+{
+    const double easy_ms = target_ms * easy_share;
+    return easy_cost * std::min(expected_ms, easy_ms) +
+           dear_cost * std::max(0.0, expected_ms - easy_ms);
+}
 
 } // namespace
 
@@ -45,12 +57,10 @@
     return entry.id + "@" + std::to_string(entry.incarnation);
 }
 
-backend_choice backend_chooser::choose(state::time_point now,
-                                       const backend_directory& directory,
-                                       const backend_loads& loads,
-                                       const backend_demand& demand,
-                                       const std::set<std::string>& tried,
-                                       double draw) const
+backend_choice
+backend_chooser::choose(state::time_point now, const backend_directory& directory,
+                        const backend_loads& loads, const backend_demand& demand,
+                        const std::set<std::string>& tried, double draw) const
 {
     backend_choice best;
     best.failure = choice_failure::no_backend;
@@ -129,12 +139,37 @@
         wait_ms += active;
     }
     result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 0.5);
-    double cost = result.expected_ms + std::max(load.overdue_ms, 0.0);
+    double cost = demand.model.empty()
+                      ? result.expected_ms
+                      : wait_cost(result.expected_ms, demand.target_ms);
+    cost += std::max(load.overdue_ms, 0.0);
     cost += load.failure_share * this->speed.failure_cost_ms;
     if (load.is_full)
         cost += this->speed.full_cost_ms;
     if (backend.entry.zone != this->zone)
         cost += this->speed.zone_hop_ms;
+    if (!demand.model.empty())
+        cost += this->disturbance(load, demand, result.uncached_tokens);
+    return cost;
+}
+
+/// A prompt delays the next tokens of the streams at its engine. Short requests are kept
+/// apart from long streams where that costs little.
+double backend_chooser::disturbance(const load_summary& load, const backend_demand& demand,
+                                    std::uint32_t uncached_tokens) const
+{
+    constexpr double unit_ms = 100.0;
+    constexpr double ms_per_s = 1000.0;
+    const double prompt_units =
+        uncached_tokens / this->speed.prompt_tokens_per_ms / unit_ms;
+    double cost = prompt_units * load.long_streams * this->speed.disturbance_ms;
+    if (demand.output_tokens >= long_stream_tokens)
+    {
+        const double units_per_s =
+            load.prompt_rate / this->speed.prompt_tokens_per_ms / unit_ms;
+        cost += units_per_s * this->speed.disturbance_ms * demand.output_tokens *
+                this->speed.first_step_ms / ms_per_s;
+    }
     return cost;
 }
 
@@ -143,10 +178,9 @@
 {
     if (demand.model.empty())
         return;
-    const auto cache = this->caches
-                           .try_emplace(process_key(backend.entry),
-                                        prompt_cache(cache_tokens))
-                           .first;
+    const auto cache =
+        this->caches.try_emplace(process_key(backend.entry), prompt_cache(cache_tokens))
+            .first;
     cache->second.record(demand.weights(), demand.parts);
 }
 
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -25,6 +25,8 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;
     std::vector<prompt_part> parts;
+    /// Time to the first byte that the operator aims for.
+    double target_ms = 1000.0;
 
     /// Model and adapter, as one key.
     std::string weights() const;
@@ -73,6 +75,9 @@
     double failure_cost_ms = 600.0;
     /// What a call costs at a backend server that refused one a moment ago.
     double full_cost_ms = 400.0;
+    /// What a prompt of 100 ms costs each long stream that runs at its engine, and what a
+    /// long stream pays for each prompt a second: a pause that is too long.
+    double disturbance_ms = 12.0;
 };
 
 /// Chooses the backend server with the lowest expected time to the first byte.
@@ -98,6 +103,9 @@
                     const backend_loads& loads, const backend_demand& demand,
                     backend_choice& result) const;
 
+    double disturbance(const load_summary& load, const backend_demand& demand,
+                       std::uint32_t uncached_tokens) const;
+
     std::string zone;
     speed_model speed;
     std::map<std::string, prompt_cache, std::less<>> caches;
--- a/src/libs/coordination/backend_directory.hpp
+++ b/src/libs/coordination/backend_directory.hpp
@@ -74,9 +74,11 @@
     /// The holder of the placement lease says what an engine holds, or is about to give
     /// up, after `sequence` orders. Returns whether that is news.
     bool on_weights(state::time_point now, std::string_view id, std::int64_t incarnation,
-                    std::int64_t sequence, const std::vector<state::loaded_model>& models);
+                    std::int64_t sequence,
+                    const std::vector<state::loaded_model>& models);
     /// The backend server said that it is leaving.
-    void on_draining(state::time_point now, std::string_view id, std::int64_t incarnation);
+    void on_draining(state::time_point now, std::string_view id,
+                     std::int64_t incarnation);
     /// Drops the entries whose time to come back is over; returns their ids.
     std::vector<std::string> tick(state::time_point now);
 
--- a/src/libs/coordination/backend_loads.cpp
+++ b/src/libs/coordination/backend_loads.cpp
@@ -19,6 +19,7 @@
 /// Reports of peers are worth nothing after this time.
 constexpr state::milliseconds peer_report_life{1500};
 constexpr state::seconds record_life{60};
+constexpr double prompt_window_s = 1.5;
 constexpr double highest_slow_ratio = 20.0;
 
 double elapsed_ms(state::time_point from, state::time_point to)
@@ -26,6 +27,16 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+double prompt_share(state::time_point from, state::time_point to)
+{
+    return std::exp(-elapsed_ms(from, to) / (prompt_window_s * 1000.0));
+}
+
+bool is_long(const call_work& work)
+{
+    return work.output_tokens >= long_stream_tokens;
+}
+
 /// Returns how much of a past deviation still counts.
 double remaining_share(state::time_point changed, state::time_point now)
 {
@@ -40,7 +51,12 @@
 {
     const call_id id = ++this->last_call;
     this->calls[id] = {backend, now, work, false};
-    this->records[backend].active.push_back(id);
+    record& target = this->records[backend];
+    target.active.push_back(id);
+    target.prompt_tokens =
+        target.prompt_tokens * prompt_share(target.prompt_updated, now) +
+        work.prompt_tokens;
+    target.prompt_updated = now;
     return id;
 }
 
@@ -54,8 +70,8 @@
     if (item.work.expected_ms <= 0.0)
         return;
     record& target = this->records[item.backend];
-    const double ratio = std::min(
-        elapsed_ms(item.started, now) / item.work.expected_ms, highest_slow_ratio);
+    const double ratio = std::min(elapsed_ms(item.started, now) / item.work.expected_ms,
+                                  highest_slow_ratio);
     const double before =
         1.0 + (target.slow_ratio - 1.0) * remaining_share(target.changed, now);
     target.slow_ratio = before + (ratio - before) * newest_weight;
@@ -95,7 +111,8 @@
     this->peers.erase(peer);
 }
 
-std::map<std::string, peer_load, std::less<>> backend_loads::own_loads() const
+std::map<std::string, peer_load, std::less<>>
+backend_loads::own_loads(state::time_point now) const
 {
     std::map<std::string, peer_load, std::less<>> result;
     for (const auto& [id, item] : this->calls)
@@ -104,6 +121,15 @@
         ++load.active;
         if (!item.has_first_byte)
             load.waiting_tokens += item.work.prompt_tokens;
+        if (is_long(item.work))
+            ++load.long_streams;
+    }
+    for (const auto& [backend, item] : this->records)
+    {
+        const double tokens =
+            item.prompt_tokens * prompt_share(item.prompt_updated, now);
+        if (tokens >= 1.0)
+            result[backend].prompt_rate = tokens / prompt_window_s;
     }
     return result;
 }
@@ -120,15 +146,19 @@
         result.slow_ratio = 1.0 + (item.slow_ratio - 1.0) * share;
         result.is_full = now < item.full_until;
         result.active = static_cast<std::uint32_t>(item.active.size());
+        result.prompt_rate = item.prompt_tokens *
+                             prompt_share(item.prompt_updated, now) / prompt_window_s;
         for (const call_id id : item.active)
         {
             const call& current = this->calls.at(id);
+            if (is_long(current.work))
+                ++result.long_streams;
             if (current.has_first_byte)
                 continue;
             result.waiting_tokens += current.work.prompt_tokens;
             result.overdue_ms =
-                std::max(result.overdue_ms, elapsed_ms(current.started, now) -
-                                                current.work.expected_ms);
+                std::max(result.overdue_ms,
+                         elapsed_ms(current.started, now) - current.work.expected_ms);
         }
     }
     for (const auto& [peer, report] : this->peers)
@@ -140,6 +170,8 @@
             continue;
         result.peer_active += load->second.active;
         result.waiting_tokens += load->second.waiting_tokens;
+        result.long_streams += load->second.long_streams;
+        result.prompt_rate += load->second.prompt_rate;
     }
     return result;
 }
--- a/src/libs/coordination/backend_loads.hpp
+++ b/src/libs/coordination/backend_loads.hpp
@@ -13,11 +13,17 @@
 namespace pomelorouter::coordination
 {
 
+/// A stream that may generate this many tokens runs for seconds and suffers from the
+/// prompts that its engine reads meanwhile.
+inline constexpr std::uint32_t long_stream_tokens = 60;
+
 /// Size of one call to a backend server.
 struct call_work
 {
     /// Prompt tokens that the engine has to compute; 0 for plain services.
     std::uint32_t prompt_tokens = 0;
+    /// Most tokens that the engine may generate.
+    std::uint32_t output_tokens = 0;
     /// How long the first byte of the answer should take on an idle backend server.
     double expected_ms = 0.0;
 };
@@ -39,6 +45,8 @@
 {
     std::uint32_t active = 0;
     std::uint32_t waiting_tokens = 0;
+    std::uint32_t long_streams = 0;
+    double prompt_rate = 0.0;
 };
 
 /// What the calls of this process and the reports of its peers say of one backend server.
@@ -48,6 +56,10 @@
     std::uint32_t peer_active = 0;
     /// Prompt tokens of calls that have had no first event yet.
     double waiting_tokens = 0.0;
+    /// Streams with many tokens to come.
+    std::uint32_t long_streams = 0;
+    /// Prompt tokens begun a second, over the last seconds.
+    double prompt_rate = 0.0;
     /// Longest time by which a call's first byte is later than expected.
     double overdue_ms = 0.0;
     /// Share of calls that failed lately, and how much slower than expected the others
@@ -77,7 +89,7 @@
                   std::map<std::string, peer_load, std::less<>> loads);
     void forget_peer(const std::string& peer);
     /// Own calls by backend server, for the peers.
-    std::map<std::string, peer_load, std::less<>> own_loads() const;
+    std::map<std::string, peer_load, std::less<>> own_loads(state::time_point now) const;
 
     load_summary summary(state::time_point now, std::string_view backend) const;
     std::size_t active_calls() const { return this->calls.size(); }
@@ -97,6 +109,9 @@
         std::vector<call_id> active;
         double failure_share = 0.0;
         double slow_ratio = 1.0;
+        /// Prompt tokens begun, decaying, and when that was computed.
+        double prompt_tokens = 0.0;
+        state::time_point prompt_updated{};
         state::time_point full_until{};
         state::time_point changed{};
     };
--- a/src/libs/coordination/gateway_members.hpp
+++ b/src/libs/coordination/gateway_members.hpp
@@ -26,7 +26,8 @@
     explicit gateway_members(std::string own_node, const member_timing& times = {});
 
     /// Returns whether the heartbeat is newer than all before it of that gateway.
-    bool on_heartbeat(state::time_point now, const protocol::gateway_heartbeat& heartbeat);
+    bool on_heartbeat(state::time_point now,
+                      const protocol::gateway_heartbeat& heartbeat);
     /// A gateway is known from elsewhere, and was not heard yet.
     void on_known(state::time_point now, const protocol::gateway_member& member);
     /// Drops gateways that have been silent for long; returns their names.
--- a/src/libs/coordination/retry_budget.hpp
+++ b/src/libs/coordination/retry_budget.hpp
@@ -6,9 +6,9 @@
 {
 
 /// Token bucket that bounds retries and hedges to a share of the callers' requests. By
-/// default it starts empty, so the bound also holds from the start of the process. Over any window
-/// of at least `burst` / (0.25 * share) requests the attempts are at most 1 + share times
-/// the requests; 320 requests at the defaults.
+/// default it starts empty, so the bound also holds from the start of the process. Over
+/// any window of at least `burst` / (0.25 * share) requests the attempts are at most 1 +
+/// share times the requests; 320 requests at the defaults.
 class retry_budget
 {
 public:
--- a/src/libs/coordination/route_table.cpp
+++ b/src/libs/coordination/route_table.cpp
@@ -40,10 +40,10 @@
     if (found == this->hosts.end())
         return nullptr;
     const auto& routes = found->second;
-    const auto match =
-        std::find_if(routes.begin(), routes.end(),
-                     [path](const state::gateway_route* route)
-                     { return path.substr(0, route->path_prefix.size()) == route->path_prefix; });
+    const auto match = std::find_if(
+        routes.begin(), routes.end(),
+        [path](const state::gateway_route* route)
+        { return path.substr(0, route->path_prefix.size()) == route->path_prefix; });
     return match == routes.end() ? nullptr : *match;
 }
 
--- a/src/libs/coordination/route_table.hpp
+++ b/src/libs/coordination/route_table.hpp
@@ -30,6 +30,7 @@
 
 /// Chooses one of the services of a route by weight; `draw` is in [0, 1). Returns null if
 /// no service has a positive weight.
-const state::service_share* choose_service(const state::gateway_route& route, double draw);
+const state::service_share* choose_service(const state::gateway_route& route,
+                                           double draw);
 
 } // namespace pomelorouter::coordination
--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace pomelorouter::coordination
 {
@@ -17,7 +18,12 @@
     std::string model;
     std::string adapter;
 
-    auto operator<=>(const weight_name&) const = default;
+    bool operator==(const weight_name&) const = default;
+    bool operator<(const weight_name& other) const
+    {
+        return std::tie(this->service, this->model, this->adapter) <
+               std::tie(other.service, other.model, other.adapter);
+    }
 };
 
 /// Demand for one model or adapter.
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -140,10 +140,9 @@
 
     int held_copies(const std::string& model) const
     {
-        return static_cast<int>(
-            std::count_if(this->engines.begin(), this->engines.end(),
-                          [&model](const planned_engine& engine)
-                          { return holds_model(engine, model); }));
+        return static_cast<int>(std::count_if(this->engines.begin(), this->engines.end(),
+                                              [&model](const planned_engine& engine)
+                                              { return holds_model(engine, model); }));
     }
 
     /// Requests a second for a model with all its adapters.
@@ -160,18 +159,19 @@
 
     int model_copies(const std::string& model) const
     {
-        return static_cast<int>(std::count_if(
-            this->engines.begin(), this->engines.end(),
-            [&model](const planned_engine& engine)
-            { return holds_model(engine, model) || engine.loading == model; }));
+        return static_cast<int>(std::count_if(this->engines.begin(), this->engines.end(),
+                                              [&model](const planned_engine& engine) {
+                                                  return holds_model(engine, model) ||
+                                                         engine.loading == model;
+                                              }));
     }
 
     int adapter_copies(const std::string& model, const std::string& adapter) const
     {
-        return static_cast<int>(std::count_if(
-            this->engines.begin(), this->engines.end(),
-            [&](const planned_engine& engine)
-            { return holds_adapter(engine, model, adapter); }));
+        return static_cast<int>(
+            std::count_if(this->engines.begin(), this->engines.end(),
+                          [&](const planned_engine& engine)
+                          { return holds_adapter(engine, model, adapter); }));
     }
 
     double used_mb(const planned_engine& engine) const
@@ -182,8 +182,7 @@
             const state::hosted_model* const model = this->profile.find_model(name);
             if (model == nullptr)
                 return;
-            used += model->weight_mb +
-                    model->adapter_mb * static_cast<double>(adapters);
+            used += model->weight_mb + model->adapter_mb * static_cast<double>(adapters);
         };
         for (const state::loaded_model& item : engine.models)
             add(item.name, item.adapters.size());
@@ -196,17 +195,17 @@
               const std::string& adapter, bool from_store, std::string_view reason)
     {
         engine.is_busy = true;
-        this->orders.push_back({engine.id, operation, model, adapter, from_store, reason});
+        this->orders.push_back(
+            {engine.id, operation, model, adapter, from_store, reason});
     }
 };
 
-std::vector<planned_order> weight_planner::plan(const state::engine_profile& profile,
-                                                std::vector<planned_engine> engines,
-                                                const std::string& service,
-                                                const weight_demand::rates& demand,
-                                                const std::map<std::string, int>& first_copies,
-                                                int store_loads,
-                                                bool is_settled) const
+std::vector<planned_order>
+weight_planner::plan(const state::engine_profile& profile,
+                     std::vector<planned_engine> engines, const std::string& service,
+                     const weight_demand::rates& demand,
+                     const std::map<std::string, int>& first_copies, int store_loads,
+                     bool is_settled) const
 {
     workspace work{profile, engines, service, demand, first_copies, store_loads, {}, {}};
     work.weigh_models();
@@ -238,8 +237,8 @@
         }
         if (best != nullptr && make_adapter_place(work, *best))
         {
-            work.give(*best, plan_operation::load_adapter, name.model, name.adapter, false,
-                      "requests wait for the adapter");
+            work.give(*best, plan_operation::load_adapter, name.model, name.adapter,
+                      false, "requests wait for the adapter");
         }
     }
 }
@@ -356,8 +355,8 @@
     const auto changing = std::count_if(work.engines.begin(), work.engines.end(),
                                         [](const planned_engine& engine)
                                         { return !engine.loading.empty(); });
-    auto most = static_cast<int>(most_changing_share *
-                                 static_cast<double>(work.engines.size()));
+    auto most =
+        static_cast<int>(most_changing_share * static_cast<double>(work.engines.size()));
     for (most -= static_cast<int>(changing); most > 0; --most)
     {
         const state::hosted_model* wanted = nullptr;
@@ -366,8 +365,8 @@
             const bool is_everywhere =
                 work.model_copies(model.name) >= static_cast<int>(work.engines.size());
             if (!is_everywhere &&
-                (wanted == nullptr || work.weight_per_copy(model.name) >
-                                          work.weight_per_copy(wanted->name)))
+                (wanted == nullptr ||
+                 work.weight_per_copy(model.name) > work.weight_per_copy(wanted->name)))
                 wanted = &model;
         }
         if (wanted == nullptr || !move_copy(work, *wanted))
@@ -454,8 +453,8 @@
             continue;
         if (make_adapter_place(work, *best))
         {
-            work.give(*best, plan_operation::load_adapter, name.model, name.adapter, false,
-                      "the engine with the adapter is busy");
+            work.give(*best, plan_operation::load_adapter, name.model, name.adapter,
+                      false, "the engine with the adapter is busy");
         }
     }
 }
--- a/src/libs/protocol/event_cutter.cpp
+++ b/src/libs/protocol/event_cutter.cpp
@@ -56,7 +56,8 @@
         if (!line.empty() && line.front() == ' ')
             line.remove_prefix(1);
         std::uint64_t value = 0;
-        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
+        const auto parsed =
+            std::from_chars(line.data(), line.data() + line.size(), value);
         if (parsed.ec == std::errc())
             this->id = value;
     }
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -97,6 +97,8 @@
         item.__set_backend(load.backend);
         item.__set_active(to_wire_count(load.active));
         item.__set_waitingTokens(to_wire_count(load.waiting_tokens));
+        item.__set_longStreams(to_wire_count(load.long_streams));
+        item.__set_promptRate(load.prompt_rate);
     }
     for (const weight_rate_entry& rate : heartbeat.rates)
     {
@@ -132,7 +134,9 @@
     for (const gen::BackendLoad& load : heartbeat.loads)
     {
         result.loads.push_back({load.backend, to_unsigned<std::uint32_t>(load.active),
-                                to_unsigned<std::uint32_t>(load.waitingTokens)});
+                                to_unsigned<std::uint32_t>(load.waitingTokens),
+                                to_unsigned<std::uint32_t>(load.longStreams),
+                                load.promptRate});
     }
     for (const gen::WeightRate& rate : heartbeat.rates)
     {
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -30,6 +30,9 @@
     std::string backend;
     std::uint32_t active = 0;
     std::uint32_t waiting_tokens = 0;
+    std::uint32_t long_streams = 0;
+    /// Prompt tokens begun a second.
+    double prompt_rate = 0.0;
 };
 
 /// Requests of a gateway for one model or adapter, a second.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -1194,6 +1194,16 @@
 void BackendLoad::__set_waitingTokens(const int32_t val) {
   this->waitingTokens = val;
 }
+
+void BackendLoad::__set_longStreams(const int32_t val) {
+  this->longStreams = val;
+__isset.longStreams = true;
+}
+
+void BackendLoad::__set_promptRate(const double val) {
+  this->promptRate = val;
+__isset.promptRate = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendLoad& obj)
 {
   obj.printTo(out);
@@ -1249,6 +1259,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->longStreams);
+          this->__isset.longStreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->promptRate);
+          this->__isset.promptRate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1284,6 +1310,16 @@
   xfer += oprot->writeI32(this->waitingTokens);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.longStreams) {
+    xfer += oprot->writeFieldBegin("longStreams", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->longStreams);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.promptRate) {
+    xfer += oprot->writeFieldBegin("promptRate", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->promptRate);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1294,17 +1330,26 @@
   swap(a.backend, b.backend);
   swap(a.active, b.active);
   swap(a.waitingTokens, b.waitingTokens);
+  swap(a.longStreams, b.longStreams);
+  swap(a.promptRate, b.promptRate);
+  swap(a.__isset, b.__isset);
 }
 
 BackendLoad::BackendLoad(const BackendLoad& other32) {
   backend = other32.backend;
   active = other32.active;
   waitingTokens = other32.waitingTokens;
+  longStreams = other32.longStreams;
+  promptRate = other32.promptRate;
+  __isset = other32.__isset;
 }
 BackendLoad& BackendLoad::operator=(const BackendLoad& other33) {
   backend = other33.backend;
   active = other33.active;
   waitingTokens = other33.waitingTokens;
+  longStreams = other33.longStreams;
+  promptRate = other33.promptRate;
+  __isset = other33.__isset;
   return *this;
 }
 void BackendLoad::printTo(std::ostream& out) const {
@@ -1313,6 +1358,8 @@
   out << "backend=" << to_string(backend);
   out << ", " << "active=" << to_string(active);
   out << ", " << "waitingTokens=" << to_string(waitingTokens);
+  out << ", " << "longStreams="; (__isset.longStreams ? (out << to_string(longStreams)) : (out << "<null>"));
+  out << ", " << "promptRate="; (__isset.promptRate ? (out << to_string(promptRate)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -451,6 +451,11 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayMember& obj);
 
+typedef struct _BackendLoad__isset {
+  _BackendLoad__isset() : longStreams(false), promptRate(false) {}
+  bool longStreams :1;
+  bool promptRate :1;
+} _BackendLoad__isset;
 
 class BackendLoad : public virtual ::apache::thrift::TBase {
  public:
@@ -460,13 +465,19 @@
   BackendLoad() noexcept
               : backend(),
                 active(0),
-                waitingTokens(0) {
+                waitingTokens(0),
+                longStreams(0),
+                promptRate(0) {
   }
 
   virtual ~BackendLoad() noexcept;
   std::string backend;
   int32_t active;
   int32_t waitingTokens;
+  int32_t longStreams;
+  double promptRate;
+
+  _BackendLoad__isset __isset;
 
   void __set_backend(const std::string& val);
 
@@ -474,6 +485,10 @@
 
   void __set_waitingTokens(const int32_t val);
 
+  void __set_longStreams(const int32_t val);
+
+  void __set_promptRate(const double val);
+
   bool operator == (const BackendLoad & rhs) const
   {
     if (!(backend == rhs.backend))
@@ -482,6 +497,14 @@
       return false;
     if (!(waitingTokens == rhs.waitingTokens))
       return false;
+    if (__isset.longStreams != rhs.__isset.longStreams)
+      return false;
+    else if (__isset.longStreams && !(longStreams == rhs.longStreams))
+      return false;
+    if (__isset.promptRate != rhs.__isset.promptRate)
+      return false;
+    else if (__isset.promptRate && !(promptRate == rhs.promptRate))
+      return false;
     return true;
   }
   bool operator != (const BackendLoad &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -61,6 +61,9 @@
   1: required string backend
   2: required i32 active
   3: required i32 waitingTokens
+  // Streams with many tokens to come, and prompt tokens begun a second.
+  4: optional i32 longStreams
+  5: optional double promptRate
 }
 
 // Requests of a gateway for one model or adapter.
--- a/src/libs/state/bounded_log.cpp
+++ b/src/libs/state/bounded_log.cpp
@@ -103,8 +103,8 @@
         pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
         if (::poll(&descriptor, 1, 0) <= 0 || (descriptor.revents & POLLOUT) == 0)
             return false;
-        const std::string line =
-            "ts=" + timestamp(wall_us) + " process=" + this->process + " " + message + "\n";
+        const std::string line = "ts=" + timestamp(wall_us) +
+                                 " process=" + this->process + " " + message + "\n";
         return ::write(STDOUT_FILENO, line.data(), line.size()) ==
                static_cast<ssize_t>(line.size());
     }
--- a/src/libs/state/gateway_config.cpp
+++ b/src/libs/state/gateway_config.cpp
@@ -19,8 +19,9 @@
 template <typename Item>
 const Item* find_named(const std::vector<Item>& items, std::string_view name)
 {
-    const auto found = std::find_if(items.begin(), items.end(),
-                                    [name](const Item& item) { return item.name == name; });
+    const auto found =
+        std::find_if(items.begin(), items.end(),
+                     [name](const Item& item) { return item.name == name; });
     return found == items.end() ? nullptr : &*found;
 }
 
--- a/src/libs/transport/datagram_socket.hpp
+++ b/src/libs/transport/datagram_socket.hpp
@@ -30,7 +30,8 @@
 private:
     struct shared_state;
 
-    static boost::asio::awaitable<void> receive_loop(std::shared_ptr<shared_state> shared);
+    static boost::asio::awaitable<void>
+    receive_loop(std::shared_ptr<shared_state> shared);
 
     std::shared_ptr<shared_state> shared;
 };
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -153,14 +153,13 @@
     internal::http_connection& link = *this->connection;
     link.write_done = false;
     link.stream.expires_after(this->options.progress_timeout);
-    beast::http::async_write(
-        link.stream, *request,
-        [request, owner = this->connection](boost::system::error_code failure,
-                                            std::size_t)
-        {
-            owner->write_done = true;
-            owner->write_failure = failure;
-        });
+    beast::http::async_write(link.stream, *request,
+                             [request, owner = this->connection](
+                                 boost::system::error_code failure, std::size_t)
+                             {
+                                 owner->write_done = true;
+                                 owner->write_failure = failure;
+                             });
     // The answer to HEAD has the length of a body that does not follow.
     const bool is_head_request = request->method() == verb::head;
     co_await this->read_head(is_head_request);
@@ -336,9 +335,8 @@
         auto& connections = item->second;
         const auto expired = [now](const auto& connection)
         { return now - connection->idle_since > connection->idle_life - idle_margin; };
-        connections.erase(
-            std::remove_if(connections.begin(), connections.end(), expired),
-            connections.end());
+        connections.erase(std::remove_if(connections.begin(), connections.end(), expired),
+                          connections.end());
         item = connections.empty() ? this->idle.erase(item) : std::next(item);
     }
 }
--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -99,7 +99,8 @@
 {
     const auto& request = exchange.request();
     const topic_records& topic = this->topics[topic_of(request)];
-    const std::uint64_t from = number(transport::target_query(request.target(), "Source"));
+    const std::uint64_t from =
+        number(transport::target_query(request.target(), "Source"));
     const auto limit =
         std::chrono::steady_clock::now() +
         state::milliseconds(number(transport::target_query(request.target(), "WaitMs")));
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -73,7 +73,8 @@
     std::filesystem::remove(this->settings_path);
 }
 
-raw_backend& gateway_fixture::add_backend(const std::string& id, const std::string& service,
+raw_backend& gateway_fixture::add_backend(const std::string& id,
+                                          const std::string& service,
                                           raw_backend::script script,
                                           const std::vector<std::string>& models)
 {
@@ -121,11 +122,10 @@
     const boost::json::object config{
         {"Version", version},
         {"Routes",
-         boost::json::array{route("/stream/", "streaming", "models", timeout_ms,
-                                  max_attempts),
-                            route("/once/", "non_idempotent", "plain", timeout_ms, 1),
-                            route("/again/", "idempotent", "plain", timeout_ms,
-                                  max_attempts)}},
+         boost::json::array{
+             route("/stream/", "streaming", "models", timeout_ms, max_attempts),
+             route("/once/", "non_idempotent", "plain", timeout_ms, 1),
+             route("/again/", "idempotent", "plain", timeout_ms, max_attempts)}},
         {"Services",
          boost::json::array{boost::json::object{{"Name", "models"}, {"Engine", engine}},
                             boost::json::object{{"Name", "plain"}}}},
@@ -138,9 +138,8 @@
 
 void gateway_fixture::start()
 {
-    this->gateway = std::make_unique<app::gateway>(this->loop, this->settings,
-                                                   this->settings_path, *this->adapter,
-                                                   this->counters);
+    this->gateway = std::make_unique<app::gateway>(
+        this->loop, this->settings, this->settings_path, *this->adapter, this->counters);
     this->gateway->start();
     this->run_until([this] { return this->gateway->is_ready(); });
 }
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -44,8 +44,8 @@
                                     const std::string& model = "") const;
     /// The answer, or nothing if the connection ended without a whole one.
     std::optional<transport::http_response> fetch(const transport::http_request& request);
-    /// All bytes that come on a new connection after `bytes` were sent, until it is closed
-    /// or nothing has come for `quiet`.
+    /// All bytes that come on a new connection after `bytes` were sent, until it is
+    /// closed or nothing has come for `quiet`.
     std::string exchange(const std::string& bytes, state::milliseconds quiet);
 
     state::counter_registry counters;
--- a/tests/auto/platform/raw_backend.cpp
+++ b/tests/auto/platform/raw_backend.cpp
@@ -59,8 +59,9 @@
         {
             asio::steady_timer timer(this->loop, answer.pause);
             co_await timer.async_wait(asio::use_awaitable);
-            co_await asio::async_write(socket, asio::buffer(piece),
-                                       asio::redirect_error(asio::use_awaitable, failure));
+            co_await asio::async_write(
+                socket, asio::buffer(piece),
+                asio::redirect_error(asio::use_awaitable, failure));
         }
         if (answer.end == reply_end::close)
             co_return;
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -95,19 +95,41 @@
         {"truncated, once", "/once/x", {{half}, reply_end::close}, 502, 1},
         {"truncated, repeatable", "/again/x", {{half}, reply_end::close}, 200, 2},
         {"not HTTP, once", "/once/x", {{"nonsense\r\n\r\n"}, reply_end::close}, 502, 1},
-        {"not HTTP, repeatable", "/again/x", {{"nonsense\r\n\r\n"}, reply_end::close}, 200, 2},
+        {"not HTTP, repeatable",
+         "/again/x",
+         {{"nonsense\r\n\r\n"}, reply_end::close},
+         200,
+         2},
         {"own error, once", "/once/x", {{answer_text("500 Error", "a1", "no")}}, 500, 1},
-        {"own error, repeatable", "/again/x", {{answer_text("500 Error", "a1", "no")}}, 200, 2},
-        {"false promise, once", "/once/x", {{answer_text("503 Busy", "a1", "no")}}, 502, 1},
+        {"own error, repeatable",
+         "/again/x",
+         {{answer_text("500 Error", "a1", "no")}},
+         200,
+         2},
+        {"false promise, once",
+         "/once/x",
+         {{answer_text("503 Busy", "a1", "no")}},
+         502,
+         1},
         {"not run, once", "/once/x", {{not_run}}, 503, 1},
         {"not run, repeatable", "/again/x", {{not_run}}, 200, 2},
-        {"no mark, once", "/once/x", {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}, 502, 1},
-        {"unframed", "/once/x",
-         {{"HTTP/1.1 200 OK\r\nX-Pomelorouter-Server-Seal: s\r\n\r\nall"}, reply_end::close},
-         200, 1},
-        {"unframed and reset", "/once/x",
-         {{"HTTP/1.1 200 OK\r\nX-Pomelorouter-Server-Seal: s\r\n\r\nall"}, reply_end::reset},
-         502, 1},
+        {"no mark, once",
+         "/once/x",
+         {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}},
+         502,
+         1},
+        {"unframed",
+         "/once/x",
+         {{"HTTP/1.1 200 OK\r\nX-Pomelorouter-Server-Seal: s\r\n\r\nall"},
+          reply_end::close},
+         200,
+         1},
+        {"unframed and reset",
+         "/once/x",
+         {{"HTTP/1.1 200 OK\r\nX-Pomelorouter-Server-Seal: s\r\n\r\nall"},
+          reply_end::reset},
+         502,
+         1},
     };
     for (const row& item : rows)
     {
@@ -201,12 +223,15 @@
     CHECK_FALSE(test.fetch(test.request("/stream/x", "a1", "m1")));
 }
 
-// Guards against a caller that waits beyond its route's time, and against a wrong promise.
+// Guards against a caller that waits beyond its route's time, and against a wrong
+// promise.
 TEST_CASE("a silent backend server is given up at the time limit of the route")
 {
     gateway_fixture test;
-    test.add_backend("s1", "plain", [](const transport::http_request&)
-                     { return raw_reply{{}, reply_end::silent}; });
+    test.add_backend("s1", "plain",
+                     [](const transport::http_request&) {
+                         return raw_reply{{}, reply_end::silent};
+                     });
     test.put_config(1, 400);
     test.start();
     const auto begun = std::chrono::steady_clock::now();
@@ -221,8 +246,10 @@
 TEST_CASE("a call ends when its caller closes the connection")
 {
     gateway_fixture test;
-    auto& backend = test.add_backend("s1", "plain", [](const transport::http_request&)
-                                     { return raw_reply{{}, reply_end::silent}; });
+    auto& backend = test.add_backend("s1", "plain",
+                                     [](const transport::http_request&) {
+                                         return raw_reply{{}, reply_end::silent};
+                                     });
     test.put_config(1);
     test.start();
     const std::string request =
@@ -244,18 +271,25 @@
     };
     const std::string start = "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n";
     const std::vector<row> rows{
-        {"two framings", start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        {"two framings",
+         start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"other order",
+         start + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
          "HTTP/1.1 400"},
-        {"other order", start + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        {"two lengths", start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         "HTTP/1.1 400"},
+        {"encoding not chunked", start + "Transfer-Encoding: identity\r\n\r\n",
          "HTTP/1.1 400"},
-        {"two lengths", start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 400"},
-        {"encoding not chunked", start + "Transfer-Encoding: identity\r\n\r\n", "HTTP/1.1 400"},
         {"chunked twice", start + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
          "HTTP/1.1 400"},
-        {"two hosts", start + "Host: other.example\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 400"},
-        {"bad number", start + "X-Pomelorouter-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+        {"two hosts", start + "Host: other.example\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"bad number",
+         start + "X-Pomelorouter-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
          "HTTP/1.1 400"},
-        {"long header", start + "X-Long: " + std::string(8000, 'x') + "\r\n\r\n", "HTTP/1.1 431"},
+        {"long header", start + "X-Long: " + std::string(8000, 'x') + "\r\n\r\n",
+         "HTTP/1.1 431"},
         {"long body", start + "Content-Length: 100000\r\n\r\n", "HTTP/1.1 413"},
         {"slow header", start, "HTTP/1.1 408"},
         {"no route", "GET /none HTTP/1.1\r\nHost: shop.example\r\n\r\n", "HTTP/1.1 404"},
