Reserve the room that is made for a model

Change: an unload reserves the engine for the model it makes room for; models that wait come first, then balance, then idle models; engines are asked what they hold before they are planned for.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -40,7 +40,10 @@
 /// An engine that did not answer, or refused an order, is left alone for this long.
 constexpr milliseconds failure_pause{500};
 constexpr milliseconds report_period{300};
+/// Room that is made for a model is kept for it this long.
+constexpr milliseconds reserve_time{6000};
 constexpr milliseconds settle_time{2500};
+constexpr milliseconds state_log_period{1000};
 constexpr const char* lease_key = "placement";
 
 constexpr std::array<state::enum_name<order_answer>, 6> answer_names{{
@@ -312,9 +315,11 @@
                 ++copies[model.name];
         }
     }
-    const auto orders = this->planner.plan(*service.engine, std::move(engine_list),
-                                           service.name, this->shared.demand.total(now()),
-                                           copies, store_loads, settled);
+    const coordination::weight_demand::rates demand = this->shared.demand.total(now());
+    this->log_state(engine_list, demand);
+    const auto orders =
+        this->planner.plan(*service.engine, std::move(engine_list), service.name, demand,
+                           copies, store_loads, settled);
     for (const planned_order& order : orders)
     {
         const state::hosted_model* const model = service.engine->find_model(order.model);
@@ -323,6 +328,57 @@
     }
 }
 
+void placement_agent::log_state(
+    const std::vector<coordination::planned_engine>& engine_list,
+    const coordination::weight_demand::rates& demand)
+{
+    if (now() - this->state_logged < state_log_period)
+        return;
+    this->state_logged = now();
+    struct model_state
+    {
+        double tokens_per_s = 0.0;
+        std::uint32_t waiting = 0;
+        int copies = 0;
+        int loading = 0;
+        double active = 0.0;
+    };
+    std::map<std::string, model_state> models;
+    for (const auto& [name, rate] : demand)
+    {
+        models[name.model].tokens_per_s += rate.tokens_per_s;
+        models[name.model].waiting += rate.waiting;
+    }
+    int busy = 0;
+    for (const coordination::planned_engine& engine : engine_list)
+    {
+        busy += engine.is_busy ? 1 : 0;
+        for (const state::loaded_model& model : engine.models)
+        {
+            ++models[model.name].copies;
+            models[model.name].active += engine.active;
+        }
+        if (!engine.loading.empty())
+            ++models[engine.loading].loading;
+    }
+    state::log_event line(state::log_level::info, "placement_state");
+    line.field("engines", static_cast<std::uint64_t>(engine_list.size()))
+        .field("busy", busy);
+    constexpr double least_tokens_per_s = 1000.0;
+    for (const auto& [name, model] : models)
+    {
+        if (model.tokens_per_s < least_tokens_per_s && model.loading == 0)
+            continue;
+        line.field(name, std::to_string(static_cast<int>(model.tokens_per_s)) + "t/s," +
+                             std::to_string(model.copies) + "+" +
+                             std::to_string(model.loading) + "copies," +
+                             std::to_string(model.waiting) + "waiting," +
+                             std::to_string(static_cast<int>(model.active /
+                                                             std::max(model.copies, 1))) +
+                             "active");
+    }
+}
+
 /// Whether the list of engines has been the same for a while. Engines that start together
 /// register one after another, and each may hold what the others lack.
 bool placement_agent::is_settled()
@@ -345,7 +401,12 @@
         if (backend->is_leaving)
             continue;
         const state::backend_entry& entry = backend->entry;
-        const engine_control& control = this->control_of(entry);
+        engine_control& control = this->control_of(entry);
+        if (!control.is_known && !control.has_order && now() >= control.pause_until)
+        {
+            control.has_order = true;
+            asio::co_spawn(this->shared.executor, this->learn(entry), asio::detached);
+        }
         coordination::planned_engine engine;
         engine.id = entry.id;
         engine.models = control.is_known ? control.models : entry.models;
@@ -354,8 +415,11 @@
         const auto load = this->shared.loads.summary(
             now(), coordination::backend_chooser::process_key(entry));
         engine.active = load.active + load.peer_active;
-        engine.is_busy = control.has_order || now() < control.pause_until;
+        engine.is_busy =
+            !control.is_known || control.has_order || now() < control.pause_until;
         engine.loading = control.loading;
+        if (now() < control.reserved_until)
+            engine.reserved = control.reserved;
         result.push_back(std::move(engine));
     }
     return result;
@@ -382,7 +446,15 @@
     engine_control& control = this->control_of(backend->entry);
     control.has_order = true;
     if (order.operation == plan_operation::load_model)
+    {
         control.loading = order.model;
+        control.reserved.clear();
+    }
+    if (!order.room_for.empty())
+    {
+        control.reserved = order.room_for;
+        control.reserved_until = now() + reserve_time;
+    }
     if (order.from_store)
         this->loads.take();
     asio::co_spawn(this->shared.executor, this->carry_out(backend->entry, order, model),
@@ -393,20 +465,14 @@
                                                  planned_order order,
                                                  state::hosted_model model)
 {
-    std::optional<order_answer> answer;
-    const bool was_known = this->control_of(entry).is_known;
-    // A plan that was made before the engine was asked is made anew.
-    if (!was_known)
-        co_await this->read_report(entry);
-    if (was_known && is_unload(order.operation))
+    if (is_unload(order.operation))
     {
         // The others stop using the weights before they go.
         remove_weights(this->control_of(entry).models, order.model, order.adapter);
         this->announce(entry.id);
         co_await this->pause(unload_notice);
     }
-    if (was_known)
-        answer = co_await this->send_order(entry, order);
+    const std::optional<order_answer> answer = co_await this->send_order(entry, order);
     const bool is_done =
         answer == order_answer::accepted || answer == order_answer::already_done;
     // An adapter is unloaded at once, and the engine counts that order as well.
@@ -427,7 +493,7 @@
     engine_control& control = this->control_of(entry);
     control.has_order = false;
     control.loading.clear();
-    if (is_done || !was_known)
+    if (is_done)
         co_return;
     // What the engine holds and how many orders it has accepted is uncertain now.
     control.is_known = false;
@@ -436,6 +502,12 @@
         this->lease.on_fenced();
 }
 
+asio::awaitable<void> placement_agent::learn(state::backend_entry entry)
+{
+    co_await this->read_report(entry);
+    this->control_of(entry).has_order = false;
+}
+
 asio::awaitable<bool> placement_agent::read_report(const state::backend_entry& entry)
 {
     transport::http_call_options options;
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -42,6 +42,9 @@
         std::int64_t sequence = 0;
         std::vector<state::loaded_model> models;
         std::string loading;
+        /// A model for which room is made, and until when the room is kept.
+        std::string reserved;
+        state::time_point reserved_until{};
         /// Nothing is ordered before then.
         state::time_point pause_until{};
         /// What is announced is repeated until then.
@@ -55,6 +58,9 @@
     void plan();
     void plan_service(const state::gateway_service& service);
     bool is_settled();
+    /// Logs once a second what the models in demand have and need.
+    void log_state(const std::vector<coordination::planned_engine>& engine_list,
+                   const coordination::weight_demand::rates& demand);
     std::vector<coordination::planned_engine>
     planned_engines(const state::gateway_service& service);
     engine_control& control_of(const state::backend_entry& entry);
@@ -65,6 +71,8 @@
                                            coordination::planned_order order,
                                            state::hosted_model model);
     boost::asio::awaitable<bool> read_report(const state::backend_entry& entry);
+    /// Asks an engine of which nothing certain is known what it holds.
+    boost::asio::awaitable<void> learn(state::backend_entry entry);
     boost::asio::awaitable<std::optional<order_answer>>
     send_order(const state::backend_entry& entry,
                const coordination::planned_order& order);
@@ -85,6 +93,7 @@
     std::map<std::string, engine_control, std::less<>> engines;
     /// Copies of each model when the engines were first known, for each service.
     std::map<std::string, std::map<std::string, int>, std::less<>> first_copies;
+    state::time_point state_logged{};
     std::size_t most_engines = 0;
     state::time_point engines_changed{};
     bool was_holder = false;
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -31,9 +31,11 @@
 /// model that gives way would after it.
 constexpr double move_gain = 1.5;
 /// Engines that change their models at the same time, as a share of all.
-constexpr double most_changing_share = 0.25;
+constexpr double most_changing_share = 0.6;
+/// While this many engines change, models that nobody asks for are not restored.
+constexpr int most_idle_restores = 4;
 /// A load from the weight store takes this share of the gain.
-constexpr double store_load_cost = 0.25;
+constexpr double store_load_cost = 0.5;
 /// An adapter is copied to another engine if the one that holds it has this many more
 /// requests.
 constexpr double adapter_copy_gap = 10.0;
@@ -191,12 +193,71 @@
         return used;
     }
 
+    bool has_room(const planned_engine& engine, const state::hosted_model& model) const
+    {
+        return this->used_mb(engine) + model.weight_mb <= this->profile.weight_mb;
+    }
+
+    /// Engines that change their models, or are about to.
+    int changing() const
+    {
+        return static_cast<int>(std::count_if(this->engines.begin(), this->engines.end(),
+                                              [](const planned_engine& engine) {
+                                                  return !engine.loading.empty() ||
+                                                         !engine.reserved.empty();
+                                              }));
+    }
+
+    std::uint32_t waiting(const std::string& model) const
+    {
+        std::uint32_t total = 0;
+        for (const auto& [name, rate] : this->demand)
+        {
+            if (name.service == this->service && name.model == model)
+                total += rate.waiting;
+        }
+        return total;
+    }
+
+    /// The model of the engine that is missed least, of those that others hold as well;
+    /// null if none is below `weight`, which is set to that of the one returned.
+    const std::string* least_needed(const planned_engine& engine, double& weight) const
+    {
+        const std::string* result = nullptr;
+        for (const state::loaded_model& item : engine.models)
+        {
+            if (this->held_copies(item.name) < 2)
+                continue;
+            const double rest = this->weight_per_copy(item.name, -1);
+            if (rest >= weight)
+                continue;
+            weight = rest;
+            result = &item.name;
+        }
+        return result;
+    }
+
+    void give_unload(planned_engine& engine, const std::string& model,
+                     const std::string& room_for)
+    {
+        const std::string victim = model;
+        this->give(engine, plan_operation::unload_model, victim, "", false,
+                   "another model needs the memory");
+        this->orders.back().room_for = room_for;
+        engine.reserved = room_for;
+        // The copy is lost for the rest of the round as well.
+        engine.models.erase(std::remove_if(engine.models.begin(), engine.models.end(),
+                                           [&victim](const state::loaded_model& item)
+                                           { return item.name == victim; }),
+                            engine.models.end());
+    }
+
     void give(planned_engine& engine, plan_operation operation, const std::string& model,
               const std::string& adapter, bool from_store, std::string_view reason)
     {
         engine.is_busy = true;
         this->orders.push_back(
-            {engine.id, operation, model, adapter, from_store, reason});
+            {engine.id, operation, model, adapter, "", from_store, reason});
     }
 };
 
@@ -210,10 +271,12 @@
     workspace work{profile, engines, service, demand, first_copies, store_loads, {}, {}};
     work.weigh_models();
     this->place_waiting_adapters(work);
+    this->load_reserved_models(work);
     if (is_settled)
     {
-        this->place_missing_models(work);
+        this->place_missing_models(work, true);
         this->balance_models(work);
+        this->place_missing_models(work, false);
     }
     this->copy_busy_adapters(work);
     this->fill_adapter_places(work);
@@ -274,27 +337,46 @@
     return false;
 }
 
-void weight_planner::place_missing_models(workspace& work) const
+/// Loads the models for which room was made.
+void weight_planner::load_reserved_models(workspace& work) const
+{
+    for (planned_engine& engine : work.engines)
+    {
+        if (engine.reserved.empty() || engine.is_busy)
+            continue;
+        const state::hosted_model* const model = work.profile.find_model(engine.reserved);
+        const bool from_store = engine.cached.count(engine.reserved) == 0;
+        if (model == nullptr || holds_model(engine, engine.reserved) ||
+            (from_store && work.store_loads <= 0) || !work.has_room(engine, *model))
+            continue;
+        give_load(work, engine, model->name, "room was made for the model");
+    }
+}
+
+void weight_planner::place_missing_models(workspace& work, bool only_waiting) const
 {
     std::vector<std::pair<double, const state::hosted_model*>> missing;
     for (const state::hosted_model& model : work.profile.models)
     {
-        if (work.model_copies(model.name) == 0)
+        const bool is_waited_for = work.waiting(model.name) > 0;
+        if (work.model_copies(model.name) == 0 && (is_waited_for || !only_waiting))
             missing.emplace_back(work.model_rate(model.name), &model);
     }
     std::stable_sort(missing.begin(), missing.end(),
                      [](const auto& left, const auto& right)
                      { return left.first > right.first; });
     for (const auto& [rate, model] : missing)
-        load_model(work, model->name, "no engine holds the model");
+    {
+        if (!only_waiting && work.changing() >= most_idle_restores)
+            return;
+        load_missing(work, *model);
+    }
 }
 
-/// Loads a model on the engine where that costs least: one with room, else one that holds
-/// a model of which others hold copies, which is unloaded first.
-bool weight_planner::load_model(workspace& work, const std::string& model,
-                                std::string_view reason)
+/// Loads a model that no engine holds where that costs least: on an engine with room,
+/// else on one with a model that others hold as well, which is unloaded first.
+bool weight_planner::load_missing(workspace& work, const state::hosted_model& wanted)
 {
-    const state::hosted_model* const wanted = work.profile.find_model(model);
     planned_engine* best = nullptr;
     const std::string* victim = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
@@ -302,30 +384,21 @@
     constexpr double store_cost = 20.0;
     for (planned_engine& engine : work.engines)
     {
-        if (engine.is_busy || holds_model(engine, model))
+        if (engine.is_busy || !engine.reserved.empty() ||
+            holds_model(engine, wanted.name))
             continue;
-        const bool from_store = engine.cached.count(model) == 0;
+        const bool from_store = engine.cached.count(wanted.name) == 0;
         if (from_store && work.store_loads <= 0)
             continue;
         double cost = engine.active + (from_store ? store_cost : 0.0);
         const std::string* unload = nullptr;
-        if (work.used_mb(engine) + wanted->weight_mb > work.profile.weight_mb)
+        if (!work.has_room(engine, wanted))
         {
             double lowest = std::numeric_limits<double>::infinity();
-            for (const state::loaded_model& item : engine.models)
-            {
-                const int copies = work.model_copies(item.name);
-                if (copies < 2)
-                    continue;
-                const double value = work.model_rate(item.name) / copies;
-                if (value >= lowest)
-                    continue;
-                lowest = value;
-                unload = &item.name;
-            }
+            unload = work.least_needed(engine, lowest);
             if (unload == nullptr)
                 continue;
-            cost += victim_cost + lowest;
+            cost += victim_cost;
         }
         if (cost >= best_cost)
             continue;
@@ -335,36 +408,38 @@
     }
     if (best == nullptr)
         return false;
-    if (victim != nullptr)
-    {
-        work.give(*best, plan_operation::unload_model, *victim, "", false,
-                  "another model needs the memory");
-        return true;
-    }
-    const bool from_store = best->cached.count(model) == 0;
-    work.store_loads -= from_store ? 1 : 0;
-    work.give(*best, plan_operation::load_model, model, "", from_store, reason);
-    best->loading = model;
+    if (victim == nullptr)
+        give_load(work, *best, wanted.name, "no engine holds the model");
+    else
+        work.give_unload(*best, *victim, wanted.name);
     return true;
 }
 
+void weight_planner::give_load(workspace& work, planned_engine& engine,
+                               const std::string& model, std::string_view reason)
+{
+    const bool from_store = engine.cached.count(model) == 0;
+    work.store_loads -= from_store ? 1 : 0;
+    work.give(engine, plan_operation::load_model, model, "", from_store, reason);
+    engine.loading = model;
+    engine.reserved.clear();
+}
+
 /// Gives a copy to the model whose copies carry most, at the cost of the model that can
 /// spare one best.
 void weight_planner::balance_models(workspace& work) const
 {
-    const auto changing = std::count_if(work.engines.begin(), work.engines.end(),
-                                        [](const planned_engine& engine)
-                                        { return !engine.loading.empty(); });
-    auto most =
+    const auto most =
         static_cast<int>(most_changing_share * static_cast<double>(work.engines.size()));
-    for (most -= static_cast<int>(changing); most > 0; --most)
+    while (work.changing() < most)
     {
         const state::hosted_model* wanted = nullptr;
         for (const state::hosted_model& model : work.profile.models)
         {
-            const bool is_everywhere =
-                work.model_copies(model.name) >= static_cast<int>(work.engines.size());
-            if (!is_everywhere &&
+            const int copies = work.model_copies(model.name);
+            const bool is_candidate =
+                copies > 0 && copies < static_cast<int>(work.engines.size());
+            if (is_candidate &&
                 (wanted == nullptr ||
                  work.weight_per_copy(model.name) > work.weight_per_copy(wanted->name)))
                 wanted = &model;
@@ -383,26 +458,18 @@
     double best_cost = std::numeric_limits<double>::infinity();
     for (planned_engine& engine : work.engines)
     {
-        if (engine.is_busy || holds_model(engine, wanted.name))
+        if (engine.is_busy || !engine.reserved.empty() ||
+            holds_model(engine, wanted.name))
             continue;
         const bool from_store = engine.cached.count(wanted.name) == 0;
         if (from_store && work.store_loads <= 0)
             continue;
         const std::string* spare = nullptr;
         double spare_weight = 0.0;
-        if (work.used_mb(engine) + wanted.weight_mb > work.profile.weight_mb)
+        if (!work.has_room(engine, wanted))
         {
             spare_weight = need / move_gain;
-            for (const state::loaded_model& item : engine.models)
-            {
-                if (work.held_copies(item.name) < 2)
-                    continue;
-                const double weight = work.weight_per_copy(item.name, -1);
-                if (weight >= spare_weight)
-                    continue;
-                spare_weight = weight;
-                spare = &item.name;
-            }
+            spare = work.least_needed(engine, spare_weight);
             if (spare == nullptr)
                 continue;
         }
@@ -416,17 +483,10 @@
     }
     if (best == nullptr)
         return false;
-    if (victim != nullptr)
-    {
-        work.give(*best, plan_operation::unload_model, *victim, "", false,
-                  "a model in demand needs the memory");
-        return true;
-    }
-    const bool from_store = best->cached.count(wanted.name) == 0;
-    work.store_loads -= from_store ? 1 : 0;
-    work.give(*best, plan_operation::load_model, wanted.name, "", from_store,
-              "the model is in demand");
-    best->loading = wanted.name;
+    if (victim == nullptr)
+        give_load(work, *best, wanted.name, "the model is in demand");
+    else
+        work.give_unload(*best, *victim, wanted.name);
     return true;
 }
 
--- a/src/libs/coordination/weight_planner.hpp
+++ b/src/libs/coordination/weight_planner.hpp
@@ -26,6 +26,8 @@
     bool is_busy = false;
     /// A model that the order under way loads.
     std::string loading;
+    /// A model for which room is made, or was made a moment ago.
+    std::string reserved;
 };
 
 enum class plan_operation
@@ -44,6 +46,8 @@
     plan_operation operation = plan_operation::load_model;
     std::string model;
     std::string adapter;
+    /// The model for which another is unloaded.
+    std::string room_for;
     /// Whether the load draws on the weight store.
     bool from_store = false;
     /// Why, for the log.
@@ -70,14 +74,16 @@
     struct workspace;
 
     void place_waiting_adapters(workspace& work) const;
-    void place_missing_models(workspace& work) const;
+    void load_reserved_models(workspace& work) const;
+    void place_missing_models(workspace& work, bool only_waiting) const;
     void fill_adapter_places(workspace& work) const;
     void copy_busy_adapters(workspace& work) const;
     void balance_models(workspace& work) const;
     static bool make_adapter_place(workspace& work, planned_engine& engine);
     static bool move_copy(workspace& work, const state::hosted_model& wanted);
-    static bool load_model(workspace& work, const std::string& model,
-                           std::string_view reason);
+    static bool load_missing(workspace& work, const state::hosted_model& wanted);
+    static void give_load(workspace& work, planned_engine& engine,
+                          const std::string& model, std::string_view reason);
 };
 
 } // namespace pomelorouter::coordination
