Let requests wait in line at the gateway

Cause: requests queued for seconds at engines, whose queue is served in order of arrival, so that under overload nearly all were late. Change: beyond 300 ms of work before it at its engine a request waits at the gateway, those that can still be in time first; it is refused at once when its time cannot suffice. Three copies are kept of models with adapters and of the first in the operator's list.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -111,6 +111,7 @@
 
 void peer_gossip::send_heartbeat()
 {
+    this->shared.gateways = 1 + this->table.alive(now()).size();
     protocol::gateway_heartbeat heartbeat;
     heartbeat.origin = this->self;
     heartbeat.counter = ++this->counter;
--- a/src/app/gateway/serving/gateway_state.cpp
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -22,7 +22,8 @@
       counters(process_counters),
       chooser(process_settings.zone, coordination::speed_model{}),
       random(seed),
-      backends_changed(loop_executor)
+      backends_changed(loop_executor),
+      loads_changed(loop_executor)
 {
 }
 
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/admission_line.hpp"
 #include "coordination/backend_choice.hpp"
 #include "coordination/backend_directory.hpp"
 #include "coordination/backend_loads.hpp"
@@ -40,9 +41,14 @@
     coordination::backend_loads loads;
     coordination::backend_chooser chooser;
     coordination::weight_demand demand;
+    coordination::admission_line line;
     coordination::random_source random;
     /// Notified when the directory, or what an engine holds, has changed.
     transport::loop_signal backends_changed;
+    /// Notified when an engine has done some of its work.
+    transport::loop_signal loads_changed;
+    /// Gateways that share the engines, this one included.
+    std::size_t gateways = 1;
     /// The process is to stop; what it is asked is still done.
     bool is_stopping = false;
     /// New requests are refused, so that those in progress can end in time.
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -77,7 +77,16 @@
 
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<coordination::backend_choice> choose();
-    boost::asio::awaitable<coordination::backend_choice> wait_for_weights();
+    /// Waits until the weights are there and an engine has room, or until waiting has no
+    /// prospect.
+    boost::asio::awaitable<coordination::backend_choice> wait_in_line();
+    coordination::backend_choice choose_now();
+    /// Whether an engine with this much work before the request may get it now.
+    bool may_be_sent(const coordination::backend_choice& choice,
+                     coordination::admission_line::ticket ticket) const;
+    bool has_prospect(const coordination::backend_choice& choice,
+                      coordination::admission_line::ticket ticket) const;
+    state::milliseconds stream_time() const;
     bool may_try_again(call_end last) const;
     /// Sends the request to one backend server and passes its answer on.
     boost::asio::awaitable<call_end> call(const coordination::backend_choice& choice);
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -11,12 +11,13 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<choice_failure>, 5> failure_names{{
+constexpr std::array<state::enum_name<choice_failure>, 6> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_backend, "no_backend"},
     {choice_failure::model_missing, "model_missing"},
     {choice_failure::adapter_missing, "adapter_missing"},
     {choice_failure::all_tried, "all_tried"},
+    {choice_failure::overloaded, "overloaded"},
 }};
 
 /// Estimates that differ by less are taken as equal, so that gateways with the same view
@@ -139,9 +140,8 @@
         wait_ms += active;
     }
     result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 0.5);
-    double cost = demand.model.empty()
-                      ? result.expected_ms
-                      : wait_cost(result.expected_ms, demand.target_ms);
+    double cost = demand.model.empty() ? result.expected_ms
+                                       : wait_cost(result.expected_ms, demand.target_ms);
     cost += std::max(load.overdue_ms, 0.0);
     cost += load.failure_share * this->speed.failure_cost_ms;
     if (load.is_full)
@@ -155,7 +155,8 @@
 
 /// A prompt delays the next tokens of the streams at its engine. Short requests are kept
 /// apart from long streams where that costs little.
-double backend_chooser::disturbance(const load_summary& load, const backend_demand& demand,
+double backend_chooser::disturbance(const load_summary& load,
+                                    const backend_demand& demand,
                                     std::uint32_t uncached_tokens) const
 {
     constexpr double unit_ms = 100.0;
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -44,6 +44,8 @@
     adapter_missing,
     /// All that could serve were tried already.
     all_tried,
+    /// All that could serve have more work than the request can wait for.
+    overloaded,
 };
 
 std::string_view to_string(choice_failure failure);
--- a/src/libs/coordination/weight_demand.cpp
+++ b/src/libs/coordination/weight_demand.cpp
@@ -11,7 +11,7 @@
 
 /// Time constant of the rates: shorter than a wave of demand, longer than the gaps
 /// between the requests of one model.
-constexpr double window_s = 2.0;
+constexpr double window_s = 1.2;
 constexpr double usual_window_s = 20.0;
 constexpr state::milliseconds peer_life{2000};
 /// Below this rate nothing is reported.
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -23,10 +23,16 @@
 constexpr double present_share = 0.75;
 /// Demand that is assumed before any was seen, in prompt tokens a second.
 constexpr double first_tokens_per_s = 20000.0;
-/// Share of all demand that each model with adapters, and each other one, is kept ready
-/// for: adapters are made for models that are in use.
-constexpr double adapted_reserve = 0.05;
+/// Share of all demand that each model is kept ready for.
 constexpr double plain_reserve = 0.002;
+/// Copies that a model is kept ready with which may come into demand: one with adapters,
+/// or one of the first in the operator's list.
+constexpr int reserve_copies = 3;
+constexpr std::size_t listed_first_divisor = 6;
+/// What a missing copy of the reserve counts as, in prompt tokens a second.
+constexpr double reserve_weight = 5000.0;
+/// One copy carries this much without help, in prompt tokens a second.
+constexpr double easy_weight = 4000.0;
 /// A copy is moved to a model whose copies carry this many times as much as those of the
 /// model that gives way would after it.
 constexpr double move_gain = 1.5;
@@ -114,8 +120,7 @@
         total += unseen;
         for (const state::hosted_model& model : this->profile.models)
         {
-            this->weights[model.name] +=
-                total * (model.adapters.empty() ? plain_reserve : adapted_reserve);
+            this->weights[model.name] += total * plain_reserve;
         }
     }
 
@@ -129,6 +134,20 @@
         return found == this->weights.end() ? 0.0 : found->second / copies;
     }
 
+    /// Demand that one copy of a model has to carry, or what its missing reserve counts
+    /// as.
+    double need(const state::hosted_model& model) const
+    {
+        const auto position =
+            static_cast<std::size_t>(&model - this->profile.models.data());
+        const bool is_listed_first =
+            position < this->profile.models.size() / listed_first_divisor + 1;
+        const bool lacks_reserve = (is_listed_first || !model.adapters.empty()) &&
+                                   this->model_copies(model.name) < reserve_copies;
+        return std::max(this->weight_per_copy(model.name),
+                        lacks_reserve ? reserve_weight : 0.0);
+    }
+
     /// Demand that an engine has to carry with all its models.
     double engine_weight(const planned_engine& engine) const
     {
@@ -440,8 +459,7 @@
             const bool is_candidate =
                 copies > 0 && copies < static_cast<int>(work.engines.size());
             if (is_candidate &&
-                (wanted == nullptr ||
-                 work.weight_per_copy(model.name) > work.weight_per_copy(wanted->name)))
+                (wanted == nullptr || work.need(model) > work.need(*wanted)))
                 wanted = &model;
         }
         if (wanted == nullptr || !move_copy(work, *wanted))
@@ -452,7 +470,9 @@
 /// Returns whether a copy of `wanted` is loaded, or room is made for one.
 bool weight_planner::move_copy(workspace& work, const state::hosted_model& wanted)
 {
-    const double need = work.weight_per_copy(wanted.name);
+    const double need = work.need(wanted);
+    if (need < easy_weight)
+        return false;
     planned_engine* best = nullptr;
     const std::string* victim = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
