Let a holder go on while the store does not answer, where engines check tokens

Cause: with the store down from 18 s to 26 s nobody ordered engines until 29 s, while demand moved; a new holder took the list of engines for unsettled for 2.5 s. Change: a holder whose renewals get no answer orders on until it is refused or hears of a successor, if engines refuse old tokens; all gateways watch the list of engines.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -64,6 +64,7 @@
 {
     coordination::store_lease_timing timing;
     timing.separation = settings.lease_duration;
+    timing.engines_check_tokens = settings.engines_check_tokens;
     return timing;
 }
 
@@ -247,6 +248,7 @@
     }
     catch (const state::error& failure)
     {
+        this->lease.on_read_failed(state::boot_time());
         state::log_event(state::log_level::info, "lease_not_read")
             .field("problem", failure.what());
     }
@@ -267,7 +269,7 @@
     }
     catch (const state::error& failure)
     {
-        this->lease.on_append_unknown();
+        this->lease.on_append_unknown(state::boot_time());
         state::log_event(state::log_level::info, "lease_append_failed")
             .field("epoch", append.record.epoch)
             .field("problem", failure.what());
@@ -284,6 +286,7 @@
         if (has_waiting && !this->had_waiting && !this->lease.is_holder())
             this->peers.send_heartbeat();
         this->had_waiting = has_waiting;
+        this->watch_engines();
         this->plan();
     }
 }
@@ -381,7 +384,12 @@
 
 /// Whether the list of engines has been the same for a while. Engines that start together
 /// register one after another, and each may hold what the others lack.
-bool placement_agent::is_settled()
+bool placement_agent::is_settled() const
+{
+    return now() - this->engines_changed >= settle_time;
+}
+
+void placement_agent::watch_engines()
 {
     std::size_t known = 0;
     for (const auto& [id, backend] : this->shared.directory.all())
@@ -389,7 +397,6 @@
     if (known > this->most_engines)
         this->engines_changed = now();
     this->most_engines = known;
-    return now() - this->engines_changed >= settle_time;
 }
 
 std::vector<coordination::planned_engine>
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -57,7 +57,9 @@
     boost::asio::awaitable<void> plan_loop();
     void plan();
     void plan_service(const state::gateway_service& service);
-    bool is_settled();
+    bool is_settled() const;
+    /// Notices engines that come; whichever gateway becomes the holder has to know.
+    void watch_engines();
     /// Logs once a second what the models in demand have and need.
     void log_state(const std::vector<coordination::planned_engine>& engine_list,
                    const coordination::weight_demand::rates& demand);
--- a/src/libs/coordination/store_lease.cpp
+++ b/src/libs/coordination/store_lease.cpp
@@ -109,9 +109,15 @@
         this->order_from = had_holder ? now + this->timing.separation : now;
 }
 
-void store_lease::on_append_unknown()
+void store_lease::on_append_unknown(state::time_point now)
 {
     this->read_needed = true;
+    this->unanswered_at = now;
+}
+
+void store_lease::on_read_failed(state::time_point now)
+{
+    this->unanswered_at = now;
 }
 
 void store_lease::on_fenced()
@@ -122,8 +128,12 @@
 
 bool store_lease::may_order(state::time_point now) const
 {
-    return this->holding && now >= this->order_from &&
-           now - this->renewed_at < this->timing.order_window;
+    if (!this->holding || now < this->order_from)
+        return false;
+    if (now - this->renewed_at < this->timing.order_window)
+        return true;
+    return this->timing.engines_check_tokens &&
+           now - this->unanswered_at < this->timing.attempt_life;
 }
 
 } // namespace pomelorouter::coordination
--- a/src/libs/coordination/store_lease.hpp
+++ b/src/libs/coordination/store_lease.hpp
@@ -28,6 +28,12 @@
     state::milliseconds separation{3000};
     /// Allowance for the speed of clocks and for records under way.
     state::milliseconds margin{400};
+    /// A renewal that the store did not take counts as tried for this long.
+    state::milliseconds attempt_life{2500};
+    /// Engines refuse orders with an older fencing token. A holder that the store does
+    /// not answer then goes on until it is refused or hears of a successor: orders of two
+    /// holders do no harm, while a fleet that nobody orders does.
+    bool engines_check_tokens = false;
 };
 
 /// What to append to the lease topic.
@@ -62,7 +68,9 @@
     void on_append_answer(state::time_point now, const lease_append& append,
                           bool is_appended, std::uint64_t end);
     /// The append had no answer; the record may have been appended.
-    void on_append_unknown();
+    void on_append_unknown(state::time_point now);
+    /// The topic could not be read.
+    void on_read_failed(state::time_point now);
     /// An engine refused the fencing token, so another process has claimed.
     void on_fenced();
     /// Whether the topic must be read before anything can be appended.
@@ -90,6 +98,8 @@
     /// When the append under way, and the last successful one, were sent.
     state::time_point sending_at{};
     state::time_point renewed_at{};
+    /// When the store last failed to answer.
+    state::time_point unanswered_at{};
     /// Orders are given from here on; later than the claim if there was a holder before.
     state::time_point order_from{};
 };
--- a/src/libs/state/gateway_settings.cpp
+++ b/src/libs/state/gateway_settings.cpp
@@ -44,6 +44,7 @@
         result.seeds = read_address_list(reader, "seeds");
     result.grace_period = read_ms(reader, "grace_period_ms", result.grace_period);
     result.lease_duration = read_ms(reader, "lease_duration_ms", result.lease_duration);
+    result.engines_check_tokens = reader.get_bool("engines_check_tokens", false);
     result.address_ttl = read_ms(reader, "address_ttl_ms", result.address_ttl);
     result.retry_percent = reader.get_int("retry_percent", 0, 100, result.retry_percent);
     result.load_rate_factor =
--- a/src/libs/state/gateway_settings.hpp
+++ b/src/libs/state/gateway_settings.hpp
@@ -36,6 +36,8 @@
     milliseconds grace_period{8000};
     /// Longest time that a holder of a lease may go without renewal.
     milliseconds lease_duration{3000};
+    /// Whether engines refuse orders with an older fencing token than they have seen.
+    bool engines_check_tokens = false;
     /// Share of the requests of a service that may be sent a second time, in percent.
     std::int64_t retry_percent = 18;
     /// Longest time for which callers may keep an address.
