--- /dev/null
+++ b/tests/auto/coordination/tst_store_lease.cpp
@@ -0,0 +1,264 @@
+#include "coordination/random_source.hpp"
+#include "coordination/store_lease.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using coordination::lease_append;
+using coordination::lease_record;
+using coordination::store_lease;
+using coordination::store_lease_timing;
+using state::milliseconds;
+using state::time_point;
+
+/// The lease topic of the store.
+struct lease_topic
+{
+    lease_record newest;
+    std::uint64_t end = 0;
+
+    bool append(const lease_append& append)
+    {
+        if (append.expected_end != this->end)
+            return false;
+        this->newest = append.record;
+        ++this->end;
+        return true;
+    }
+};
+
+struct order
+{
+    time_point when{};
+    int node = 0;
+    std::uint64_t epoch = 0;
+};
+
+/// An append that the store carries out after its sender has given up on it.
+struct late_append
+{
+    time_point when{};
+    lease_append append;
+};
+
+struct faults
+{
+    double lost_share = 0.0;
+    double late_share = 0.0;
+    double suspend_share = 0.0;
+    double down_share = 0.0;
+};
+
+/// Gateways that compete for the lease in virtual time, in steps of 50 ms.
+class lease_simulation
+{
+public:
+    lease_simulation(std::uint64_t seed, const faults& wanted_faults,
+                     const store_lease_timing& times)
+        : random(seed), fault(wanted_faults)
+    {
+        for (int node = 0; node < nodes; ++node)
+        {
+            this->leases.push_back(
+                std::make_unique<store_lease>("n" + std::to_string(node), 1, times));
+        }
+    }
+
+    void run(state::seconds duration)
+    {
+        const time_point last = this->now + duration;
+        for (; this->now < last; this->now += step)
+        {
+            this->carry_out_late();
+            for (int node = 0; node < nodes; ++node)
+                this->run_node(node);
+        }
+    }
+
+    std::vector<order> orders;
+    lease_topic topic;
+
+private:
+    static constexpr int nodes = 4;
+    static constexpr milliseconds step{50};
+
+    void run_node(int node)
+    {
+        time_point& until = this->suspended_until[static_cast<std::size_t>(node)];
+        if (this->now < until)
+            return;
+        if (this->random.unit() < this->fault.suspend_share)
+        {
+            until = this->now + milliseconds(500 + this->random.below(8000));
+            return;
+        }
+        store_lease& lease = *this->leases[static_cast<std::size_t>(node)];
+        const bool is_down = this->random.unit() < this->fault.down_share;
+        if (lease.needs_read() && !is_down)
+            lease.on_read(this->now, this->topic.newest, this->topic.end);
+        lease_append append;
+        if (lease.next_append(this->now, static_cast<std::size_t>(node), true, append))
+            this->send(lease, append, is_down);
+        // The clock of the lease runs on while the node is suspended, so the check right
+        // before the order sees it.
+        if (lease.may_order(this->now))
+            this->orders.push_back({this->now, node, lease.epoch()});
+    }
+
+    void send(store_lease& lease, const lease_append& append, bool is_down)
+    {
+        lease.on_sending(this->now);
+        const double draw = this->random.unit();
+        if (is_down)
+        {
+            lease.on_append_unknown(this->now);
+        }
+        else if (draw < this->fault.late_share)
+        {
+            this->late.push_back(
+                {this->now + milliseconds(this->random.below(4000)), append});
+            lease.on_append_unknown(this->now);
+        }
+        else if (draw < this->fault.late_share + this->fault.lost_share)
+        {
+            this->topic.append(append);
+            lease.on_append_unknown(this->now);
+        }
+        else
+        {
+            const bool is_appended = this->topic.append(append);
+            lease.on_append_answer(this->now, append, is_appended, this->topic.end);
+        }
+    }
+
+    void carry_out_late()
+    {
+        for (auto item = this->late.begin(); item != this->late.end();)
+        {
+            if (this->now < item->when)
+            {
+                ++item;
+                continue;
+            }
+            this->topic.append(item->append);
+            item = this->late.erase(item);
+        }
+    }
+
+    coordination::random_source random;
+    faults fault;
+    time_point now{state::seconds(1000)};
+    std::vector<std::unique_ptr<store_lease>> leases;
+    std::array<time_point, nodes> suspended_until{};
+    std::deque<late_append> late;
+};
+
+} // namespace
+
+// Guards against two gateways that order the same engine within the separation, and
+// against an epoch that two gateways use or that goes back.
+TEST_CASE("orders of two holders are apart, and epochs grow")
+{
+    struct row
+    {
+        const char* name;
+        faults fault;
+    };
+    const std::vector<row> rows{
+        {"calm", {}},
+        {"answers lost", {0.2, 0.0, 0.0, 0.0}},
+        {"appends late", {0.0, 0.2, 0.0, 0.0}},
+        {"suspended", {0.0, 0.0, 0.005, 0.0}},
+        {"all", {0.1, 0.1, 0.005, 0.2}},
+    };
+    const store_lease_timing times;
+    for (const row& item : rows)
+    {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed)
+        {
+            CAPTURE(item.name);
+            CAPTURE(seed);
+            lease_simulation simulation(seed, item.fault, times);
+            simulation.run(state::seconds(120));
+            REQUIRE(simulation.orders.size() > 100);
+            for (std::size_t i = 1; i < simulation.orders.size(); ++i)
+            {
+                const order& before = simulation.orders[i - 1];
+                const order& after = simulation.orders[i];
+                REQUIRE(after.epoch >= before.epoch);
+                if (before.node == after.node)
+                    continue;
+                REQUIRE(after.epoch > before.epoch);
+                REQUIRE(after.when - before.when >= times.separation);
+            }
+        }
+    }
+}
+
+// Guards against a fleet that nobody orders because one gateway has died.
+TEST_CASE("the lease of a silent holder is taken over")
+{
+    const store_lease_timing times;
+    lease_topic topic;
+    store_lease first("a", 1, times);
+    store_lease second("b", 1, times);
+    time_point now{state::seconds(10)};
+    first.on_read(now, {}, 0);
+    lease_append append;
+    REQUIRE(first.next_append(now, 0, true, append));
+    first.on_sending(now);
+    REQUIRE(topic.append(append));
+    first.on_append_answer(now, append, true, topic.end);
+    CHECK(first.may_order(now));
+    // The second gateway learns of the renewal by a heartbeat only.
+    second.on_heard(now, "a", first.epoch(), first.end_offset());
+    const time_point died = now;
+    while (!second.may_order(now) && now - died < state::seconds(30))
+    {
+        now += milliseconds(100);
+        if (!second.next_append(now, 0, true, append))
+            continue;
+        second.on_sending(now);
+        const bool is_appended = topic.append(append);
+        second.on_append_answer(now, append, is_appended, topic.end);
+    }
+    CHECK(now - died >= times.separation);
+    CHECK(now - died <= state::seconds(7));
+    CHECK_FALSE(first.may_order(now));
+}
+
+// Guards against a holder that orders on without the store where engines do not check
+// tokens, and against one that stops where they do.
+TEST_CASE("a holder whose renewals get no answer")
+{
+    for (const bool engines_check : {false, true})
+    {
+        CAPTURE(engines_check);
+        store_lease_timing times;
+        times.engines_check_tokens = engines_check;
+        store_lease lease("a", 1, times);
+        time_point now{state::seconds(10)};
+        lease.on_read(now, {}, 0);
+        lease_append append;
+        REQUIRE(lease.next_append(now, 0, true, append));
+        lease.on_sending(now);
+        lease.on_append_answer(now, append, true, 1);
+        now += state::seconds(4);
+        // After a pause nothing is known until the store was asked.
+        CHECK_FALSE(lease.may_order(now));
+        lease.on_append_unknown(now);
+        CHECK(lease.may_order(now) == engines_check);
+        lease.on_heard(now, "b", 2, 5);
+        CHECK_FALSE(lease.may_order(now));
+    }
+}
--- /dev/null
+++ b/tests/auto/platform/tst_documents.cpp
@@ -0,0 +1,134 @@
+#include "platform/adapter.hpp"
+#include "state/error.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+
+const std::string entry_text = R"("Service":"s","Address":"1.2.3.4:80","Zone":"z",
+ "Version":"v1","Slots":64,"State":"ready","Sequence":7,"ColdRemainingMs":0)";
+
+transport::http_response response(unsigned code, const std::string& body)
+{
+    return transport::json_response(static_cast<transport::status>(code), body);
+}
+
+} // namespace
+
+TEST_CASE("a configuration of the operator")
+{
+    const auto adapter = platform::make_adapter();
+    const auto config = adapter->documents().read_config(R"({"Version":7,"Later":1,
+      "Routes":[{"Name":"r1","Host":"h","PathPrefix":"/a/","RouteType":"streaming",
+        "TimeoutMs":20000.0,"TargetLatencyMs":800,"Priority":1,"MaxAttempts":2,
+        "Resumable":true,"TargetGapMs":250,
+        "TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}]},
+       {"Name":"r2","Host":"h","PathPrefix":"/b/","RouteType":"unheard","Service":"s2"}],
+      "Services":[{"Name":"s1","MaxConnections":360,"Engine":{"Slots":64,"KvCapacity":1000,
+        "WeightSize":230000.5,"AdapterSlots":8,"LoadsPerS":2.1,"Models":[{"Name":"m1",
+        "WeightSize":72700.0,"LoadTimeS":9.5,"DiskLoadS":2.4,"WarmupS":1.2,"Adapters":2,
+        "AdapterSizeMb":66.0}]}},{"Name":"s2"}],
+      "Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":3,"IdleTimeoutMs":4}})");
+    CHECK(config.version == 7);
+    REQUIRE(config.routes.size() == 2);
+    CHECK(config.routes[0].may_repeat());
+    CHECK(config.routes[0].timeout == state::milliseconds(20000));
+    CHECK(config.routes[0].services.size() == 2);
+    // A kind that is not known is not repeated.
+    CHECK_FALSE(config.routes[1].may_repeat());
+    REQUIRE(config.find_service("s1") != nullptr);
+    const auto& engine = *config.find_service("s1")->engine;
+    CHECK(engine.find_model("m1")->store_load == state::milliseconds(9500));
+    CHECK(engine.find_model("m1")->adapters == std::vector<std::string>{"a1", "a2"});
+    CHECK_FALSE(config.find_service("s2")->engine.has_value());
+    CHECK(config.limits.idle_timeout == state::milliseconds(4));
+}
+
+TEST_CASE("entries of backend servers, and entries by other writers")
+{
+    const auto adapter = platform::make_adapter();
+    const auto& reader = adapter->documents();
+    const auto entry = reader.read_backend(
+        "i1", "{" + entry_text + R"(,"born":5,"RemainingMs":1500,"Models":[{"Name":"m1",
+        "Version":3,"Adapters":["a1"]}],"Available":{"Resident":["m2"],"CachedOnDisk":["m3"]}})");
+    CHECK(entry.incarnation == 5);
+    CHECK(entry.remaining == state::milliseconds(1500));
+    CHECK(entry.has_adapter("m1", "a1"));
+    CHECK(entry.in_memory == std::vector<std::string>{"m2"});
+    CHECK(entry.on_disk == std::vector<std::string>{"m3"});
+    for (const std::string& text : std::vector<std::string>{
+             "", "not json", "[]", "{}", "{" + entry_text.substr(14) + "}",
+             R"({"Service":1,"Address":"1.2.3.4:80","State":"ready"})",
+             R"({"Service":"s","Address":"nowhere","State":"ready"})",
+             R"({"Service":"s","Address":"1.2.3.4:80","State":"sleeping"})",
+             R"({"Service":"s","Address":"1.2.3.4:80"})", "\xff\xfe{"})
+    {
+        CAPTURE(text);
+        CHECK_THROWS_AS(reader.read_backend("i1", text), state::error);
+    }
+    CHECK_THROWS_AS(reader.read_config("{}"), state::error);
+    CHECK_THROWS_AS(reader.read_config(R"({"Version":1,"Routes":[{"Host":"h"}]})"),
+                    state::error);
+}
+
+TEST_CASE("orders to engines and their answers")
+{
+    const auto adapter = platform::make_adapter();
+    const auto& engines = adapter->engines();
+    app::engine_order_request order;
+    order.operation = app::order_operation::load;
+    order.model = "m1";
+    order.adapter = "a1";
+    order.holder = "n1";
+    order.fencing_token = 41;
+    order.expected_sequence = 2;
+    order.engine_id = "i1";
+    const auto request = engines.order(order);
+    CHECK(
+        request.body() ==
+        R"({"Operation":"loading","Model":"m1","Holder":"n1","FencingToken":41,"Adapter":"a1","Expected":2})");
+    CHECK(request["X-Pomelorouter-Target-Instance"] == "i1");
+    struct row
+    {
+        unsigned code;
+        app::order_answer answer;
+    };
+    for (const row& item : std::vector<row>{{202, app::order_answer::accepted},
+                                            {200, app::order_answer::already_done},
+                                            {409, app::order_answer::conflict},
+                                            {412, app::order_answer::fenced},
+                                            {421, app::order_answer::misdirected},
+                                            {400, app::order_answer::refused},
+                                            {500, app::order_answer::refused}})
+        CHECK(engines.read_order_answer(response(item.code, "")) == item.answer);
+    const auto report = engines.read_report(response(
+        200, R"({"Sequence":3,"Busy":true,"Models":[{"Name":"m1","Adapters":["a1"]}]})"));
+    CHECK(report.order_sequence == 3);
+    CHECK(report.is_busy);
+    CHECK(report.models.size() == 1);
+    CHECK_THROWS_AS(engines.read_report(response(503, "{}")), state::error);
+    CHECK_THROWS_AS(engines.read_report(response(200, "{}")), state::error);
+    CHECK_THROWS_AS(engines.read_report(response(200, "")), state::error);
+}
+
+TEST_CASE("questions for addresses")
+{
+    const auto adapter = platform::make_adapter();
+    const auto& words = adapter->directory();
+    const auto query = words.read_query(transport::make_request(
+        transport::verb::get, "/pomelorouter/resolve?Name=h&Region=r&Zone=zone-a"));
+    REQUIRE(query);
+    CHECK(query->zone == "zone-a");
+    CHECK_FALSE(
+        words.read_query(transport::make_request(transport::verb::get, "/other")));
+    CHECK(words.answer({"1.2.3.4:1", "1.2.3.4:2"}, state::milliseconds(2500)).body() ==
+          R"({"Addresses":["1.2.3.4:1","1.2.3.4:2"],"TtlS":2})");
+    CHECK(words.is_readiness_check(
+        transport::make_request(transport::verb::get, "/pomelorouter/readyz")));
+}
--- /dev/null
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -0,0 +1,258 @@
+#include "gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using test::answer_text;
+using test::gateway_fixture;
+using test::raw_reply;
+
+raw_reply ok(const transport::http_request& request)
+{
+    const std::string attempt(request["X-Pomelorouter-Attempt-Id"]);
+    return {{answer_text("200 OK", attempt, "done")}};
+}
+
+/// An engine that reports what it holds and accepts orders.
+struct ordered_engine
+{
+    raw_reply operator()(const transport::http_request& request)
+    {
+        if (request.target() == "/pomelorouter/report")
+        {
+            const std::string body =
+                R"({"Sequence":)" + std::to_string(this->sequence) +
+                R"(,"Busy":false,"Models":[{"Name":"m1","Version":1,"Adapters":[)" +
+                this->adapters + "]}]}";
+            return {{answer_text("200 OK", "", body)}};
+        }
+        if (request.target() == "/pomelorouter/order")
+        {
+            this->orders.push_back(request.body());
+            ++this->sequence;
+            return {{answer_text("202 Accepted", "", "")}};
+        }
+        return ok(request);
+    }
+
+    int sequence = 0;
+    std::string adapters;
+    std::vector<std::string> orders;
+};
+
+} // namespace
+
+// Guards against a change that is not taken over, and one that is taken back.
+TEST_CASE("the newest configuration is in force and never an older one")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", ok);
+    test.put_config(5);
+    test.start();
+    const auto version = [&test]
+    { return test.gateway->knowledge().routes->config().version; };
+    CHECK(version() == 5);
+    test.put_config(9);
+    test.run_until([&] { return version() == 9; });
+    test.put_config(7);
+    test.store.put("keyed.op", "config", "not a configuration");
+    test.put_config(8);
+    test.run_for(state::milliseconds(300));
+    CHECK(version() == 9);
+    // The store forgets its history while a change is made.
+    test.put_config(12);
+    test.store.compact("keyed.op");
+    test.run_until([&] { return version() == 12; });
+}
+
+TEST_CASE("backend servers come, leave and go with their entries")
+{
+    gateway_fixture test;
+    auto& first = test.add_backend("s1", "plain", ok);
+    auto& second = test.add_backend("s2", "plain", ok);
+    test.store.put("keyed.servers", "other", "bytes of another writer");
+    test.put_config(1);
+    test.start();
+    const auto send = [&test](int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            const auto response =
+                test.fetch(test.request("/once/x", "a" + std::to_string(i)));
+            REQUIRE(response);
+            CHECK(response->result_int() == 200);
+        }
+    };
+    send(12);
+    CHECK(first.requests.size() > 0);
+    CHECK(second.requests.size() > 0);
+    test.put_entry("s1", "plain", first.address, "draining");
+    test.run_until(
+        [&] { return test.gateway->knowledge().directory.find("s1")->is_leaving; });
+    const std::size_t before = first.requests.size();
+    send(6);
+    CHECK(first.requests.size() == before);
+    test.store.put("keyed.servers", "s1", "");
+    test.run_until(
+        [&]
+        {
+            // Shortly after the start the store counts as returned only now.
+            return test.gateway->knowledge().directory.find("s1") == nullptr;
+        });
+}
+
+// Guards against a request that runs at the wrong service after an address was reused.
+TEST_CASE("an engine that is not the one meant is forgotten")
+{
+    gateway_fixture test;
+    test.add_backend(
+        "s1", "plain",
+        [](const transport::http_request&)
+        {
+            return raw_reply{
+                {"HTTP/1.1 421 Misdirected\r\nX-Pomelorouter-Instance-Id: s9\r\n"
+                 "Content-Length: 0\r\n\r\n"}};
+        });
+    test.put_config(1);
+    test.start();
+    const auto response = test.fetch(test.request("/again/x", "a1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 503);
+    CHECK(test.gateway->knowledge().directory.find("s1") == nullptr);
+}
+
+// Guards against readiness that is not true, and an answer before anything is known.
+TEST_CASE("without a configuration a gateway refuses and is not ready")
+{
+    gateway_fixture test;
+    test.store.is_down = true;
+    test.put_config(3);
+    test.gateway = std::make_unique<app::gateway>(
+        test.loop, test.settings, test.settings_path, *test.adapter, test.counters);
+    test.gateway->start();
+    const auto response = test.fetch(test.request("/once/x", "a1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 503);
+    CHECK(response->count("Retry-After") == 1);
+    CHECK_FALSE(test.gateway->is_ready());
+    test.store.is_down = false;
+    test.run_until([&test] { return test.gateway->is_ready(); });
+}
+
+// Guards against a gateway that cannot start while the store is down though another knows
+// the configuration.
+TEST_CASE("a gateway learns the configuration from another one")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", ok);
+    test.put_config(4);
+    test.start();
+    test.store.is_down = true;
+    state::gateway_settings settings = test.settings;
+    settings.node_id = "gateway-2";
+    settings.seeds = {test.gateway->own_settings().control_listen};
+    app::gateway other(test.loop, settings, test.settings_path, *test.adapter,
+                       test.counters);
+    other.start();
+    test.run_until([&other] { return other.knowledge().routes != nullptr; });
+    CHECK(other.knowledge().routes->config().version == 4);
+    test.store.is_down = false;
+    test.run_until([&other] { return other.is_ready(); });
+}
+
+// Guards against a planned stop that cuts off a request.
+TEST_CASE("a planned stop lets requests end and refuses later ones")
+{
+    gateway_fixture test;
+    test.settings.grace_period = state::milliseconds(8000);
+    test.add_backend("s1", "plain",
+                     [](const transport::http_request& request)
+                     {
+                         raw_reply reply = ok(request);
+                         reply.pause = state::milliseconds(3200);
+                         return reply;
+                     });
+    test.put_config(1);
+    test.start();
+    bool stopped = false;
+    test.gateway->stop([&stopped] { stopped = true; });
+    CHECK_FALSE(test.gateway->is_ready());
+    const auto response = test.fetch(test.request("/once/x", "a1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK((*response)["Connection"] == "close");
+    test.run_until([&stopped] { return stopped; });
+}
+
+// Guards against adapters that requests ask for and nobody loads.
+TEST_CASE("an adapter that a request asks for is loaded")
+{
+    gateway_fixture test;
+    ordered_engine engine;
+    test.add_backend("e1", "models",
+                     [&engine](const transport::http_request& request)
+                     { return engine(request); },
+                     {"m1"});
+    test.put_config(1);
+    test.start();
+    const auto response = test.fetch(test.request("/stream/x", "a1", "m1/a2"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    REQUIRE_FALSE(engine.orders.empty());
+    CHECK(engine.orders.front().find(R"("Operation":"loading","Model":"m1")") !=
+          std::string::npos);
+    CHECK(engine.orders.front().find(R"("FencingToken":1)") != std::string::npos);
+    CHECK(engine.orders.front().find(R"("Expected":0)") != std::string::npos);
+}
+
+// Guards against a lease that is lost or taken twice because an answer was lost.
+TEST_CASE("a lease whose claim got no answer is held once")
+{
+    gateway_fixture test;
+    ordered_engine engine;
+    test.add_backend("e1", "models",
+                     [&engine](const transport::http_request& request)
+                     { return engine(request); },
+                     {"m1"});
+    test.put_config(1);
+    test.store.loses_answers = true;
+    test.start();
+    test.run_until([&test] { return test.store.end("keyed.lease") >= 1; });
+    test.store.loses_answers = false;
+    test.run_until([&engine] { return !engine.orders.empty(); });
+    CHECK(engine.orders.front().find(R"("FencingToken":1)") != std::string::npos);
+}
+
+TEST_CASE("settings that can change are taken over while the gateway runs")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", ok);
+    test.put_config(1);
+    test.start();
+    std::ofstream(test.settings_path)
+        << R"({"node_id":"gateway-1","zone":"zone-a","listen":"127.0.0.1:1",
+              "readiness_listen":"127.0.0.1:2","directory_listen":"127.0.0.1:3",
+              "control_listen":"127.0.0.1:4","peer_listen":"127.0.0.1:5",
+              "platform":"127.0.0.1:6","retry_percent":7})";
+    test.run_until([&test] { return test.gateway->own_settings().retry_percent == 7; });
+    std::ofstream(test.settings_path) << "{";
+    test.run_for(state::milliseconds(700));
+    CHECK(test.gateway->own_settings().retry_percent == 7);
+}
+
+TEST_CASE("addresses for callers of one availability zone")
+{
+    const std::vector<app::gateway_address> gateways{
+        {"a1", "zone-a"}, {"a2", "zone-a"}, {"b1", "zone-b"}};
+    CHECK(app::choose_addresses(gateways, "zone-a") ==
+          std::vector<std::string>{"a1", "a2"});
+    // One address alone would leave its callers without another when it fails.
+    CHECK(app::choose_addresses(gateways, "zone-b").size() == 3);
+    CHECK(app::choose_addresses(gateways, "zone-c").size() == 3);
+    CHECK(app::choose_addresses({}, "zone-a").empty());
+}
--- /dev/null
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -0,0 +1,105 @@
+#include "protocol/event_cutter.hpp"
+#include "protocol/gateway_heartbeat.hpp"
+#include "state/error.hpp"
+
+#include <doctest/doctest.h>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using protocol::event_cutter;
+using protocol::gateway_heartbeat;
+
+gateway_heartbeat sample()
+{
+    gateway_heartbeat heartbeat;
+    heartbeat.origin = {"n1", 17, "zone-a", "1.2.3.4:1", "1.2.3.4:2", "1.2.3.4:3", true};
+    heartbeat.counter = 9;
+    heartbeat.config_version = 41;
+    heartbeat.lease = {"n2", 5, 77};
+    heartbeat.loads = {{"e1@3", 4, 2000, 1, 12.5}};
+    heartbeat.rates = {{"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2}};
+    heartbeat.weights = {{"e1", 3, 8, {{"m1", 2, {"a1", "a2"}}}}};
+    heartbeat.leaving = {{"e4", 6}};
+    return heartbeat;
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat survives its encoding")
+{
+    const auto copy =
+        protocol::decode_gateway_heartbeat(protocol::encode_gateway_heartbeat(sample()));
+    CHECK(copy.origin.node == "n1");
+    CHECK(copy.origin.incarnation == 17);
+    CHECK(copy.origin.datagrams == "1.2.3.4:3");
+    CHECK(copy.origin.ready);
+    CHECK(copy.counter == 9);
+    CHECK(copy.config_version == 41);
+    CHECK(copy.lease.holder == "n2");
+    CHECK(copy.lease.end_offset == 77);
+    REQUIRE(copy.loads.size() == 1);
+    CHECK(copy.loads[0].waiting_tokens == 2000);
+    CHECK(copy.loads[0].prompt_rate == 12.5);
+    REQUIRE(copy.rates.size() == 1);
+    CHECK(copy.rates[0].usual_tokens_per_s == 2500.0);
+    CHECK(copy.rates[0].waiting == 2);
+    REQUIRE(copy.weights.size() == 1);
+    CHECK(copy.weights[0].models[0].adapters.size() == 2);
+    CHECK(copy.leaving[0].incarnation == 6);
+}
+
+TEST_CASE("broken datagrams get a typed error")
+{
+    const std::string whole = protocol::encode_gateway_heartbeat(sample());
+    const auto code_of = [](const std::string& datagram)
+    {
+        try
+        {
+            protocol::decode_gateway_heartbeat(datagram);
+        }
+        catch (const state::error& failure)
+        {
+            return failure.code();
+        }
+        return state::error_code::internal;
+    };
+    CHECK(code_of("") == state::error_code::malformed_frame);
+    std::string other = whole;
+    other[0] = 9;
+    CHECK(code_of(other) == state::error_code::unsupported_version);
+    for (std::size_t size = 1; size < whole.size() - 1; size += 3)
+    {
+        CAPTURE(size);
+        CHECK(code_of(whole.substr(0, size)) == state::error_code::malformed_frame);
+    }
+    gateway_heartbeat large = sample();
+    large.loads.resize(5000, {std::string(20, 'x'), 1, 1, 0, 0.0});
+    CHECK_THROWS_AS(protocol::encode_gateway_heartbeat(large), state::error);
+}
+
+// Guards against a stream that is cut or joined in the middle of an event.
+TEST_CASE("events are cut at their ends, however the bytes arrive")
+{
+    const std::string stream =
+        "id: 1\ndata: a\n\nversions: 3\nid: 2\ndata: b\ndata: c\n\n"
+        "id: 7\r\ndata: d\r\n\r\n";
+    const std::string rest = "id: 8\nda";
+    for (std::size_t piece = 1; piece < stream.size(); ++piece)
+    {
+        CAPTURE(piece);
+        event_cutter cutter;
+        std::string out;
+        const std::string all = stream + rest;
+        for (std::size_t from = 0; from < all.size(); from += piece)
+            out += cutter.feed(all.substr(from, piece));
+        CHECK(out == stream);
+        CHECK(cutter.rest() == rest);
+        CHECK(cutter.last_id() == 7);
+        CHECK(cutter.events() == 3);
+    }
+    event_cutter none;
+    none.feed("data: without an id\n\n");
+    CHECK_FALSE(none.last_id().has_value());
+}
