Do not prefer backend servers for having been measured

Cause: a first answer faster than assumed made its backend server look better than those without one, which then got no requests (tst_platform). Change: the measured ratio only counts where it is slower than assumed.

--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -139,7 +139,7 @@
         wait_ms += std::max(0.0, active + 1.0 - slots) * this->speed.first_step_ms;
         wait_ms += active;
     }
-    result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 0.5);
+    result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 1.0);
     double cost = demand.model.empty() ? result.expected_ms
                                        : wait_cost(result.expected_ms, demand.target_ms);
     cost += std::max(load.overdue_ms, 0.0);
