Go on with the own lease after a restart; refuse until the queues may be shorter

Change: an instance takes up the lease of its earlier process at once; a refusal names half of the estimated queue, at most a third of the time left.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -54,6 +54,8 @@
 /// When to come back after a refusal that a moment may cure.
 constexpr milliseconds short_retry_after{200};
 constexpr milliseconds long_retry_after{1000};
+/// Callers wait for at most this part of the time they have left.
+constexpr int retry_after_divisor = 3;
 /// Share of its time that a request may wait for weights to be loaded.
 constexpr double weight_wait_share = 0.6;
 /// Work before a request at its engine, in time to compute the prompts, up to which it is
@@ -356,24 +358,30 @@
                                                                     : late_queue_ms);
 }
 
-bool relayed_request::has_prospect(const backend_choice& choice,
-                                   coordination::admission_line::ticket ticket) const
+double relayed_request::queue_ms(const backend_choice& choice,
+                                 coordination::admission_line::ticket ticket) const
 {
-    const milliseconds left = this->time_left() - this->stream_time();
-    if (!choice.backend)
-    {
-        const milliseconds waited = since(this->started);
-        return waited <
-               std::min(this->route->target_latency,
-                        std::chrono::duration_cast<milliseconds>(
-                            (this->deadline - this->started) * weight_wait_share));
-    }
     // The other gateways are assumed to have as many requests waiting.
     const double ahead_ms =
         this->shared.line.work_ahead_ms(now(), ticket) *
         static_cast<double>(this->shared.gateways) /
         static_cast<double>(std::max<std::size_t>(choice.candidates, 1));
-    return choice.expected_ms + ahead_ms < static_cast<double>(left.count());
+    return choice.expected_ms + ahead_ms;
+}
+
+bool relayed_request::has_prospect(const backend_choice& choice,
+                                   coordination::admission_line::ticket ticket)
+{
+    if (choice.backend)
+    {
+        const double queue = this->queue_ms(choice, ticket);
+        this->queue_time = milliseconds(static_cast<std::int64_t>(queue));
+        return this->queue_time < this->time_left() - this->stream_time();
+    }
+    const milliseconds waited = since(this->started);
+    const auto longest = std::chrono::duration_cast<milliseconds>(
+        (this->deadline - this->started) * weight_wait_share);
+    return waited < std::min(this->route->target_latency, longest);
 }
 
 asio::awaitable<backend_choice> relayed_request::wait_in_line()
@@ -747,7 +755,14 @@
 milliseconds relayed_request::retry_after() const
 {
     const bool is_missing = this->last_failure == choice_failure::model_missing;
-    const milliseconds after = is_missing ? long_retry_after : short_retry_after;
+    milliseconds after = is_missing ? long_retry_after : short_retry_after;
+    if (this->last_failure == choice_failure::overloaded)
+    {
+        // Coming back sooner would find the same queues.
+        after = std::clamp(
+            this->queue_time / 2, short_retry_after,
+            std::max(this->time_left() / retry_after_divisor, short_retry_after));
+    }
     // Callers that were refused together come back spread out.
     const double spread = 0.75 + 0.5 * this->shared.random.unit();
     return std::chrono::duration_cast<milliseconds>(after * spread);
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -84,8 +84,11 @@
     /// Whether an engine with this much work before the request may get it now.
     bool may_be_sent(const coordination::backend_choice& choice,
                      coordination::admission_line::ticket ticket) const;
+    /// Estimate of the time until an engine has the request's first token.
+    double queue_ms(const coordination::backend_choice& choice,
+                    coordination::admission_line::ticket ticket) const;
     bool has_prospect(const coordination::backend_choice& choice,
-                      coordination::admission_line::ticket ticket) const;
+                      coordination::admission_line::ticket ticket);
     state::milliseconds stream_time() const;
     bool may_try_again(call_end last) const;
     /// Sends the request to one backend server and passes its answer on.
@@ -144,6 +147,8 @@
     protocol::event_cutter events;
     bool stream_begun = false;
     state::milliseconds first_byte_time{-1};
+    /// Time until the queues may be short enough, for a refusal.
+    state::milliseconds queue_time{0};
 };
 
 } // namespace pomelorouter::app
--- a/src/libs/coordination/store_lease.cpp
+++ b/src/libs/coordination/store_lease.cpp
@@ -39,7 +39,10 @@
     if (is_own && this->sending_at > this->renewed_at)
         this->renewed_at = this->sending_at;
     if (is_own && record.epoch > this->newest.epoch)
-        this->order_from = this->end > 0 ? now + this->timing.separation : now;
+    {
+        const bool had_holder = this->end > 0 && this->newest.holder != this->node;
+        this->order_from = had_holder ? now + this->timing.separation : now;
+    }
     this->holding = is_own;
     this->newest = record;
     this->end = new_end;
@@ -78,9 +81,16 @@
         return false;
     ++append.record.epoch;
     const auto stagger = rank_step * static_cast<int>(rank);
-    const bool is_free = this->end == 0 || this->newest.is_release;
+    // The last holder was an earlier process of this instance, which is gone.
+    const bool was_own = this->newest.holder == this->node;
+    const bool is_free = this->end == 0 || this->newest.is_release || was_own;
     const auto silence = this->timing.order_window + this->timing.margin;
-    return now - this->end_known_at >= (is_free ? stagger : silence + stagger);
+    state::milliseconds wait = stagger;
+    if (was_own)
+        wait = state::milliseconds(0);
+    else if (!is_free)
+        wait += silence;
+    return now - this->end_known_at >= wait;
 }
 
 void store_lease::on_sending(state::time_point now)
@@ -99,7 +109,7 @@
         return;
     }
     const bool is_claim = append.record.epoch > this->newest.epoch;
-    const bool had_holder = this->end > 0;
+    const bool had_holder = this->end > 0 && this->newest.holder != this->node;
     this->newest = append.record;
     this->end = new_end;
     this->end_known_at = now;
--- a/tests/auto/coordination/tst_store_lease.cpp
+++ b/tests/auto/coordination/tst_store_lease.cpp
@@ -262,3 +262,23 @@
         CHECK_FALSE(lease.may_order(now));
     }
 }
+
+// Guards against seconds without orders after the instance of the holder has restarted.
+TEST_CASE("an instance goes on with the lease of its earlier process")
+{
+    store_lease lease("a", 2, {});
+    const time_point now{state::seconds(10)};
+    lease.on_read(now, {"a", 1, 7, false}, 40);
+    CHECK_FALSE(lease.may_order(now));
+    lease_append append;
+    REQUIRE(lease.next_append(now, 3, true, append));
+    CHECK(append.record.epoch == 8);
+    lease.on_sending(now);
+    lease.on_append_answer(now, append, true, 41);
+    CHECK(lease.may_order(now));
+    // Another instance waits for the silence and for the separation.
+    store_lease other("b", 1, {});
+    other.on_read(now, {"a", 1, 7, false}, 40);
+    CHECK_FALSE(other.next_append(now + milliseconds(2000), 0, true, append));
+    CHECK(other.next_append(now + milliseconds(2500), 0, true, append));
+}
