Send up to 450 ms of work ahead to an engine

Cause: a wide line at the gateway leaves engines without work between two looks. Change: 450 ms before a request in time, 300 ms before a late one (300 and 120 before).

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -60,9 +60,9 @@
 constexpr double weight_wait_share = 0.6;
 /// Work before a request at its engine, in time to compute the prompts, up to which it is
 /// sent there. What exceeds it waits here, where the order can still change.
-constexpr double in_time_queue_ms = 300.0;
+constexpr double in_time_queue_ms = 450.0;
 /// The same for a request whose answer is late anyway.
-constexpr double late_queue_ms = 120.0;
+constexpr double late_queue_ms = 300.0;
 /// Time in which a stream brings one token at a busy engine.
 constexpr double milliseconds_per_token = 25.0;
 constexpr double ms_per_s = 1000.0;
