--- a/src/app/gateway/process/gateway_process.cpp
+++ b/src/app/gateway/process/gateway_process.cpp
@@ -4,11 +4,8 @@
 #include "state/counters.hpp"
 #include "state/log.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -22,27 +19,33 @@
 namespace
 {
 
-asio::awaitable<void> wait_for_signals(gateway& process)
+void stop(gateway& process)
 {
-    const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    asio::signal_set signals(executor, SIGTERM, SIGINT, SIGHUP);
-    for (;;)
-    {
-        const int signal = co_await signals.async_wait(asio::use_awaitable);
-        if (signal == SIGHUP)
+    process.stop(
+        []
         {
-            process.reload();
-            continue;
-        }
-        process.stop(
-            []
             {
-                state::log_event(state::log_level::info, "gateway_stopped");
-                // Connections that are still open end with the process; nothing else of
-                // its memory needs care.
-                ::_exit(EXIT_SUCCESS);
-            });
-    }
+                const state::log_event line(state::log_level::info, "gateway_stopped");
+            }
+            // Connections that are still open end with the process; nothing else of its
+            // memory needs care.
+            ::_exit(EXIT_SUCCESS);
+        });
+}
+
+void wait_for_signal(asio::signal_set& signals, gateway& process)
+{
+    signals.async_wait(
+        [&signals, &process](boost::system::error_code failure, int signal)
+        {
+            if (failure)
+                return;
+            wait_for_signal(signals, process);
+            if (signal == SIGHUP)
+                process.reload();
+            else
+                stop(process);
+        });
 }
 
 } // namespace
@@ -55,7 +58,8 @@
     asio::io_context loop{1};
     gateway process(loop, settings, settings_path, adapter, counters);
     process.start();
-    asio::co_spawn(loop, wait_for_signals(process), asio::detached);
+    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+    wait_for_signal(signals, process);
     loop.run();
 }
 
--- a/src/libs/coordination/backend_loads.cpp
+++ b/src/libs/coordination/backend_loads.cpp
@@ -126,8 +126,7 @@
     }
     for (const auto& [backend, item] : this->records)
     {
-        const double tokens =
-            item.prompt_tokens * prompt_share(item.prompt_updated, now);
+        const double tokens = item.prompt_tokens * prompt_share(item.prompt_updated, now);
         if (tokens >= 1.0)
             result[backend].prompt_rate = tokens / prompt_window_s;
     }
@@ -146,8 +145,8 @@
         result.slow_ratio = 1.0 + (item.slow_ratio - 1.0) * share;
         result.is_full = now < item.full_until;
         result.active = static_cast<std::uint32_t>(item.active.size());
-        result.prompt_rate = item.prompt_tokens *
-                             prompt_share(item.prompt_updated, now) / prompt_window_s;
+        result.prompt_rate =
+            item.prompt_tokens * prompt_share(item.prompt_updated, now) / prompt_window_s;
         for (const call_id id : item.active)
         {
             const call& current = this->calls.at(id);
--- a/tests/auto/coordination/tst_weight_planner.cpp
+++ b/tests/auto/coordination/tst_weight_planner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -58,9 +59,8 @@
     fleet() : profile(profile_of_site())
     {
         // Each model on one engine, the two busiest on all that have room.
-        std::vector<int> list;
-        for (int number = 0; number < model_count; ++number)
-            list.push_back(number);
+        std::vector<int> list(model_count);
+        std::iota(list.begin(), list.end(), 0);
         while (list.size() < engine_count * places)
             list.push_back(list.size() % 3 == 0 ? 1 : 0);
         for (int engine = 0; engine < engine_count; ++engine)
@@ -69,8 +69,9 @@
             item.id = "e" + std::to_string(engine);
             for (int place = 0; place < places; ++place)
             {
-                const std::string name = model_name(
-                    list[static_cast<std::size_t>(engine + place * engine_count)]);
+                const std::string name =
+                    model_name(list.at(static_cast<std::size_t>(engine) +
+                                       static_cast<std::size_t>(place) * engine_count));
                 const bool is_held = this->holds(item, name);
                 if (!is_held)
                     item.models.push_back({name, 1, {}});
