Exchange loads over one aggregator for each availability zone

Change: gateways report to the aggregator of their zone; aggregators exchange sums; demand goes to the holder of the placement lease alone; signs of life to other zones are rarer in large fleets. Heartbeats name the backend servers that have announced their end, for gateways that the store does not answer.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -14,6 +14,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <map>
 #include <utility>
 
 namespace pomelorouter::app
@@ -25,7 +26,8 @@
 namespace
 {
 
-constexpr milliseconds heartbeat_period{200};
+/// Changes that can't wait are told to all gateways at most this often.
+constexpr milliseconds urgent_period{50};
 /// A read of the members waits this long for a change; heartbeats tell the rest.
 constexpr milliseconds members_wait{20000};
 constexpr milliseconds retry_period{500};
@@ -72,6 +74,8 @@
       client(http_client),
       self(std::move(own_member)),
       table(self.node),
+      plan(self.node, self.zone),
+      exchange(gateway),
       socket(gateway.executor)
 {
 }
@@ -97,36 +101,117 @@
 {
     for (;;)
     {
-        this->send_heartbeat();
+        this->update_plan();
+        if (this->is_urgent)
+            this->send_urgent();
+        this->send(this->plan.targets(this->ticks++));
         for (const std::string& node : this->table.tick(now()))
         {
-            this->shared.loads.forget_peer(node);
-            this->shared.demand.forget_peer(node);
+            this->exchange.forget(node);
             state::log_event(state::log_level::info, "gateway_forgotten")
                 .field("gateway", node);
         }
-        co_await pause(this->shared.executor, heartbeat_period);
+        co_await pause(this->shared.executor, coordination::gossip_tick);
     }
 }
 
-void peer_gossip::send_heartbeat()
+void peer_gossip::update_plan()
+{
+    std::vector<coordination::gossip_peer> members;
+    std::size_t alive = 0;
+    for (protocol::gateway_member& member : this->table.known())
+    {
+        const bool is_alive = this->table.is_alive(now(), member.node);
+        alive += is_alive ? 1 : 0;
+        members.push_back({std::move(member), is_alive});
+    }
+    this->shared.gateways = 1 + alive;
+    this->plan.update(std::move(members), this->lease_holder);
+    const bool is_aggregator = this->plan.is_aggregator();
+    if (is_aggregator == this->was_aggregator)
+        return;
+    this->was_aggregator = is_aggregator;
+    // What was heard in the other role counts the same calls in another way.
+    this->exchange.forget_all();
+    state::log_event(state::log_level::info, "aggregator_changed")
+        .field("zone", this->self.zone)
+        .field("aggregator", this->plan.aggregator_of(this->self.zone));
+}
+
+protocol::gateway_heartbeat peer_gossip::next_heartbeat()
 {
-    this->shared.gateways = 1 + this->table.alive(now()).size();
     protocol::gateway_heartbeat heartbeat;
     heartbeat.origin = this->self;
     heartbeat.counter = ++this->counter;
     this->fill_heartbeat(heartbeat);
-    try
+    this->lease_holder = heartbeat.lease.holder;
+    return heartbeat;
+}
+
+void peer_gossip::send(const std::vector<coordination::gossip_target>& targets)
+{
+    if (targets.empty())
+        return;
+    protocol::gateway_heartbeat heartbeat = this->next_heartbeat();
+    // Datagrams without loads are the same for all receivers with one period.
+    std::map<int, std::string> plain;
+    this->exchange.begin_round();
+    for (const coordination::gossip_target& target : targets)
     {
-        const std::string datagram = encode_gateway_heartbeat(heartbeat);
-        for (const protocol::gateway_member& member : this->table.known())
-            this->socket.send(member.datagrams, datagram);
+        heartbeat.period = target.ticks * coordination::gossip_tick;
+        try
+        {
+            if (target.scope == protocol::load_scope::none)
+            {
+                std::string& datagram = plain[target.ticks];
+                if (datagram.empty())
+                {
+                    heartbeat.scope = target.scope;
+                    heartbeat.loads.clear();
+                    heartbeat.rates.clear();
+                    datagram = encode_gateway_heartbeat(heartbeat);
+                }
+                this->socket.send(target.address, datagram);
+                continue;
+            }
+            this->exchange.fill(heartbeat, target);
+            this->socket.send(target.address, encode_gateway_heartbeat(heartbeat));
+        }
+        catch (const state::error& failure)
+        {
+            state::log_event(state::log_level::error, "heartbeat_not_sent")
+                .field("gateway", target.node)
+                .field("problem", failure.what());
+        }
     }
-    catch (const state::error& failure)
+}
+
+void peer_gossip::send_heartbeat()
+{
+    this->is_urgent = true;
+    if (now() - this->urgent_sent >= urgent_period)
+        this->send_urgent();
+}
+
+void peer_gossip::send_urgent()
+{
+    this->is_urgent = false;
+    this->urgent_sent = now();
+    std::vector<coordination::gossip_target> targets = this->plan.all_targets();
+    for (coordination::gossip_target& target : targets)
+        target.scope = protocol::load_scope::none;
+    this->send(targets);
+}
+
+void peer_gossip::send_demand()
+{
+    std::vector<coordination::gossip_target> targets;
+    for (coordination::gossip_target& target : this->plan.all_targets())
     {
-        state::log_event(state::log_level::error, "heartbeat_not_sent")
-            .field("problem", failure.what());
+        if (target.has_rates)
+            targets.push_back(std::move(target));
     }
+    this->send(targets);
 }
 
 void peer_gossip::on_datagram(std::string_view datagram)
@@ -143,7 +228,11 @@
                 .field("gateway", heartbeat.origin.node)
                 .field("incarnation", heartbeat.origin.incarnation);
         }
+        const bool must_pass_on =
+            this->exchange.accept(heartbeat, this->plan.is_aggregator());
         this->heartbeat_received(heartbeat);
+        if (must_pass_on)
+            this->send_demand();
     }
     catch (const state::error& failure)
     {
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "app/gateway/peers/load_exchange.hpp"
 #include "app/gateway/serving/directory_handler.hpp"
 #include "app/gateway/serving/gateway_state.hpp"
 #include "app/gateway/store/keyed_store.hpp"
 #include "coordination/gateway_members.hpp"
+#include "coordination/gossip_plan.hpp"
 #include "protocol/gateway_heartbeat.hpp"
 #include "transport/datagram_socket.hpp"
 #include "transport/http_client.hpp"
@@ -20,7 +22,7 @@
 class peer_gossip
 {
 public:
-    /// Adds what other parts have to tell to a heartbeat.
+    /// Adds what other parts have to tell to all heartbeats of a moment.
     using fill_callback = std::function<void(protocol::gateway_heartbeat&)>;
     using heartbeat_callback = std::function<void(const protocol::gateway_heartbeat&)>;
 
@@ -32,8 +34,10 @@
     void set_ready(bool ready) { this->self.ready = ready; }
     /// The addresses that were bound.
     void set_addresses(std::string frontend, std::string control);
-    /// Sends a heartbeat now, for a change that should not wait.
+    /// Tells all gateways soon, for a change that should not wait.
     void send_heartbeat();
+    /// Tells the demand to whom it has to go, for requests that wait for weights.
+    void send_demand();
 
     /// The gateways that callers may use, this one included if it is ready.
     std::vector<gateway_address> ready_addresses() const;
@@ -46,6 +50,10 @@
 
 private:
     boost::asio::awaitable<void> heartbeat_loop();
+    void update_plan();
+    void send(const std::vector<coordination::gossip_target>& targets);
+    void send_urgent();
+    protocol::gateway_heartbeat next_heartbeat();
     boost::asio::awaitable<void> discovery_loop();
     boost::asio::awaitable<bool> read_members();
     boost::asio::awaitable<bool> announce();
@@ -58,10 +66,17 @@
     transport::http_client& client;
     protocol::gateway_member self;
     coordination::gateway_members table;
+    coordination::gossip_plan plan;
+    load_exchange exchange;
     transport::datagram_socket socket;
     fill_callback fill_heartbeat;
     heartbeat_callback heartbeat_received;
     std::uint64_t counter = 0;
+    std::uint64_t ticks = 0;
+    std::string lease_holder;
+    state::time_point urgent_sent{};
+    bool is_urgent = false;
+    bool was_aggregator = false;
     std::optional<std::uint64_t> position;
     bool announced = false;
 };
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -284,7 +284,7 @@
         // The holder may be another gateway, which has to know of requests that wait.
         const bool has_waiting = this->shared.demand.has_waiting();
         if (has_waiting && !this->had_waiting && !this->lease.is_holder())
-            this->peers.send_heartbeat();
+            this->peers.send_demand();
         this->had_waiting = has_waiting;
         this->watch_engines();
         this->plan();
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -145,37 +145,20 @@
     this->peers.set_ready(this->is_ready());
     heartbeat.origin.ready = this->is_ready();
     heartbeat.config_version = this->watcher.config_version();
-    for (const auto& [backend, load] : this->shared.loads.own_loads(now()))
+    for (const auto& [id, backend] : this->shared.directory.all())
     {
-        heartbeat.loads.push_back({backend, load.active, load.waiting_tokens,
-                                   load.long_streams, load.prompt_rate});
-    }
-    for (const auto& [name, rate] : this->shared.demand.own(now()))
-    {
-        heartbeat.rates.push_back({name.service, name.model, name.adapter, rate.per_s,
-                                   rate.tokens_per_s, rate.usual_tokens_per_s,
-                                   rate.waiting});
+        // Only what the backend server itself wrote: marks that gateways learn from one
+        // another would never end.
+        if (backend->entry.phase == state::backend_phase::draining)
+            heartbeat.leaving.push_back({id, backend->entry.incarnation});
     }
     this->placement.fill(heartbeat);
 }
 
 void gateway::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
 {
-    const std::string& peer = heartbeat.origin.node;
-    std::map<std::string, coordination::peer_load, std::less<>> loads;
-    for (const protocol::backend_load_entry& load : heartbeat.loads)
-    {
-        loads[load.backend] = {load.active, load.waiting_tokens, load.long_streams,
-                               load.prompt_rate};
-    }
-    this->shared.loads.set_peer(now(), peer, std::move(loads));
-    coordination::weight_demand::rates rates;
-    for (const protocol::weight_rate_entry& rate : heartbeat.rates)
-    {
-        rates[{rate.service, rate.model, rate.adapter}] = {
-            rate.per_s, rate.tokens_per_s, rate.usual_tokens_per_s, rate.waiting};
-    }
-    this->shared.demand.set_peer(now(), peer, std::move(rates));
+    for (const protocol::leaving_process& process : heartbeat.leaving)
+        this->shared.directory.on_draining(now(), process.id, process.incarnation);
     this->placement.on_heartbeat(heartbeat);
     if (heartbeat.config_version > this->watcher.config_version() &&
         !this->is_fetching_config)
--- a/src/libs/coordination/backend_loads.cpp
+++ b/src/libs/coordination/backend_loads.cpp
@@ -43,8 +43,40 @@
     return std::exp(-elapsed_ms(changed, now) / (recovery_s * 1000.0));
 }
 
+void add_report(backend_loads::load_map& sum, const backend_loads::load_map& report,
+                state::time_point::duration age)
+{
+    if (age > peer_report_life)
+        return;
+    for (const auto& [backend, load] : report)
+        sum[backend] += load;
+}
+
+std::uint32_t difference(std::uint32_t sum, std::uint32_t part)
+{
+    return sum - std::min(sum, part);
+}
+
 } // namespace
 
+peer_load& peer_load::operator+=(const peer_load& more)
+{
+    this->active += more.active;
+    this->waiting_tokens += more.waiting_tokens;
+    this->long_streams += more.long_streams;
+    this->prompt_rate += more.prompt_rate;
+    return *this;
+}
+
+peer_load& peer_load::operator-=(const peer_load& part)
+{
+    this->active = difference(this->active, part.active);
+    this->waiting_tokens = difference(this->waiting_tokens, part.waiting_tokens);
+    this->long_streams = difference(this->long_streams, part.long_streams);
+    this->prompt_rate -= std::min(this->prompt_rate, part.prompt_rate);
+    return *this;
+}
+
 backend_loads::call_id backend_loads::begin(state::time_point now,
                                             const std::string& backend,
                                             const call_work& work)
@@ -100,21 +132,19 @@
     target.changed = now;
 }
 
-void backend_loads::set_peer(state::time_point now, const std::string& peer,
-                             std::map<std::string, peer_load, std::less<>> loads)
+void backend_loads::set_peer(state::time_point now, const peer_key& peer, load_map loads)
 {
     this->peers[peer] = {now, std::move(loads)};
 }
 
-void backend_loads::forget_peer(const std::string& peer)
+void backend_loads::forget_peer(const peer_key& peer)
 {
     this->peers.erase(peer);
 }
 
-std::map<std::string, peer_load, std::less<>>
-backend_loads::own_loads(state::time_point now) const
+backend_loads::load_map backend_loads::own_loads(state::time_point now) const
 {
-    std::map<std::string, peer_load, std::less<>> result;
+    load_map result;
     for (const auto& [id, item] : this->calls)
     {
         peer_load& load = result[item.backend];
@@ -133,6 +163,34 @@
     return result;
 }
 
+backend_loads::load_map backend_loads::zone_loads(state::time_point now) const
+{
+    load_map result = this->own_loads(now);
+    for (const auto& [peer, report] : this->peers)
+    {
+        if (peer.scope == protocol::load_scope::gateway)
+            add_report(result, report.loads, now - report.received);
+    }
+    return result;
+}
+
+backend_loads::load_map backend_loads::all_loads(state::time_point now) const
+{
+    load_map result = this->own_loads(now);
+    for (const auto& [peer, report] : this->peers)
+        add_report(result, report.loads, now - report.received);
+    return result;
+}
+
+const backend_loads::load_map* backend_loads::loads_of(state::time_point now,
+                                                       const peer_key& peer) const
+{
+    const auto found = this->peers.find(peer);
+    const bool is_known =
+        found != this->peers.end() && now - found->second.received <= peer_report_life;
+    return is_known ? &found->second.loads : nullptr;
+}
+
 load_summary backend_loads::summary(state::time_point now, std::string_view backend) const
 {
     load_summary result;
--- a/src/libs/coordination/backend_loads.hpp
+++ b/src/libs/coordination/backend_loads.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/peer_key.hpp"
 #include "coordination/prompt_cache.hpp"
 #include "state/clock.hpp"
 
@@ -47,6 +48,10 @@
     std::uint32_t waiting_tokens = 0;
     std::uint32_t long_streams = 0;
     double prompt_rate = 0.0;
+
+    peer_load& operator+=(const peer_load& more);
+    /// Subtracts a part of the sum; what is missing counts as none.
+    peer_load& operator-=(const peer_load& part);
 };
 
 /// What the calls of this process and the reports of its peers say of one backend server.
@@ -84,12 +89,21 @@
     void on_first_byte(state::time_point now, call_id call);
     void end(state::time_point now, call_id call, call_result result);
 
+    using load_map = std::map<std::string, peer_load, std::less<>>;
+
     /// Replaces what `peer` said of its calls.
-    void set_peer(state::time_point now, const std::string& peer,
-                  std::map<std::string, peer_load, std::less<>> loads);
-    void forget_peer(const std::string& peer);
+    void set_peer(state::time_point now, const peer_key& peer, load_map loads);
+    void forget_peer(const peer_key& peer);
+    /// Forgets all peers, when this gateway hears from others than before.
+    void forget_peers() { this->peers.clear(); }
     /// Own calls by backend server, for the peers.
-    std::map<std::string, peer_load, std::less<>> own_loads(state::time_point now) const;
+    load_map own_loads(state::time_point now) const;
+    /// Calls of this gateway and of those that its zone reports.
+    load_map zone_loads(state::time_point now) const;
+    /// All calls that this gateway knows of.
+    load_map all_loads(state::time_point now) const;
+    /// What `peer` said of its calls; null if that is unknown or old.
+    const load_map* loads_of(state::time_point now, const peer_key& peer) const;
 
     load_summary summary(state::time_point now, std::string_view backend) const;
     std::size_t active_calls() const { return this->calls.size(); }
@@ -118,12 +132,12 @@
     struct peer_report
     {
         state::time_point received{};
-        std::map<std::string, peer_load, std::less<>> loads;
+        load_map loads;
     };
 
     std::map<std::string, record, std::less<>> records;
     std::map<call_id, call> calls;
-    std::map<std::string, peer_report, std::less<>> peers;
+    std::map<peer_key, peer_report> peers;
     call_id last_call = 0;
 };
 
--- a/src/libs/coordination/gateway_members.cpp
+++ b/src/libs/coordination/gateway_members.cpp
@@ -1,5 +1,6 @@
 #include "coordination/gateway_members.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -22,11 +23,11 @@
     const auto after = std::make_tuple(origin.incarnation, heartbeat.counter);
     // Incarnations come from the wall clock. A gateway that was started again after its
     // clock was set back counts as new once the old process is silent.
-    const bool is_silent = now - item.last_heard > this->timing.silence;
+    const bool is_silent = !this->is_heard(item, now);
     const bool is_other = origin.incarnation != item.member.incarnation;
     if (item.was_heard && after <= before && !(is_silent && is_other))
         return false;
-    item = {origin, heartbeat.counter, true, now};
+    item = {origin, heartbeat.counter, true, now, heartbeat.period};
     return true;
 }
 
@@ -38,7 +39,7 @@
     entry& item = this->entries[member.node];
     if (item.was_heard && item.member.incarnation >= member.incarnation)
         return;
-    item = {member, 0, false, now};
+    item = {member, 0, false, now, state::milliseconds(0)};
 }
 
 std::vector<std::string> gateway_members::tick(state::time_point now)
@@ -73,7 +74,7 @@
     std::vector<protocol::gateway_member> result;
     for (const auto& [name, item] : this->entries)
     {
-        if (item.was_heard && now - item.last_heard <= this->timing.silence)
+        if (this->is_heard(item, now))
             result.push_back(item.member);
     }
     return result;
@@ -90,8 +91,14 @@
 bool gateway_members::is_alive(state::time_point now, std::string_view name) const
 {
     const auto found = this->entries.find(name);
-    return found != this->entries.end() && found->second.was_heard &&
-           now - found->second.last_heard <= this->timing.silence;
+    return found != this->entries.end() && this->is_heard(found->second, now);
+}
+
+bool gateway_members::is_heard(const entry& item, state::time_point now) const
+{
+    const state::milliseconds silence =
+        std::max(this->timing.silence, this->timing.missed_heartbeats * item.period);
+    return item.was_heard && now - item.last_heard <= silence;
 }
 
 } // namespace pomelorouter::coordination
--- a/src/libs/coordination/gateway_members.hpp
+++ b/src/libs/coordination/gateway_members.hpp
@@ -13,8 +13,10 @@
 /// Times that the table of gateways goes by.
 struct member_timing
 {
-    /// A gateway that was silent for this long is not counted on.
+    /// A gateway that was silent for this long is not counted on, unless it sends more
+    /// rarely: then it may miss this many heartbeats.
     state::milliseconds silence{1000};
+    int missed_heartbeats = 3;
     /// A gateway that was silent for this long is forgotten.
     state::milliseconds forget{20000};
 };
@@ -48,8 +50,11 @@
         std::uint64_t counter = 0;
         bool was_heard = false;
         state::time_point last_heard{};
+        state::milliseconds period{0};
     };
 
+    bool is_heard(const entry& item, state::time_point now) const;
+
     std::string node;
     member_timing timing;
     std::map<std::string, entry, std::less<>> entries;
--- /dev/null
+++ b/src/libs/coordination/gossip_plan.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "protocol/gateway_heartbeat.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::coordination
+{
+
+/// One heartbeat to send.
+struct gossip_target
+{
+    std::string node;
+    /// Where to send it, `ip:port`.
+    std::string address;
+    /// What its loads count.
+    protocol::load_scope scope = protocol::load_scope::none;
+    /// Whether it carries the demand for models as well.
+    bool has_rates = false;
+    /// Ticks from one to the next one to the same gateway.
+    int ticks = 1;
+};
+
+/// Another gateway, as the plan needs it.
+struct gossip_peer
+{
+    protocol::gateway_member member;
+    bool is_alive = false;
+};
+
+/// Time between two ticks of the plan.
+inline constexpr state::milliseconds gossip_tick{100};
+
+/// Whom a gateway sends heartbeats to, and what they carry.
+///
+/// The gateways of an availability zone report to one of them, the aggregator. It adds
+/// the reports up, exchanges the sums with the aggregators of the other zones, and tells
+/// its own zone the result, so that the traffic grows with the number of gateways. The
+/// rest only says that the sender is alive, and goes to other zones more rarely when they
+/// are large.
+class gossip_plan
+{
+public:
+    gossip_plan(std::string own_node, std::string own_zone);
+
+    /// Takes over who is there; `holder` is the holder of the placement lease.
+    void update(std::vector<gossip_peer> members, std::string lease_holder);
+    /// What is due in tick `number`.
+    std::vector<gossip_target> targets(std::uint64_t number) const;
+    /// What is sent at all, whenever it is due.
+    std::vector<gossip_target> all_targets() const;
+    /// The aggregator of `zone`: the first of its living gateways by name. Empty if none
+    /// lives there.
+    std::string aggregator_of(const std::string& zone) const;
+    /// Whether this gateway adds up the reports of its zone.
+    bool is_aggregator() const;
+
+private:
+    gossip_target target_for(const gossip_peer& peer) const;
+    int ticks_to_zone() const;
+
+    std::string node;
+    std::string zone;
+    std::string holder;
+    std::vector<gossip_peer> peers;
+    /// Gateways of the own zone among them, living or not.
+    std::size_t near_peers = 0;
+    /// The aggregator of each zone.
+    std::map<std::string, std::string> aggregators;
+};
+
+} // namespace pomelorouter::coordination
--- a/src/libs/coordination/weight_demand.cpp
+++ b/src/libs/coordination/weight_demand.cpp
@@ -1,5 +1,6 @@
 #include "coordination/weight_demand.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -73,17 +74,39 @@
     return result;
 }
 
-void weight_demand::set_peer(state::time_point now, const std::string& peer,
-                             rates reported)
+void weight_demand::set_peer(state::time_point now, const peer_key& peer, rates reported)
 {
     this->peers[peer] = {now, std::move(reported)};
 }
 
-void weight_demand::forget_peer(const std::string& peer)
+void weight_demand::forget_peer(const peer_key& peer)
 {
     this->peers.erase(peer);
 }
 
+weight_demand::rates weight_demand::zone_rates(state::time_point now,
+                                               const std::string& receiver) const
+{
+    rates result = this->own(now);
+    for (const auto& [peer, report] : this->peers)
+    {
+        if (peer.scope != protocol::load_scope::gateway || peer.name == receiver ||
+            now - report.received > peer_life)
+            continue;
+        for (const auto& [name, rate] : report.values)
+            add(result[name], rate);
+    }
+    return result;
+}
+
+bool weight_demand::had_waiting(const peer_key& peer) const
+{
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() &&
+           std::any_of(found->second.values.begin(), found->second.values.end(),
+                       [](const auto& item) { return item.second.waiting > 0; });
+}
+
 weight_demand::rates weight_demand::total(state::time_point now) const
 {
     rates result = this->own(now);
--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/peer_key.hpp"
 #include "state/clock.hpp"
 
 #include <cstdint>
@@ -53,8 +54,14 @@
 
     /// Demand of this process alone.
     rates own(state::time_point now) const;
-    void set_peer(state::time_point now, const std::string& peer, rates reported);
-    void forget_peer(const std::string& peer);
+    void set_peer(state::time_point now, const peer_key& peer, rates reported);
+    void forget_peer(const peer_key& peer);
+    /// Forgets all peers, when this gateway hears from others than before.
+    void forget_peers() { this->peers.clear(); }
+    /// Demand of this gateway and of those that its zone reports, apart from `receiver`.
+    rates zone_rates(state::time_point now, const std::string& receiver) const;
+    /// Whether requests of `peer` waited for weights when it reported.
+    bool had_waiting(const peer_key& peer) const;
     /// Demand over all gateways.
     rates total(state::time_point now) const;
 
@@ -74,7 +81,7 @@
 
     std::map<weight_name, meter> meters;
     std::map<weight_name, std::uint32_t> waiting;
-    std::map<std::string, peer_rates, std::less<>> peers;
+    std::map<peer_key, peer_rates> peers;
 };
 
 } // namespace pomelorouter::coordination
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -1,5 +1,6 @@
 #include "protocol/gateway_heartbeat.hpp"
 
+#include "state/enum_table.hpp"
 #include "state/error.hpp"
 
 #include <peer_types.h>
@@ -7,6 +8,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <array>
 #include <memory>
 #include <utility>
 
@@ -24,6 +27,15 @@
 constexpr char datagram_version = 1;
 constexpr const char* place = "gateway datagram";
 
+constexpr std::array<state::enum_name<load_scope>, 4> scope_names{{
+    {load_scope::none, "none"},
+    {load_scope::gateway, "gateway"},
+    {load_scope::zone, "zone"},
+    {load_scope::others, "others"},
+}};
+
+constexpr state::milliseconds longest_period{60000};
+
 template <typename Unsigned, typename Signed>
 Unsigned to_unsigned(Signed value)
 {
@@ -91,6 +103,8 @@
     lease.__set_epoch(static_cast<std::int64_t>(heartbeat.lease.epoch));
     lease.__set_endOffset(static_cast<std::int64_t>(heartbeat.lease.end_offset));
     result.__set_lease(lease);
+    result.__set_scope(static_cast<std::int32_t>(heartbeat.scope));
+    result.__set_periodMs(static_cast<std::int32_t>(heartbeat.period.count()));
     for (const backend_load_entry& load : heartbeat.loads)
     {
         gen::BackendLoad& item = result.loads.emplace_back();
@@ -122,6 +136,19 @@
     return result;
 }
 
+load_scope scope_from_wire(const gen::GatewayHeartbeat& heartbeat)
+{
+    if (!heartbeat.__isset.scope)
+        return load_scope::gateway;
+    for (const auto& item : scope_names)
+    {
+        if (static_cast<std::int32_t>(item.value) == heartbeat.scope)
+            return item.value;
+    }
+    // A newer sender means something that this version can't add up.
+    return load_scope::none;
+}
+
 gateway_heartbeat from_wire(const gen::GatewayHeartbeat& heartbeat)
 {
     gateway_heartbeat result;
@@ -131,6 +158,12 @@
     result.lease = {heartbeat.lease.holder,
                     to_unsigned<std::uint64_t>(heartbeat.lease.epoch),
                     to_unsigned<std::uint64_t>(heartbeat.lease.endOffset)};
+    result.scope = scope_from_wire(heartbeat);
+    if (heartbeat.__isset.periodMs)
+    {
+        result.period = std::clamp(state::milliseconds(heartbeat.periodMs),
+                                   state::milliseconds(1), longest_period);
+    }
     for (const gen::BackendLoad& load : heartbeat.loads)
     {
         result.loads.push_back({load.backend, to_unsigned<std::uint32_t>(load.active),
@@ -154,6 +187,11 @@
 
 } // namespace
 
+std::string_view to_string(load_scope scope)
+{
+    return name_of(scope_names, scope);
+}
+
 std::string encode_gateway_heartbeat(const gateway_heartbeat& heartbeat)
 {
     const auto buffer = std::make_shared<TMemoryBuffer>();
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/backend_entry.hpp"
+#include "state/clock.hpp"
 
 #include <cstdint>
 #include <string>
@@ -71,6 +72,21 @@
     std::int64_t incarnation = 0;
 };
 
+/// Whose calls and requests a heartbeat counts.
+enum class load_scope
+{
+    /// Nobody's; the lists are empty.
+    none,
+    /// The sender's own.
+    gateway,
+    /// All of the sender's availability zone, apart from the receiver's.
+    zone,
+    /// All of the fleet, apart from the receiver's. The rates are those of the zone.
+    others,
+};
+
+std::string_view to_string(load_scope scope);
+
 /// What a gateway tells the others several times a second.
 struct gateway_heartbeat
 {
@@ -79,6 +95,9 @@
     std::uint64_t counter = 0;
     std::int64_t config_version = -1;
     lease_view lease;
+    load_scope scope = load_scope::none;
+    /// Time until the sender's next heartbeat to the same receiver.
+    state::milliseconds period{200};
     std::vector<backend_load_entry> loads;
     std::vector<weight_rate_entry> rates;
     std::vector<engine_weights> weights;
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -2108,6 +2108,16 @@
 void GatewayHeartbeat::__set_leaving(const std::vector<LeavingBackend> & val) {
   this->leaving = val;
 }
+
+void GatewayHeartbeat::__set_scope(const int32_t val) {
+  this->scope = val;
+__isset.scope = true;
+}
+
+void GatewayHeartbeat::__set_periodMs(const int32_t val) {
+  this->periodMs = val;
+__isset.periodMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -2256,6 +2266,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->scope);
+          this->__isset.scope = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->periodMs);
+          this->__isset.periodMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2353,6 +2379,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.scope) {
+    xfer += oprot->writeFieldBegin("scope", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->scope);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.periodMs) {
+    xfer += oprot->writeFieldBegin("periodMs", ::apache::thrift::protocol::T_I32, 10);
+    xfer += oprot->writeI32(this->periodMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2368,6 +2404,9 @@
   swap(a.rates, b.rates);
   swap(a.weights, b.weights);
   swap(a.leaving, b.leaving);
+  swap(a.scope, b.scope);
+  swap(a.periodMs, b.periodMs);
+  swap(a.__isset, b.__isset);
 }
 
 GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other78) {
@@ -2379,6 +2418,9 @@
   rates = other78.rates;
   weights = other78.weights;
   leaving = other78.leaving;
+  scope = other78.scope;
+  periodMs = other78.periodMs;
+  __isset = other78.__isset;
 }
 GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other79) {
   origin = other79.origin;
@@ -2389,6 +2431,9 @@
   rates = other79.rates;
   weights = other79.weights;
   leaving = other79.leaving;
+  scope = other79.scope;
+  periodMs = other79.periodMs;
+  __isset = other79.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -2402,6 +2447,8 @@
   out << ", " << "rates=" << to_string(rates);
   out << ", " << "weights=" << to_string(weights);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "scope="; (__isset.scope ? (out << to_string(scope)) : (out << "<null>"));
+  out << ", " << "periodMs="; (__isset.periodMs ? (out << to_string(periodMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -755,6 +755,11 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaseView& obj);
 
+typedef struct _GatewayHeartbeat__isset {
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false) {}
+  bool scope :1;
+  bool periodMs :1;
+} _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -763,7 +768,9 @@
   GatewayHeartbeat& operator=(const GatewayHeartbeat&);
   GatewayHeartbeat() noexcept
                    : counter(0),
-                     configVersion(0) {
+                     configVersion(0),
+                     scope(0),
+                     periodMs(0) {
   }
 
   virtual ~GatewayHeartbeat() noexcept;
@@ -775,6 +782,10 @@
   std::vector<WeightRate>  rates;
   std::vector<EngineWeights>  weights;
   std::vector<LeavingBackend>  leaving;
+  int32_t scope;
+  int32_t periodMs;
+
+  _GatewayHeartbeat__isset __isset;
 
   void __set_origin(const GatewayMember& val);
 
@@ -792,6 +803,10 @@
 
   void __set_leaving(const std::vector<LeavingBackend> & val);
 
+  void __set_scope(const int32_t val);
+
+  void __set_periodMs(const int32_t val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -810,6 +825,14 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (__isset.scope != rhs.__isset.scope)
+      return false;
+    else if (__isset.scope && !(scope == rhs.scope))
+      return false;
+    if (__isset.periodMs != rhs.__isset.periodMs)
+      return false;
+    else if (__isset.periodMs && !(periodMs == rhs.periodMs))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -109,6 +109,10 @@
   7: required list<EngineWeights> weights
   // Backend servers that the sender knows to be leaving.
   8: required list<LeavingBackend> leaving
+  // Whose calls `loads` and `rates` count; 1 (the sender's) in datagrams without it.
+  9: optional i32 scope
+  // Time until the next datagram to the same receiver, in milliseconds.
+  10: optional i32 periodMs
 }
 
 union PeerMessage {
--- a/tests/auto/coordination/tst_gateway_units.cpp
+++ b/tests/auto/coordination/tst_gateway_units.cpp
@@ -201,7 +201,8 @@
     }
     SUBCASE("prompts of other gateways that wait there")
     {
-        loads.set_peer(now, "peer", {{key_of("e1"), {4, 8000, 0, 0.0}}});
+        loads.set_peer(now, {protocol::load_scope::gateway, "peer"},
+                       {{key_of("e1"), {4, 8000, 0, 0.0}}});
         CHECK(count_first() == 0);
         now += state::seconds(3);
         CHECK(count_first() > 0);
@@ -339,6 +340,34 @@
     CHECK(begun.size() > 50);
 }
 
+TEST_CASE("reports of calls add up and are taken apart again")
+{
+    using protocol::load_scope;
+    backend_loads loads;
+    const time_point now = start;
+    loads.begin(now, "e1", {1000, 100, 50.0});
+    loads.set_peer(now, {load_scope::gateway, "a"}, {{"e1", {2, 500, 1, 0.0}}});
+    loads.set_peer(now, {load_scope::gateway, "b"}, {{"e2", {3, 0, 0, 0.0}}});
+    loads.set_peer(now, {load_scope::zone, "far"}, {{"e1", {10, 0, 4, 0.0}}});
+    CHECK(loads.zone_loads(now).at("e1").active == 3);
+    CHECK(loads.zone_loads(now).at("e2").active == 3);
+    auto all = loads.all_loads(now);
+    CHECK(all.at("e1").active == 13);
+    CHECK(all.at("e1").waiting_tokens == 1500);
+    CHECK(all.at("e1").long_streams == 6);
+    all.at("e1") -= loads.loads_of(now, {load_scope::gateway, "a"})->at("e1");
+    CHECK(all.at("e1").active == 11);
+    // A report may have grown since the sum was made.
+    all.at("e1") -= {100, 5000, 50, 1.0};
+    CHECK(all.at("e1").active == 0);
+    CHECK(all.at("e1").waiting_tokens == 0);
+    const time_point later = now + state::seconds(3);
+    CHECK(loads.loads_of(later, {load_scope::gateway, "a"}) == nullptr);
+    CHECK(loads.all_loads(later).at("e1").active == 1);
+    loads.forget_peers();
+    CHECK(loads.all_loads(now).size() == 1);
+}
+
 TEST_CASE("gateways that are silent are not counted on")
 {
     gateway_members members("own");
@@ -358,6 +387,12 @@
     CHECK(members.on_heartbeat(start + state::seconds(3), heartbeat));
     CHECK(members.ready(start + state::seconds(3)).empty());
     CHECK(members.alive(start + state::seconds(3)).size() == 1);
+    // One that announces to send rarely may be silent for longer.
+    heartbeat.counter = 3;
+    heartbeat.period = milliseconds(1000);
+    CHECK(members.on_heartbeat(start + state::seconds(4), heartbeat));
+    CHECK(members.is_alive(start + milliseconds(6900), "peer"));
+    CHECK_FALSE(members.is_alive(start + milliseconds(7100), "peer"));
     heartbeat.origin.node = "own";
     CHECK_FALSE(members.on_heartbeat(start, heartbeat));
     CHECK(members.tick(start + state::seconds(60)).size() == 1);
--- /dev/null
+++ b/tests/auto/coordination/tst_gossip_plan.cpp
@@ -0,0 +1,182 @@
+#include "coordination/gossip_plan.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using coordination::gossip_peer;
+using coordination::gossip_plan;
+using coordination::gossip_target;
+using protocol::load_scope;
+
+constexpr int zones = 4;
+constexpr int ticks_per_s = 10;
+
+std::string zone_of(int index)
+{
+    return "zone-" + std::to_string(index % zones);
+}
+
+std::string name_of(int index)
+{
+    return "n" + std::to_string(1000 + index);
+}
+
+gossip_peer peer_of(int index, bool is_alive = true)
+{
+    gossip_peer peer;
+    peer.member.node = name_of(index);
+    peer.member.zone = zone_of(index);
+    peer.member.datagrams = "10.0.0.1:" + std::to_string(index);
+    peer.is_alive = is_alive;
+    return peer;
+}
+
+/// The plan of gateway `index` among `count`, of which those in `dead` are silent.
+gossip_plan plan_of(int index, int count, const std::string& holder,
+                    const std::set<int>& dead = {})
+{
+    std::vector<gossip_peer> peers;
+    for (int other = 0; other < count; ++other)
+    {
+        if (other != index)
+            peers.push_back(peer_of(other, dead.count(other) == 0));
+    }
+    gossip_plan plan(name_of(index), zone_of(index));
+    plan.update(std::move(peers), holder);
+    return plan;
+}
+
+/// Datagrams that `count` gateways send in a second, and those with loads among them.
+std::pair<int, int> datagrams_per_s(int count)
+{
+    int all = 0;
+    int with_loads = 0;
+    for (int index = 0; index < count; ++index)
+    {
+        const gossip_plan plan = plan_of(index, count, name_of(2));
+        for (int tick = 0; tick < ticks_per_s; ++tick)
+        {
+            for (const gossip_target& target : plan.targets(tick))
+            {
+                ++all;
+                with_loads += target.scope == load_scope::none ? 0 : 1;
+            }
+        }
+    }
+    return {all, with_loads};
+}
+
+} // namespace
+
+// Guards against calls that are counted twice, or not at all, by a gateway.
+TEST_CASE("each gateway learns the calls of each other one by exactly one way")
+{
+    const int count = 17;
+    const int holder = 7;
+    const std::set<int> dead = {0, 5};
+    // Loads and rates by receiver: whose they are.
+    std::map<std::string, std::multiset<std::string>> loads;
+    std::map<std::string, std::multiset<std::string>> zone_sums;
+    std::multiset<std::string> rates_at_holder;
+    std::map<std::string, gossip_plan> plans;
+    for (int index = 0; index < count; ++index)
+    {
+        if (dead.count(index) == 0)
+            plans.emplace(name_of(index), plan_of(index, count, name_of(holder), dead));
+    }
+    const auto deliver = [&](load_scope scope)
+    {
+        for (const auto& [node, plan] : plans)
+        {
+            for (const gossip_target& target : plan.all_targets())
+            {
+                if (target.scope != scope || plans.count(target.node) == 0)
+                    continue;
+                auto& known = loads[target.node];
+                if (scope == load_scope::gateway)
+                {
+                    known.insert(node);
+                    continue;
+                }
+                std::multiset<std::string> sum = zone_sums[node];
+                if (scope == load_scope::others)
+                    sum = loads[node];
+                sum.insert(node);
+                if (sum.count(target.node) > 0)
+                    sum.erase(sum.find(target.node));
+                const bool uses_loads =
+                    plans.at(target.node).is_aggregator() == (scope == load_scope::zone);
+                if (uses_loads)
+                    known.insert(sum.begin(), sum.end());
+                if (!target.has_rates)
+                    continue;
+                std::multiset<std::string> zone = zone_sums[node];
+                zone.insert(node);
+                zone.erase(target.node);
+                rates_at_holder.insert(zone.begin(), zone.end());
+            }
+        }
+        if (scope == load_scope::gateway)
+            zone_sums = loads;
+    };
+    deliver(load_scope::gateway);
+    deliver(load_scope::zone);
+    deliver(load_scope::others);
+    for (const auto& [node, plan] : plans)
+    {
+        CAPTURE(node);
+        std::multiset<std::string> expected;
+        for (const auto& [other, ignored] : plans)
+        {
+            if (other != node)
+                expected.insert(other);
+        }
+        CHECK(loads[node] == expected);
+        if (node == name_of(holder))
+            CHECK(rates_at_holder == expected);
+    }
+}
+
+TEST_CASE("each zone with a living gateway has one aggregator")
+{
+    const gossip_plan plan = plan_of(6, 12, "", {2, 3, 7, 11});
+    CHECK(plan.is_aggregator());
+    CHECK(plan.aggregator_of("zone-0") == name_of(0));
+    CHECK(plan.aggregator_of("zone-2") == name_of(6));
+    CHECK(plan.aggregator_of("zone-3").empty());
+    CHECK_FALSE(plan_of(10, 12, "", {2, 3, 7, 11}).is_aggregator());
+}
+
+// Guards against a fleet whose own traffic grows with the square of its size.
+TEST_CASE("datagrams with loads grow in proportion to the gateways")
+{
+    const auto [few, few_loads] = datagrams_per_s(32);
+    const auto [many, many_loads] = datagrams_per_s(256);
+    CHECK(many_loads < 9 * few_loads);
+    // The signs of life have no sums to carry; they are small, and rarer in large fleets.
+    CHECK(many < 8 * 8 * few / 2);
+}
+
+TEST_CASE("all gateways hear from one another within the time that they count on")
+{
+    const int count = 60;
+    const gossip_plan plan = plan_of(9, count, "");
+    std::map<std::string, int> heard;
+    for (int tick = 0; tick < 2 * ticks_per_s; ++tick)
+    {
+        for (const gossip_target& target : plan.targets(tick))
+        {
+            CHECK(target.ticks <= ticks_per_s);
+            ++heard[target.node];
+        }
+    }
+    CHECK(heard.size() == count - 1);
+    for (const auto& [node, times] : heard)
+        CHECK(times >= 2);
+}
--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -170,6 +170,11 @@
         topic.newest[key] = {offset, value};
 }
 
+void fake_store::copy(const std::string& topic, const fake_store& other)
+{
+    this->topics[topic] = other.topics.at(topic);
+}
+
 void fake_store::compact(const std::string& name)
 {
     topic_records& topic = this->topics[name];
--- a/tests/auto/platform/fake_store.hpp
+++ b/tests/auto/platform/fake_store.hpp
@@ -23,6 +23,8 @@
 
     /// Appends a record; an empty value removes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Takes over the records of another store.
+    void copy(const std::string& topic, const fake_store& other);
     /// Forgets all records before the end, but keeps the newest of each key.
     void compact(const std::string& topic);
     std::uint64_t end(const std::string& topic) const;
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -165,6 +165,38 @@
     test.run_until([&other] { return other.is_ready(); });
 }
 
+// Guards against requests to a backend server that all gateways but one know to be
+// leaving.
+TEST_CASE("a gateway without the store learns from another what is leaving")
+{
+    gateway_fixture test;
+    auto& backend = test.add_backend("s1", "plain", ok);
+    test.put_config(4);
+    test.start();
+    state::gateway_settings settings = test.settings;
+    settings.node_id = "gateway-2";
+    settings.seeds = {test.gateway->own_settings().control_listen};
+    test::fake_store other_store(test.loop);
+    transport::http_server server(test.loop, {}, other_store, test.counters);
+    settings.platform = server.listen("127.0.0.1:0");
+    for (const char* topic : {"keyed.servers", "keyed.op"})
+        other_store.copy(topic, test.store);
+    app::gateway other(test.loop, settings, test.settings_path, *test.adapter,
+                       test.counters);
+    other.start();
+    test.run_until([&other] { return other.is_ready(); });
+    other_store.is_down = true;
+    const auto is_leaving = [&other]
+    {
+        const auto known = other.knowledge().directory.find("s1");
+        return known != nullptr && known->is_leaving;
+    };
+    test.run_until([&other] { return other.knowledge().gateways == 2; });
+    CHECK_FALSE(is_leaving());
+    test.put_entry("s1", "plain", backend.address, "draining");
+    test.run_until(is_leaving);
+}
+
 // Guards against a planned stop that cuts off a request.
 TEST_CASE("a planned stop lets requests end and refuses later ones")
 {
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -18,6 +18,8 @@
     heartbeat.counter = 9;
     heartbeat.config_version = 41;
     heartbeat.lease = {"n2", 5, 77};
+    heartbeat.scope = protocol::load_scope::zone;
+    heartbeat.period = state::milliseconds(400);
     heartbeat.loads = {{"e1@3", 4, 2000, 1, 12.5}};
     heartbeat.rates = {{"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2}};
     heartbeat.weights = {{"e1", 3, 8, {{"m1", 2, {"a1", "a2"}}}}};
@@ -39,6 +41,8 @@
     CHECK(copy.config_version == 41);
     CHECK(copy.lease.holder == "n2");
     CHECK(copy.lease.end_offset == 77);
+    CHECK(copy.scope == protocol::load_scope::zone);
+    CHECK(copy.period == state::milliseconds(400));
     REQUIRE(copy.loads.size() == 1);
     CHECK(copy.loads[0].waiting_tokens == 2000);
     CHECK(copy.loads[0].prompt_rate == 12.5);
