--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -4,7 +4,6 @@
 #include "state/json_reader.hpp"
 #include "state/log.hpp"
 #include "transport/http_error.hpp"
-#include "transport/log_service.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,8 +27,10 @@
 
 /// Changes that can't wait are told to all gateways at most this often.
 constexpr milliseconds urgent_period{50};
-/// A read of the members waits this long for a change; heartbeats tell the rest.
-constexpr milliseconds members_wait{20000};
+/// Gateways that start together read the members once more after this time. Whoever
+/// comes later finds all earlier ones there and tells them with its heartbeats.
+constexpr milliseconds second_read{2000};
+constexpr milliseconds members_period{20000};
 constexpr milliseconds retry_period{500};
 
 state::time_point now()
@@ -243,13 +244,18 @@
 
 asio::awaitable<void> peer_gossip::discovery_loop()
 {
+    milliseconds next_read = second_read;
     for (;;)
     {
         if (!this->announced)
             this->announced = co_await this->announce();
         const bool succeeded = co_await this->read_members();
-        if (succeeded)
+        if (succeeded && this->announced)
+        {
+            co_await pause(this->shared.executor,
+                           std::exchange(next_read, members_period));
             continue;
+        }
         if (this->table.alive(now()).empty())
             co_await this->ask_seeds();
         co_await pause(this->shared.executor, retry_period);
@@ -277,15 +283,7 @@
 {
     try
     {
-        keyed_page page;
-        if (this->position)
-        {
-            page = co_await this->store.changes(store_topic::members, *this->position,
-                                                members_wait);
-        }
-        else
-            page = co_await this->store.newest(store_topic::members);
-        this->position = page.next;
+        const keyed_page page = co_await this->store.newest(store_topic::members);
         for (const keyed_record& record : page.records)
         {
             if (!record.is_removal)
@@ -293,13 +291,10 @@
         }
         co_return true;
     }
-    catch (const transport::log_truncated&)
-    {
-        this->position.reset();
-        co_return true;
-    }
-    catch (const state::error&)
+    catch (const state::error& failure)
     {
+        state::log_event(state::log_level::info, "members_not_read")
+            .field("problem", failure.what());
         co_return false;
     }
 }
@@ -358,6 +353,13 @@
     return result;
 }
 
+std::string peer_gossip::aggregator_control() const
+{
+    const protocol::gateway_member* const member =
+        this->table.find(this->plan.aggregator_of(this->self.zone));
+    return member == nullptr ? "" : member->control;
+}
+
 std::size_t peer_gossip::rank() const
 {
     std::size_t rank = 0;
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -43,6 +43,8 @@
     std::vector<gateway_address> ready_addresses() const;
     const coordination::gateway_members& members() const { return this->table; }
     const protocol::gateway_member& own() const { return this->self; }
+    /// Control address of the aggregator of the own zone; empty if this gateway is it.
+    std::string aggregator_control() const;
     /// Place of this gateway among those that are alive, in the order of their names.
     std::size_t rank() const;
     /// This gateway and all that it knows, as JSON, for a gateway that asks.
@@ -77,7 +79,6 @@
     state::time_point urgent_sent{};
     bool is_urgent = false;
     bool was_aggregator = false;
-    std::optional<std::uint64_t> position;
     bool announced = false;
 };
 
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -31,6 +31,8 @@
 
 constexpr milliseconds lease_tick{100};
 constexpr milliseconds plan_period{100};
+/// Requests that begin to wait have the placement planned at once, but not more often.
+constexpr milliseconds least_plan_period{25};
 /// An adapter is counted on this long after its order was accepted.
 constexpr milliseconds adapter_load_time{35};
 /// Gateways stop using weights this long before an order to unload them is sent.
@@ -201,11 +203,11 @@
     }
     if (changed)
         this->shared.backends_changed.notify();
-    for (const protocol::weight_rate_entry& rate : heartbeat.rates)
-    {
-        if (rate.waiting > 0 && this->lease.is_holder())
-            this->plan();
-    }
+    const bool has_waiting = std::any_of(heartbeat.rates.begin(), heartbeat.rates.end(),
+                                         [](const protocol::weight_rate_entry& rate)
+                                         { return rate.waiting > 0; });
+    if (has_waiting && now() - this->planned >= least_plan_period)
+        this->plan();
 }
 
 asio::awaitable<void> placement_agent::lease_loop()
@@ -295,6 +297,7 @@
 {
     if (!this->lease.may_order(state::boot_time()) || !this->shared.routes)
         return;
+    this->planned = now();
     for (const state::gateway_service& service : this->shared.routes->config().services)
     {
         if (service.engine)
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -96,6 +96,7 @@
     /// Copies of each model when the engines were first known, for each service.
     std::map<std::string, std::map<std::string, int>, std::less<>> first_copies;
     state::time_point state_logged{};
+    state::time_point planned{};
     std::size_t most_engines = 0;
     state::time_point engines_changed{};
     bool was_holder = false;
--- a/src/app/gateway/process/control_handler.cpp
+++ b/src/app/gateway/process/control_handler.cpp
@@ -2,12 +2,33 @@
 
 #include "state/error.hpp"
 
+#include <charconv>
+
 namespace pomelorouter::app
 {
 
+namespace
+{
+
+/// Throws `state::error` (`out_of_range`) for what is no offset.
+std::optional<std::uint64_t> read_offset(std::string_view text)
+{
+    if (text.empty())
+        return std::nullopt;
+    std::uint64_t value = 0;
+    const auto [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc() || end != text.data() + text.size())
+        throw state::error(state::error_code::out_of_range, "from", "an offset");
+    return value;
+}
+
+} // namespace
+
 control_handler::control_handler(gateway_state& gateway, const peer_gossip& gateway_peers,
-                                 const store_watcher& store_state)
-    : shared(gateway), peers(gateway_peers), watcher(store_state)
+                                 const config_watcher& config_state,
+                                 backend_watcher& backend_state)
+    : shared(gateway), peers(gateway_peers), config(config_state), backends(backend_state)
 {
 }
 
@@ -18,15 +39,24 @@
     if (path == "/gateway/members")
         co_await exchange.respond(
             transport::json_response(status::ok, this->peers.members_json()));
-    else if (path == "/gateway/config" && this->watcher.config_version() >= 0)
+    else if (path == "/gateway/config" && this->config.config_version() >= 0)
+        co_await exchange.respond(
+            transport::json_response(status::ok, this->config.config_document()));
+    else if (path == "/gateway/backends")
+    {
+        const std::optional<std::uint64_t> from =
+            read_offset(transport::target_query(exchange.request().target(), "from"));
+        std::string page = co_await this->backends.answer(from);
         co_await exchange.respond(
-            transport::json_response(status::ok, this->watcher.config_document()));
+            transport::binary_response(status::ok, std::move(page)));
+    }
     else if (path == "/metrics")
         co_await exchange.respond(
             transport::text_response(status::ok, this->shared.counters.render()));
     else
-        throw state::error(state::error_code::not_found, std::string(path),
-                           "/gateway/members, /gateway/config or /metrics");
+        throw state::error(
+            state::error_code::not_found, std::string(path),
+            "/gateway/members, /gateway/config, /gateway/backends or /metrics");
 }
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/process/control_handler.hpp
+++ b/src/app/gateway/process/control_handler.hpp
@@ -1,25 +1,28 @@
 #pragma once
 
 #include "app/gateway/peers/peer_gossip.hpp"
-#include "app/gateway/store/store_watcher.hpp"
+#include "app/gateway/store/backend_watcher.hpp"
+#include "app/gateway/store/config_watcher.hpp"
 #include "transport/http_server.hpp"
 
 namespace pomelorouter::app
 {
 
-/// Answers other gateways and operators: known gateways, the configuration, metrics.
+/// Answers other gateways and operators: known gateways, the configuration, the list
+/// of backend servers, metrics.
 class control_handler : public transport::http_handler
 {
 public:
     control_handler(gateway_state& gateway, const peer_gossip& gateway_peers,
-                    const store_watcher& store_state);
+                    const config_watcher& config_state, backend_watcher& backend_state);
 
     boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
 
 private:
     gateway_state& shared;
     const peer_gossip& peers;
-    const store_watcher& watcher;
+    const config_watcher& config;
+    backend_watcher& backends;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -27,10 +27,6 @@
 /// What is left at this time before the end of the grace period is broken off.
 constexpr milliseconds kill_margin{350};
 constexpr milliseconds stop_poll{50};
-/// A newer configuration that a peer has is fetched from it after this time. The store
-/// mostly brings it first.
-constexpr milliseconds store_head_start{150};
-constexpr milliseconds peer_answer_limit{1000};
 
 std::uint64_t wall_clock_ms()
 {
@@ -74,9 +70,14 @@
       shared(this->loop.get_executor(), this->settings, counters, wall_clock_ms()),
       client(this->loop.get_executor()),
       store(this->adapter.make_store(this->settings.platform, this->client)),
-      watcher(this->shared, *this->store, this->adapter.documents(),
-              [this](const state::gateway_config_ptr& config)
-              { this->on_config(*config); }),
+      config(
+          this->shared, *this->store, this->client, this->adapter.documents(),
+          [this](const state::gateway_config_ptr& newest) { this->on_config(*newest); },
+          [this] { return this->backends.is_led(); }),
+      backends(
+          this->shared, *this->store, this->client, this->adapter.documents(),
+          [this] { return this->peers.aggregator_control(); },
+          [this] { return this->config.is_reachable(); }),
       peers(this->shared, *this->store, this->client, own_member(this->settings)),
       placement(this->shared, *this->store, this->client, this->adapter.engines(),
                 this->peers),
@@ -85,7 +86,7 @@
           this->shared, this->adapter.directory(),
           [this] { return this->peers.ready_addresses(); },
           [this] { return this->is_ready(); }),
-      control(this->shared, this->peers, this->watcher),
+      control(this->shared, this->peers, this->config, this->backends),
       frontend_server(this->loop, {}, this->relay, this->shared.counters),
       readiness_server(this->loop, {}, this->directory, this->shared.counters),
       directory_server(this->loop, {}, this->directory, this->shared.counters),
@@ -109,7 +110,8 @@
         .field("version", POMELOROUTER_VERSION)
         .field("zone", this->settings.zone)
         .field("listen", this->settings.listen);
-    this->watcher.start();
+    this->config.start();
+    this->backends.start();
     this->peers.start([this](protocol::gateway_heartbeat& heartbeat)
                       { this->fill(heartbeat); },
                       [this](const protocol::gateway_heartbeat& heartbeat)
@@ -131,20 +133,21 @@
 
 bool gateway::is_ready() const
 {
-    return this->shared.routes != nullptr && this->watcher.has_backends() &&
+    return this->shared.routes != nullptr && this->backends.is_known() &&
            !this->shared.is_stopping;
 }
 
-void gateway::on_config(const state::gateway_config& config)
+void gateway::on_config(const state::gateway_config& newest)
 {
-    this->frontend_server.set_limits(server_limits(config.limits));
+    this->frontend_server.set_limits(server_limits(newest.limits));
+    this->peers.send_heartbeat();
 }
 
 void gateway::fill(protocol::gateway_heartbeat& heartbeat)
 {
     this->peers.set_ready(this->is_ready());
     heartbeat.origin.ready = this->is_ready();
-    heartbeat.config_version = this->watcher.config_version();
+    heartbeat.config_version = this->config.config_version();
     for (const auto& [id, backend] : this->shared.directory.all())
     {
         // Only what the backend server itself wrote: marks that gateways learn from one
@@ -160,35 +163,8 @@
     for (const protocol::leaving_process& process : heartbeat.leaving)
         this->shared.directory.on_draining(now(), process.id, process.incarnation);
     this->placement.on_heartbeat(heartbeat);
-    if (heartbeat.config_version > this->watcher.config_version() &&
-        !this->is_fetching_config)
-    {
-        this->is_fetching_config = true;
-        asio::co_spawn(this->loop, this->fetch_config(heartbeat.origin.control),
-                       asio::detached);
-    }
-}
-
-asio::awaitable<void> gateway::fetch_config(std::string address)
-{
-    co_await this->pause(store_head_start);
-    transport::http_call_options options;
-    options.progress_timeout = peer_answer_limit;
-    try
-    {
-        const transport::http_response response = co_await this->client.fetch(
-            address, transport::make_request(transport::verb::get, "/gateway/config"),
-            options);
-        if (response.result() == transport::status::ok)
-            this->watcher.on_peer_config(response.body());
-    }
-    catch (const state::error& failure)
-    {
-        state::log_event(state::log_level::info, "peer_config_failed")
-            .field("peer", address)
-            .field("problem", failure.what());
-    }
-    this->is_fetching_config = false;
+    if (heartbeat.config_version > this->config.config_version())
+        this->config.on_newer(heartbeat.origin.control);
 }
 
 asio::awaitable<void> gateway::housekeeping()
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -8,7 +8,8 @@
 #include "app/gateway/serving/directory_handler.hpp"
 #include "app/gateway/serving/gateway_state.hpp"
 #include "app/gateway/serving/request_relay.hpp"
-#include "app/gateway/store/store_watcher.hpp"
+#include "app/gateway/store/backend_watcher.hpp"
+#include "app/gateway/store/config_watcher.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 
@@ -42,8 +43,7 @@
 private:
     void fill(protocol::gateway_heartbeat& heartbeat);
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
-    void on_config(const state::gateway_config& config);
-    boost::asio::awaitable<void> fetch_config(std::string address);
+    void on_config(const state::gateway_config& newest);
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> wind_down(std::function<void()> on_stopped);
     boost::asio::awaitable<void> pause(state::milliseconds duration);
@@ -55,7 +55,8 @@
     gateway_state shared;
     transport::http_client client;
     std::unique_ptr<keyed_store> store;
-    store_watcher watcher;
+    config_watcher config;
+    backend_watcher backends;
     peer_gossip peers;
     placement_agent placement;
     request_relay relay;
@@ -66,7 +67,6 @@
     transport::http_server directory_server;
     transport::http_server control_server;
     transport::http_server metrics_server;
-    bool is_fetching_config = false;
 };
 
 } // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -0,0 +1,270 @@
+#include "app/gateway/store/backend_watcher.hpp"
+
+#include "protocol/backend_page.hpp"
+#include "state/error.hpp"
+#include "state/log.hpp"
+#include "transport/http_error.hpp"
+#include "transport/log_service.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using coordination::feed_record;
+using state::milliseconds;
+
+namespace
+{
+
+/// Pause between two reads of the list. Each backend server writes about once a second,
+/// so that a read which waits for a record returns at once.
+constexpr milliseconds read_period{800};
+/// Pause after a read that failed.
+constexpr milliseconds retry_period{250};
+/// An aggregator answers after its next read of the store, and at the latest after this.
+constexpr milliseconds answer_wait{1200};
+constexpr milliseconds aggregator_limit{1800};
+/// An aggregator that did not answer is left alone for this long.
+constexpr milliseconds aggregator_pause{5000};
+/// An answer of the aggregator counts for this long.
+constexpr milliseconds lead_life{2500};
+
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+backend_watcher::backend_watcher(gateway_state& gateway, keyed_store& platform_store,
+                                 transport::http_client& http_client,
+                                 const document_reader& documents,
+                                 aggregator_callback find_aggregator,
+                                 contact_callback settings_contact)
+    : shared(gateway),
+      store(platform_store),
+      client(http_client),
+      reader(documents),
+      aggregator(std::move(find_aggregator)),
+      settings_reachable(std::move(settings_contact)),
+      feed_read(gateway.executor)
+{
+}
+
+void backend_watcher::start()
+{
+    asio::co_spawn(this->shared.executor, this->watch(), asio::detached);
+}
+
+bool backend_watcher::is_led() const
+{
+    return now() < this->led_until;
+}
+
+asio::awaitable<void> backend_watcher::watch()
+{
+    for (;;)
+    {
+        const std::string address = this->aggregator();
+        if (!address.empty() && this->feed.next() && now() >= this->ask_again)
+        {
+            if (co_await this->read_aggregator(address))
+                continue;
+            this->ask_again = now() + aggregator_pause;
+        }
+        const bool succeeded = co_await this->read_store();
+        co_await this->pause(succeeded ? read_period : retry_period);
+    }
+}
+
+asio::awaitable<bool> backend_watcher::read_aggregator(std::string address)
+{
+    transport::http_call_options options;
+    options.progress_timeout = aggregator_limit;
+    const std::string target =
+        "/gateway/backends?from=" + std::to_string(*this->feed.next());
+    std::string problem;
+    try
+    {
+        const transport::http_response response = co_await this->client.fetch(
+            address, transport::make_request(transport::verb::get, target), options);
+        if (response.result() != transport::status::ok)
+        {
+            throw state::error(state::error_code::malformed_frame, address + target,
+                               "status 200");
+        }
+        const protocol::backend_page page =
+            protocol::decode_backend_page(response.body());
+        if (page.list_reachable)
+        {
+            std::vector<feed_record> records = this->feed.complete(page);
+            for (feed_record& record : records)
+            {
+                if (!record.entry && !record.is_removal)
+                    record = this->parse({record.offset, record.key, record.value});
+            }
+            this->on_contact(true, "");
+            if (page.is_whole)
+                this->apply_all(page.next, records);
+            else
+                this->apply(records);
+            this->feed.set_next(std::max(page.next, *this->feed.next()));
+            this->on_read();
+            if (page.settings_reachable)
+                this->led_until = now() + lead_life;
+            co_return true;
+        }
+        problem = "the store does not answer it";
+    }
+    catch (const state::error& failure)
+    {
+        problem = failure.what();
+    }
+    this->led_until = {};
+    state::log_event(state::log_level::info, "aggregator_failed")
+        .field("aggregator", address)
+        .field("problem", problem);
+    co_return false;
+}
+
+asio::awaitable<std::string> backend_watcher::answer(std::optional<std::uint64_t> from)
+{
+    const bool has_news = !from || this->feed.next() > from;
+    if (!has_news)
+        co_await this->feed_read.wait(answer_wait);
+    protocol::backend_page page = this->feed.page(from);
+    page.list_reachable = this->reachable && this->feed.next().has_value();
+    page.settings_reachable = this->settings_reachable();
+    co_return protocol::encode_backend_page(page);
+}
+
+asio::awaitable<bool> backend_watcher::read_store()
+{
+    try
+    {
+        const std::optional<std::uint64_t> position = this->feed.next();
+        keyed_page page;
+        if (position)
+        {
+            page = co_await this->store.changes(store_topic::backend_servers, *position,
+                                                milliseconds(0));
+        }
+        else
+            page = co_await this->store.newest(store_topic::backend_servers);
+        std::vector<feed_record> records;
+        for (const keyed_record& record : page.records)
+            records.push_back(this->parse(record));
+        this->on_contact(true, "");
+        if (position)
+            this->apply(records);
+        else
+            this->apply_all(page.next, records);
+        this->feed.set_next(page.next);
+        this->on_read();
+        co_return true;
+    }
+    catch (const transport::log_truncated&)
+    {
+        this->feed.set_next(std::nullopt);
+        co_return true;
+    }
+    catch (const state::error& failure)
+    {
+        this->on_contact(false, failure.what());
+        co_return false;
+    }
+}
+
+feed_record backend_watcher::parse(const keyed_record& record) const
+{
+    feed_record result{record.offset, record.key, record.value, record.is_removal, {}};
+    if (record.is_removal)
+        return result;
+    try
+    {
+        result.entry = this->reader.read_backend(record.key, record.value);
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::warning, "backend_unreadable")
+            .field("backend", record.key)
+            .field("offset", record.offset)
+            .field("problem", failure.what());
+    }
+    return result;
+}
+
+void backend_watcher::apply(const std::vector<feed_record>& records)
+{
+    using coordination::directory_change;
+    for (const feed_record& record : records)
+    {
+        this->feed.apply(record);
+        directory_change change = directory_change::none;
+        if (record.is_removal)
+            change = this->shared.directory.remove(now(), record.key);
+        else if (record.entry)
+            change = this->shared.directory.apply(now(), *record.entry);
+        if (change == directory_change::none || change == directory_change::updated)
+            continue;
+        state::log_event(state::log_level::info, "backend_changed")
+            .field("backend", record.key)
+            .field("change", to_string(change))
+            .field("offset", record.offset);
+    }
+    if (!records.empty())
+        this->shared.backends_changed.notify();
+}
+
+void backend_watcher::apply_all(std::uint64_t next,
+                                const std::vector<feed_record>& records)
+{
+    std::vector<state::backend_entry> entries;
+    for (const feed_record& record : records)
+    {
+        if (record.entry)
+            entries.push_back(*record.entry);
+    }
+    state::log_event(state::log_level::info, "backends_read")
+        .field("count", static_cast<std::uint64_t>(entries.size()));
+    this->feed.replace_all(next, records);
+    this->shared.directory.replace_all(now(), std::move(entries));
+    this->shared.backends_changed.notify();
+}
+
+void backend_watcher::on_read()
+{
+    this->is_list_known = true;
+    for (const std::string& id : this->shared.directory.tick(now()))
+        state::log_event(state::log_level::info, "backend_gone").field("backend", id);
+    this->feed_read.notify();
+}
+
+void backend_watcher::on_contact(bool is_reachable, const std::string& problem)
+{
+    this->shared.directory.on_store_contact(now(), is_reachable);
+    if (this->reachable == is_reachable)
+        return;
+    this->reachable = is_reachable;
+    state::log_event(state::log_level::warning,
+                     is_reachable ? "store_regained" : "store_lost")
+        .field("topic", "backend_servers")
+        .field("problem", problem);
+}
+
+asio::awaitable<void> backend_watcher::pause(milliseconds duration)
+{
+    asio::steady_timer timer(this->shared.executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "app/gateway/serving/gateway_state.hpp"
+#include "app/gateway/store/document_reader.hpp"
+#include "app/gateway/store/keyed_store.hpp"
+#include "coordination/backend_feed.hpp"
+#include "transport/http_client.hpp"
+#include "transport/loop_signal.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelorouter::app
+{
+
+/// Follows the list of backend servers: in the store, or at the aggregator of the
+/// availability zone, which reads the store for all gateways there.
+class backend_watcher
+{
+public:
+    /// Control address of the aggregator; empty if this gateway is it, or none is known.
+    using aggregator_callback = std::function<std::string()>;
+    /// Whether the store answered this gateway's last call for the configuration.
+    using contact_callback = std::function<bool()>;
+
+    backend_watcher(gateway_state& gateway, keyed_store& platform_store,
+                    transport::http_client& client, const document_reader& documents,
+                    aggregator_callback find_aggregator,
+                    contact_callback settings_contact);
+
+    void start();
+    /// Whether the list was read once.
+    bool is_known() const { return this->is_list_known; }
+    /// Whether an aggregator that the store answers tells this gateway what changes.
+    bool is_led() const;
+    /// The records from `from` on, as soon as there are some or the time to wait is over.
+    boost::asio::awaitable<std::string> answer(std::optional<std::uint64_t> from);
+
+private:
+    boost::asio::awaitable<void> watch();
+    boost::asio::awaitable<bool> read_aggregator(std::string address);
+    boost::asio::awaitable<bool> read_store();
+    coordination::feed_record parse(const keyed_record& record) const;
+    void apply(const std::vector<coordination::feed_record>& records);
+    void apply_all(std::uint64_t next,
+                   const std::vector<coordination::feed_record>& records);
+    void on_read();
+    void on_contact(bool is_reachable, const std::string& problem);
+    boost::asio::awaitable<void> pause(state::milliseconds duration);
+
+    gateway_state& shared;
+    keyed_store& store;
+    transport::http_client& client;
+    const document_reader& reader;
+    aggregator_callback aggregator;
+    contact_callback settings_reachable;
+    coordination::backend_feed feed;
+    transport::loop_signal feed_read;
+    bool reachable = true;
+    bool is_list_known = false;
+    state::time_point led_until{};
+    /// An aggregator that did not answer is not asked before then.
+    state::time_point ask_again{};
+};
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -0,0 +1,198 @@
+#include "app/gateway/store/config_watcher.hpp"
+
+#include "state/error.hpp"
+#include "state/log.hpp"
+#include "transport/http_error.hpp"
+#include "transport/log_service.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using state::milliseconds;
+
+namespace
+{
+
+/// A read of the settings waits this long for a change, so that a connection that has
+/// gone silent is noticed well within the time in which a change must be in force.
+constexpr milliseconds settings_wait{1500};
+/// Pause after a read that failed, and between two looks at whether another gateway
+/// still watches the store.
+constexpr milliseconds retry_period{250};
+/// A newer configuration that a peer has is fetched from it after this time. The store
+/// mostly brings it first.
+constexpr milliseconds store_head_start{150};
+constexpr milliseconds peer_answer_limit{1000};
+
+} // namespace
+
+config_watcher::config_watcher(gateway_state& gateway, keyed_store& platform_store,
+                               transport::http_client& http_client,
+                               const document_reader& documents,
+                               config_callback on_config, led_callback has_leader)
+    : shared(gateway),
+      store(platform_store),
+      client(http_client),
+      reader(documents),
+      config_changed(std::move(on_config)),
+      is_led(std::move(has_leader))
+{
+}
+
+void config_watcher::start()
+{
+    asio::co_spawn(this->shared.executor, this->watch(), asio::detached);
+}
+
+asio::awaitable<void> config_watcher::watch()
+{
+    for (;;)
+    {
+        bool succeeded = false;
+        if (this->version < 0 || !this->is_led())
+            succeeded = co_await this->read_store();
+        if (!succeeded)
+            co_await this->pause(retry_period);
+    }
+}
+
+asio::awaitable<bool> config_watcher::read_store()
+{
+    try
+    {
+        keyed_page page;
+        if (this->position)
+        {
+            page = co_await this->store.changes(store_topic::settings, *this->position,
+                                                settings_wait);
+        }
+        else
+            page = co_await this->store.newest(store_topic::settings);
+        this->position = page.next;
+        this->on_contact(true, "");
+        for (const keyed_record& record : page.records)
+        {
+            if (!record.is_removal && this->reader.is_config_key(record.key))
+                this->apply(record.value, "store");
+        }
+        // Before the operator's first configuration a read of everything returns at once.
+        co_return !page.records.empty() || this->version >= 0;
+    }
+    catch (const transport::log_truncated&)
+    {
+        this->position.reset();
+        co_return true;
+    }
+    catch (const state::error& failure)
+    {
+        this->on_contact(false, failure.what());
+        co_return false;
+    }
+}
+
+void config_watcher::on_newer(std::string peer)
+{
+    if (this->is_fetching)
+        return;
+    this->is_fetching = true;
+    asio::co_spawn(this->shared.executor, this->fetch_newer(std::move(peer)),
+                   asio::detached);
+}
+
+/// Many gateways hear of a change at once, and a peer may have a slow link: the store is
+/// asked first.
+asio::awaitable<void> config_watcher::fetch_newer(std::string peer)
+{
+    const std::int64_t before = this->version;
+    state::log_event(state::log_level::info, "newer_config_heard")
+        .field("peer", peer)
+        .field("version", before)
+        .field("led", this->is_led());
+    if (this->is_led())
+    {
+        this->position.reset();
+        co_await this->read_store();
+    }
+    else
+        co_await this->pause(store_head_start);
+    if (this->version == before)
+        co_await this->fetch_from_peer(std::move(peer));
+    this->is_fetching = false;
+}
+
+asio::awaitable<void> config_watcher::fetch_from_peer(std::string peer)
+{
+    transport::http_call_options options;
+    options.progress_timeout = peer_answer_limit;
+    try
+    {
+        const transport::http_response response = co_await this->client.fetch(
+            peer, transport::make_request(transport::verb::get, "/gateway/config"),
+            options);
+        if (response.result() == transport::status::ok)
+            this->apply(response.body(), "peer");
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::info, "peer_config_failed")
+            .field("peer", peer)
+            .field("problem", failure.what());
+    }
+}
+
+void config_watcher::apply(const std::string& text, std::string_view source)
+{
+    try
+    {
+        auto config =
+            std::make_shared<const state::gateway_config>(this->reader.read_config(text));
+        // A version that was in force once is never replaced by an older one.
+        if (config->version <= this->version)
+            return;
+        this->version = config->version;
+        this->document = text;
+        this->shared.routes = std::make_shared<const coordination::route_table>(config);
+        state::log_event(state::log_level::info, "config_applied")
+            .field("version", config->version)
+            .field("source", source)
+            .field("routes", static_cast<std::uint64_t>(config->routes.size()))
+            .field("services", static_cast<std::uint64_t>(config->services.size()));
+        this->config_changed(std::move(config));
+    }
+    catch (const state::error& failure)
+    {
+        state::log_event(state::log_level::error, "config_unreadable")
+            .field("source", source)
+            .field("kept_version", this->version)
+            .field("problem", failure.what());
+    }
+}
+
+void config_watcher::on_contact(bool is_reachable, const std::string& problem)
+{
+    if (this->reachable == is_reachable)
+        return;
+    this->reachable = is_reachable;
+    state::log_event(state::log_level::warning,
+                     is_reachable ? "store_regained" : "store_lost")
+        .field("topic", "settings")
+        .field("problem", problem);
+}
+
+asio::awaitable<void> config_watcher::pause(milliseconds duration)
+{
+    asio::steady_timer timer(this->shared.executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace pomelorouter::app
--- /dev/null
+++ b/src/app/gateway/store/config_watcher.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "app/gateway/serving/gateway_state.hpp"
+#include "app/gateway/store/document_reader.hpp"
+#include "app/gateway/store/keyed_store.hpp"
+#include "transport/http_client.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// Follows the operator's configuration in the store, or hears of changes from other
+/// gateways while one of them watches the store.
+class config_watcher
+{
+public:
+    using config_callback = std::function<void(state::gateway_config_ptr)>;
+
+    /// Whether another gateway watches the store for this one.
+    using led_callback = std::function<bool()>;
+
+    config_watcher(gateway_state& gateway, keyed_store& platform_store,
+                   transport::http_client& client, const document_reader& documents,
+                   config_callback on_config, led_callback is_led);
+
+    void start();
+    /// A gateway with the control address `peer` has a newer configuration.
+    void on_newer(std::string peer);
+    /// The newest configuration as the operator wrote it; empty if none is known.
+    const std::string& config_document() const { return this->document; }
+    std::int64_t config_version() const { return this->version; }
+    /// Whether the store answered the last call.
+    bool is_reachable() const { return this->reachable; }
+
+private:
+    boost::asio::awaitable<void> watch();
+    boost::asio::awaitable<bool> read_store();
+    boost::asio::awaitable<void> fetch_newer(std::string peer);
+    boost::asio::awaitable<void> fetch_from_peer(std::string peer);
+    void apply(const std::string& text, std::string_view source);
+    void on_contact(bool is_reachable, const std::string& problem);
+    boost::asio::awaitable<void> pause(state::milliseconds duration);
+
+    gateway_state& shared;
+    keyed_store& store;
+    transport::http_client& client;
+    const document_reader& reader;
+    config_callback config_changed;
+    led_callback is_led;
+    std::optional<std::uint64_t> position;
+    std::string document;
+    std::int64_t version = -1;
+    bool reachable = true;
+    bool is_fetching = false;
+};
+
+} // namespace pomelorouter::app
--- a/src/libs/coordination/gateway_members.cpp
+++ b/src/libs/coordination/gateway_members.cpp
@@ -88,6 +88,12 @@
     return result;
 }
 
+const protocol::gateway_member* gateway_members::find(std::string_view name) const
+{
+    const auto found = this->entries.find(name);
+    return found == this->entries.end() ? nullptr : &found->second.member;
+}
+
 bool gateway_members::is_alive(state::time_point now, std::string_view name) const
 {
     const auto found = this->entries.find(name);
--- a/src/libs/coordination/gateway_members.hpp
+++ b/src/libs/coordination/gateway_members.hpp
@@ -41,6 +41,8 @@
     std::vector<protocol::gateway_member> alive(state::time_point now) const;
     /// All that are not forgotten.
     std::vector<protocol::gateway_member> known() const;
+    /// Returns the gateway, or null.
+    const protocol::gateway_member* find(std::string_view node) const;
     bool is_alive(state::time_point now, std::string_view node) const;
 
 private:
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -89,9 +89,34 @@
     const weight_demand::rates& demand;
     const std::map<std::string, int>& first_copies;
     int store_loads;
-    std::vector<planned_order> orders;
+    std::vector<planned_order> orders = {};
     /// Demand that each model is to be ready for, in prompt tokens a second.
-    std::map<std::string, double> weights;
+    std::map<std::string, double> weights = {};
+    /// Requests for each model with all its adapters.
+    std::map<std::string, weight_rate> model_rates = {};
+    /// Engines that hold a model, that hold or load it, and that hold an adapter of it.
+    std::map<std::string, int> held = {};
+    std::map<std::string, int> copies = {};
+    std::map<std::string, std::map<std::string, int>> adapter_held = {};
+    /// Engines that change their models, or are about to.
+    int changing = 0;
+
+    void count_copies()
+    {
+        for (const planned_engine& engine : this->engines)
+        {
+            this->changing += !engine.loading.empty() || !engine.reserved.empty() ? 1 : 0;
+            if (!engine.loading.empty() && !holds_model(engine, engine.loading))
+                ++this->copies[engine.loading];
+            for (const state::loaded_model& item : engine.models)
+            {
+                ++this->held[item.name];
+                ++this->copies[item.name];
+                for (const std::string& adapter : item.adapters)
+                    ++this->adapter_held[item.name][adapter];
+            }
+        }
+    }
 
     weight_rate rate_of(const std::string& model, const std::string& adapter) const
     {
@@ -106,17 +131,20 @@
         {
             if (name.service != this->service)
                 continue;
+            weight_rate& model_rate = this->model_rates[name.model];
+            model_rate.per_s += rate.per_s;
+            model_rate.waiting += rate.waiting;
             const double tokens = rate.tokens_per_s * present_share +
                                   rate.usual_tokens_per_s * (1.0 - present_share);
             this->weights[name.model] += tokens;
             total += tokens;
         }
-        int copies = 0;
+        int all_copies = 0;
         for (const auto& [name, count] : this->first_copies)
-            copies += count;
+            all_copies += count;
         const double unseen = std::max(0.0, first_tokens_per_s - total);
         for (const auto& [name, count] : this->first_copies)
-            this->weights[name] += unseen * count / std::max(copies, 1);
+            this->weights[name] += unseen * count / std::max(all_copies, 1);
         total += unseen;
         for (const state::hosted_model& model : this->profile.models)
         {
@@ -128,10 +156,10 @@
     double weight_per_copy(const std::string& model, int change = 0) const
     {
         const auto found = this->weights.find(model);
-        const int copies = this->model_copies(model) + change;
-        if (copies <= 0)
+        const int count = this->model_copies(model) + change;
+        if (count <= 0)
             return std::numeric_limits<double>::infinity();
-        return found == this->weights.end() ? 0.0 : found->second / copies;
+        return found == this->weights.end() ? 0.0 : found->second / count;
     }
 
     /// Demand that one copy of a model has to carry, or what its missing reserve counts
@@ -159,40 +187,35 @@
         return sum;
     }
 
-    int held_copies(const std::string& model) const
+    static int count_in(const std::map<std::string, int>& counts, const std::string& name)
     {
-        return static_cast<int>(std::count_if(this->engines.begin(), this->engines.end(),
-                                              [&model](const planned_engine& engine)
-                                              { return holds_model(engine, model); }));
+        const auto found = counts.find(name);
+        return found == counts.end() ? 0 : found->second;
     }
 
-    /// Requests a second for a model with all its adapters.
-    double model_rate(const std::string& model) const
+    int held_copies(const std::string& model) const
     {
-        double total = 0.0;
-        for (const auto& [name, rate] : this->demand)
-        {
-            if (name.service == this->service && name.model == model)
-                total += rate.per_s + rate.waiting;
-        }
-        return total;
+        return count_in(this->held, model);
     }
 
     int model_copies(const std::string& model) const
     {
-        return static_cast<int>(std::count_if(this->engines.begin(), this->engines.end(),
-                                              [&model](const planned_engine& engine) {
-                                                  return holds_model(engine, model) ||
-                                                         engine.loading == model;
-                                              }));
+        return count_in(this->copies, model);
     }
 
     int adapter_copies(const std::string& model, const std::string& adapter) const
     {
-        return static_cast<int>(
-            std::count_if(this->engines.begin(), this->engines.end(),
-                          [&](const planned_engine& engine)
-                          { return holds_adapter(engine, model, adapter); }));
+        const auto found = this->adapter_held.find(model);
+        return found == this->adapter_held.end() ? 0 : count_in(found->second, adapter);
+    }
+
+    /// Requests a second for a model with all its adapters.
+    double model_rate(const std::string& model) const
+    {
+        const auto found = this->model_rates.find(model);
+        return found == this->model_rates.end()
+                   ? 0.0
+                   : found->second.per_s + found->second.waiting;
     }
 
     double used_mb(const planned_engine& engine) const
@@ -217,25 +240,10 @@
         return this->used_mb(engine) + model.weight_mb <= this->profile.weight_mb;
     }
 
-    /// Engines that change their models, or are about to.
-    int changing() const
-    {
-        return static_cast<int>(std::count_if(this->engines.begin(), this->engines.end(),
-                                              [](const planned_engine& engine) {
-                                                  return !engine.loading.empty() ||
-                                                         !engine.reserved.empty();
-                                              }));
-    }
-
     std::uint32_t waiting(const std::string& model) const
     {
-        std::uint32_t total = 0;
-        for (const auto& [name, rate] : this->demand)
-        {
-            if (name.service == this->service && name.model == model)
-                total += rate.waiting;
-        }
-        return total;
+        const auto found = this->model_rates.find(model);
+        return found == this->model_rates.end() ? 0 : found->second.waiting;
     }
 
     /// The model of the engine that is missed least, of those that others hold as well;
@@ -263,12 +271,30 @@
         this->give(engine, plan_operation::unload_model, victim, "", false,
                    "another model needs the memory");
         this->orders.back().room_for = room_for;
+        this->changing += engine.reserved.empty() && engine.loading.empty() ? 1 : 0;
         engine.reserved = room_for;
         // The copy is lost for the rest of the round as well.
-        engine.models.erase(std::remove_if(engine.models.begin(), engine.models.end(),
-                                           [&victim](const state::loaded_model& item)
-                                           { return item.name == victim; }),
-                            engine.models.end());
+        const auto lost = std::find_if(engine.models.begin(), engine.models.end(),
+                                       [&victim](const state::loaded_model& item)
+                                       { return item.name == victim; });
+        --this->held[victim];
+        --this->copies[victim];
+        for (const std::string& adapter : lost->adapters)
+            --this->adapter_held[victim][adapter];
+        engine.models.erase(lost);
+    }
+
+    void give_load(planned_engine& engine, const std::string& model,
+                   std::string_view reason)
+    {
+        const std::string name = model;
+        const bool from_store = engine.cached.count(name) == 0;
+        this->store_loads -= from_store ? 1 : 0;
+        this->give(engine, plan_operation::load_model, name, "", from_store, reason);
+        this->changing += engine.reserved.empty() && engine.loading.empty() ? 1 : 0;
+        engine.loading = name;
+        engine.reserved.clear();
+        ++this->copies[name];
     }
 
     void give(planned_engine& engine, plan_operation operation, const std::string& model,
@@ -287,7 +313,8 @@
                      const std::map<std::string, int>& first_copies, int store_loads,
                      bool is_settled) const
 {
-    workspace work{profile, engines, service, demand, first_copies, store_loads, {}, {}};
+    workspace work{profile, engines, service, demand, first_copies, store_loads};
+    work.count_copies();
     work.weigh_models();
     this->place_waiting_adapters(work);
     this->load_reserved_models(work);
@@ -368,7 +395,7 @@
         if (model == nullptr || holds_model(engine, engine.reserved) ||
             (from_store && work.store_loads <= 0) || !work.has_room(engine, *model))
             continue;
-        give_load(work, engine, model->name, "room was made for the model");
+        work.give_load(engine, model->name, "room was made for the model");
     }
 }
 
@@ -386,7 +413,7 @@
                      { return left.first > right.first; });
     for (const auto& [rate, model] : missing)
     {
-        if (!only_waiting && work.changing() >= most_idle_restores)
+        if (!only_waiting && work.changing >= most_idle_restores)
             return;
         load_missing(work, *model);
     }
@@ -428,29 +455,19 @@
     if (best == nullptr)
         return false;
     if (victim == nullptr)
-        give_load(work, *best, wanted.name, "no engine holds the model");
+        work.give_load(*best, wanted.name, "no engine holds the model");
     else
         work.give_unload(*best, *victim, wanted.name);
     return true;
 }
 
-void weight_planner::give_load(workspace& work, planned_engine& engine,
-                               const std::string& model, std::string_view reason)
-{
-    const bool from_store = engine.cached.count(model) == 0;
-    work.store_loads -= from_store ? 1 : 0;
-    work.give(engine, plan_operation::load_model, model, "", from_store, reason);
-    engine.loading = model;
-    engine.reserved.clear();
-}
-
 /// Gives a copy to the model whose copies carry most, at the cost of the model that can
 /// spare one best.
 void weight_planner::balance_models(workspace& work) const
 {
     const auto most =
         static_cast<int>(most_changing_share * static_cast<double>(work.engines.size()));
-    while (work.changing() < most)
+    while (work.changing < most)
     {
         const state::hosted_model* wanted = nullptr;
         for (const state::hosted_model& model : work.profile.models)
@@ -504,7 +521,7 @@
     if (best == nullptr)
         return false;
     if (victim == nullptr)
-        give_load(work, *best, wanted.name, "the model is in demand");
+        work.give_load(*best, wanted.name, "the model is in demand");
     else
         work.give_unload(*best, *victim, wanted.name);
     return true;
--- a/src/libs/coordination/weight_planner.hpp
+++ b/src/libs/coordination/weight_planner.hpp
@@ -82,8 +82,6 @@
     static bool make_adapter_place(workspace& work, planned_engine& engine);
     static bool move_copy(workspace& work, const state::hosted_model& wanted);
     static bool load_missing(workspace& work, const state::hosted_model& wanted);
-    static void give_load(workspace& work, planned_engine& engine,
-                          const std::string& model, std::string_view reason);
 };
 
 } // namespace pomelorouter::coordination
--- /dev/null
+++ b/src/libs/protocol/backend_page.cpp
@@ -0,0 +1,58 @@
+#include "protocol/backend_page.hpp"
+
+#include "protocol/compact_codec.hpp"
+
+#include <peer_types.h>
+
+namespace pomelorouter::protocol
+{
+
+namespace
+{
+
+constexpr const char* place = "page of backend servers";
+constexpr std::size_t page_max_bytes = std::size_t{64} * 1024 * 1024;
+
+} // namespace
+
+std::string encode_backend_page(const backend_page& page)
+{
+    gen::BackendPage wire;
+    wire.__set_nextOffset(static_cast<std::int64_t>(page.next));
+    wire.__set_whole(page.is_whole);
+    wire.__set_listReachable(page.list_reachable);
+    wire.__set_settingsReachable(page.settings_reachable);
+    for (const backend_page_record& record : page.records)
+    {
+        gen::BackendRecord& item = wire.records.emplace_back();
+        item.__set_key(record.key);
+        item.__set_offset(static_cast<std::int64_t>(record.offset));
+        if (record.value)
+            item.__set_value(*record.value);
+        item.__set_removal(record.is_removal);
+    }
+    return internal::encode_compact(wire);
+}
+
+backend_page decode_backend_page(std::string_view body)
+{
+    const auto wire =
+        internal::decode_compact<gen::BackendPage>(body, place, page_max_bytes);
+    backend_page page;
+    page.next = static_cast<std::uint64_t>(wire.nextOffset);
+    page.is_whole = wire.whole;
+    page.list_reachable = wire.listReachable;
+    page.settings_reachable = wire.settingsReachable;
+    for (const gen::BackendRecord& item : wire.records)
+    {
+        backend_page_record& record = page.records.emplace_back();
+        record.offset = static_cast<std::uint64_t>(item.offset);
+        record.key = item.key;
+        if (item.__isset.value)
+            record.value = item.value;
+        record.is_removal = item.removal;
+    }
+    return page;
+}
+
+} // namespace pomelorouter::protocol
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -1,30 +1,24 @@
 #include "protocol/gateway_heartbeat.hpp"
 
+#include "protocol/compact_codec.hpp"
 #include "state/enum_table.hpp"
 #include "state/error.hpp"
 
 #include <peer_types.h>
-#include <thrift/Thrift.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
 #include <array>
-#include <memory>
 #include <utility>
 
 namespace pomelorouter::protocol
 {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
 using state::error;
 using state::error_code;
 
 namespace
 {
 
-constexpr char datagram_version = 1;
 constexpr const char* place = "gateway datagram";
 
 constexpr std::array<state::enum_name<load_scope>, 4> scope_names{{
@@ -194,11 +188,7 @@
 
 std::string encode_gateway_heartbeat(const gateway_heartbeat& heartbeat)
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> writer(buffer);
-    to_wire(heartbeat).write(&writer);
-    std::string result(1, datagram_version);
-    result += buffer->getBufferAsString();
+    std::string result = internal::encode_compact(to_wire(heartbeat));
     if (result.size() > gateway_datagram_max_bytes)
     {
         throw error(error_code::too_large, place,
@@ -209,30 +199,8 @@
 
 gateway_heartbeat decode_gateway_heartbeat(std::string_view datagram)
 {
-    if (datagram.empty())
-        throw error(error_code::malformed_frame, place, "a version byte");
-    if (datagram.front() != datagram_version)
-        throw error(error_code::unsupported_version, place, "version 1");
-    datagram.remove_prefix(1);
-    try
-    {
-        // The buffer only reads from the body in this mode; its interface is not const.
-        std::string copy(datagram);
-        const auto buffer = std::make_shared<TMemoryBuffer>(
-            reinterpret_cast<std::uint8_t*>(copy.data()),
-            static_cast<std::uint32_t>(copy.size()), TMemoryBuffer::OBSERVE);
-        // Sizes in a broken datagram must not lead to large allocations.
-        TCompactProtocolT<TMemoryBuffer> reader(
-            buffer, static_cast<std::int32_t>(gateway_datagram_max_bytes),
-            static_cast<std::int32_t>(copy.size()));
-        gen::GatewayHeartbeat heartbeat;
-        heartbeat.read(&reader);
-        return from_wire(heartbeat);
-    }
-    catch (const apache::thrift::TException& failure)
-    {
-        throw error(error_code::malformed_frame, place, failure.what());
-    }
+    return from_wire(internal::decode_compact<gen::GatewayHeartbeat>(
+        datagram, place, gateway_datagram_max_bytes));
 }
 
 } // namespace pomelorouter::protocol
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -2453,6 +2453,373 @@
 }
 
 
+BackendRecord::~BackendRecord() noexcept {
+}
+
+
+void BackendRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void BackendRecord::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void BackendRecord::__set_value(const std::string& val) {
+  this->value = val;
+__isset.value = true;
+}
+
+void BackendRecord::__set_removal(const bool val) {
+  this->removal = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_offset = false;
+  bool isset_removal = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          isset_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removal);
+          isset_removal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_offset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removal)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t BackendRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.value) {
+    xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeBinary(this->value);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("removal", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->removal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendRecord &a, BackendRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.offset, b.offset);
+  swap(a.value, b.value);
+  swap(a.removal, b.removal);
+  swap(a.__isset, b.__isset);
+}
+
+BackendRecord::BackendRecord(const BackendRecord& other80) {
+  key = other80.key;
+  offset = other80.offset;
+  value = other80.value;
+  removal = other80.removal;
+  __isset = other80.__isset;
+}
+BackendRecord& BackendRecord::operator=(const BackendRecord& other81) {
+  key = other81.key;
+  offset = other81.offset;
+  value = other81.value;
+  removal = other81.removal;
+  __isset = other81.__isset;
+  return *this;
+}
+void BackendRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
+  out << ", " << "removal=" << to_string(removal);
+  out << ")";
+}
+
+
+BackendPage::~BackendPage() noexcept {
+}
+
+
+void BackendPage::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void BackendPage::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void BackendPage::__set_listReachable(const bool val) {
+  this->listReachable = val;
+}
+
+void BackendPage::__set_settingsReachable(const bool val) {
+  this->settingsReachable = val;
+}
+
+void BackendPage::__set_records(const std::vector<BackendRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendPage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendPage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_nextOffset = false;
+  bool isset_whole = false;
+  bool isset_listReachable = false;
+  bool isset_settingsReachable = false;
+  bool isset_records = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          isset_nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          isset_whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->listReachable);
+          isset_listReachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settingsReachable);
+          isset_settingsReachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->records.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += this->records[_i86].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_nextOffset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_whole)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_listReachable)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_settingsReachable)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_records)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t BackendPage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendPage");
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listReachable", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->listReachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("settingsReachable", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->settingsReachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<BackendRecord> ::const_iterator _iter87;
+    for (_iter87 = this->records.begin(); _iter87 != this->records.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendPage &a, BackendPage &b) {
+  using ::std::swap;
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.whole, b.whole);
+  swap(a.listReachable, b.listReachable);
+  swap(a.settingsReachable, b.settingsReachable);
+  swap(a.records, b.records);
+}
+
+BackendPage::BackendPage(const BackendPage& other88) {
+  nextOffset = other88.nextOffset;
+  whole = other88.whole;
+  listReachable = other88.listReachable;
+  settingsReachable = other88.settingsReachable;
+  records = other88.records;
+}
+BackendPage& BackendPage::operator=(const BackendPage& other89) {
+  nextOffset = other89.nextOffset;
+  whole = other89.whole;
+  listReachable = other89.listReachable;
+  settingsReachable = other89.settingsReachable;
+  records = other89.records;
+  return *this;
+}
+void BackendPage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendPage(";
+  out << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "listReachable=" << to_string(listReachable);
+  out << ", " << "settingsReachable=" << to_string(settingsReachable);
+  out << ", " << "records=" << to_string(records);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -2568,17 +2935,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other80) {
-  heartbeat = other80.heartbeat;
-  settingsPull = other80.settingsPull;
-  settingsState = other80.settingsState;
-  __isset = other80.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other90) {
+  heartbeat = other90.heartbeat;
+  settingsPull = other90.settingsPull;
+  settingsState = other90.settingsState;
+  __isset = other90.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other81) {
-  heartbeat = other81.heartbeat;
-  settingsPull = other81.settingsPull;
-  settingsState = other81.settingsState;
-  __isset = other81.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other91) {
+  heartbeat = other91.heartbeat;
+  settingsPull = other91.settingsPull;
+  settingsState = other91.settingsState;
+  __isset = other91.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -2688,13 +3055,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other82) {
-  sender = other82.sender;
-  message = other82.message;
+Envelope::Envelope(const Envelope& other92) {
+  sender = other92.sender;
+  message = other92.message;
 }
-Envelope& Envelope::operator=(const Envelope& other83) {
-  sender = other83.sender;
-  message = other83.message;
+Envelope& Envelope::operator=(const Envelope& other93) {
+  sender = other93.sender;
+  message = other93.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -47,6 +47,10 @@
 
 class GatewayHeartbeat;
 
+class BackendRecord;
+
+class BackendPage;
+
 class PeerMessage;
 
 class Envelope;
@@ -851,6 +855,129 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj);
 
+typedef struct _BackendRecord__isset {
+  _BackendRecord__isset() : value(false) {}
+  bool value :1;
+} _BackendRecord__isset;
+
+class BackendRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendRecord(const BackendRecord&);
+  BackendRecord& operator=(const BackendRecord&);
+  BackendRecord() noexcept
+                : key(),
+                  offset(0),
+                  value(),
+                  removal(0) {
+  }
+
+  virtual ~BackendRecord() noexcept;
+  std::string key;
+  int64_t offset;
+  std::string value;
+  bool removal;
+
+  _BackendRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  void __set_removal(const bool val);
+
+  bool operator == (const BackendRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (__isset.value != rhs.__isset.value)
+      return false;
+    else if (__isset.value && !(value == rhs.value))
+      return false;
+    if (!(removal == rhs.removal))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendRecord &a, BackendRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendRecord& obj);
+
+
+class BackendPage : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendPage(const BackendPage&);
+  BackendPage& operator=(const BackendPage&);
+  BackendPage() noexcept
+              : nextOffset(0),
+                whole(0),
+                listReachable(0),
+                settingsReachable(0) {
+  }
+
+  virtual ~BackendPage() noexcept;
+  int64_t nextOffset;
+  bool whole;
+  bool listReachable;
+  bool settingsReachable;
+  std::vector<BackendRecord>  records;
+
+  void __set_nextOffset(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_listReachable(const bool val);
+
+  void __set_settingsReachable(const bool val);
+
+  void __set_records(const std::vector<BackendRecord> & val);
+
+  bool operator == (const BackendPage & rhs) const
+  {
+    if (!(nextOffset == rhs.nextOffset))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(listReachable == rhs.listReachable))
+      return false;
+    if (!(settingsReachable == rhs.settingsReachable))
+      return false;
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendPage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendPage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendPage &a, BackendPage &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendPage& obj);
+
 typedef struct _PeerMessage__isset {
   _PeerMessage__isset() : heartbeat(false), settingsPull(false), settingsState(false) {}
   bool heartbeat :1;
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -115,6 +115,26 @@
   10: optional i32 periodMs
 }
 
+struct BackendRecord {
+  1: required string key
+  2: required i64 offset
+  // Missing if the receiver has it: the record repeats an older one of its key.
+  3: optional binary value
+  4: required bool removal
+}
+
+// Part of the list of backend servers, as an aggregator read it from the platform's store.
+struct BackendPage {
+  // Offset to read from next.
+  1: required i64 nextOffset
+  // All that is not named has been removed.
+  2: required bool whole
+  // Whether the store answered the sender's last calls.
+  3: required bool listReachable
+  4: required bool settingsReachable
+  5: required list<BackendRecord> records
+}
+
 union PeerMessage {
   1: Heartbeat heartbeat
   2: SettingsPull settingsPull
--- a/src/libs/state/backend_entry.hpp
+++ b/src/libs/state/backend_entry.hpp
@@ -27,6 +27,8 @@
     std::string name;
     std::int64_t version = 0;
     std::vector<std::string> adapters;
+
+    bool operator==(const loaded_model&) const = default;
 };
 
 /// The newest description of one backend server, as it registered itself.
@@ -51,6 +53,7 @@
     /// Returns the model, or null.
     const loaded_model* find_model(std::string_view name) const;
     bool has_adapter(std::string_view model, std::string_view adapter) const;
+    bool operator==(const backend_entry&) const = default;
 };
 
 } // namespace pomelorouter::state
--- a/src/libs/transport/http_types.cpp
+++ b/src/libs/transport/http_types.cpp
@@ -41,6 +41,11 @@
     return make_response(code, std::move(body), "text/plain; charset=utf-8");
 }
 
+http_response binary_response(status code, std::string body)
+{
+    return make_response(code, std::move(body), "application/octet-stream");
+}
+
 std::string_view target_path(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/src/libs/transport/http_types.hpp
+++ b/src/libs/transport/http_types.hpp
@@ -21,6 +21,8 @@
 http_response json_response(status code, std::string body);
 /// Makes a response with a plain text body.
 http_response text_response(status code, std::string body);
+/// Makes a response with a body of bytes.
+http_response binary_response(status code, std::string body);
 
 /// Path of a request target, without the query.
 std::string_view target_path(std::string_view target);
--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -72,6 +72,8 @@
 boost::asio::awaitable<void> fake_store::handle(transport::http_exchange& exchange)
 {
     ++this->calls;
+    ++this->topic_calls[std::string(
+        transport::target_query(exchange.request().target(), "Topic"))];
     const std::string path(transport::target_path(exchange.request().target()));
     transport::http_response response;
     if (this->is_down)
--- a/tests/auto/platform/fake_store.hpp
+++ b/tests/auto/platform/fake_store.hpp
@@ -34,6 +34,7 @@
     /// Carries appends out and gives no answer.
     bool loses_answers = false;
     int calls = 0;
+    std::map<std::string, int> topic_calls;
 
 private:
     struct record
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -165,6 +165,62 @@
     test.run_until([&other] { return other.is_ready(); });
 }
 
+// Guards against a fleet whose reads of the store grow with its size, and against one
+// that is blind when its aggregator is.
+TEST_CASE("one gateway of a zone reads the list for the others")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", ok);
+    test.put_config(4);
+    test.start();
+    state::gateway_settings settings = test.settings;
+    settings.node_id = "gateway-2";
+    settings.seeds = {test.gateway->own_settings().control_listen};
+    test::fake_store other_store(test.loop);
+    transport::http_server server(test.loop, {}, other_store, test.counters);
+    settings.platform = server.listen("127.0.0.1:0");
+    test.run_until([&test] { return test.store.end("keyed.gateways") == 1; });
+    for (const char* topic : {"keyed.servers", "keyed.op", "keyed.gateways"})
+        other_store.copy(topic, test.store);
+    app::gateway other(test.loop, settings, test.settings_path, *test.adapter,
+                       test.counters);
+    other.start();
+    test.run_until([&other] { return other.is_ready(); });
+    const auto knows = [&other](const char* id)
+    { return other.knowledge().directory.find(id) != nullptr; };
+    // Only the aggregator's store has these.
+    test.add_backend("s2", "plain", ok);
+    test.run_until([&knows] { return knows("s2"); });
+    test.store.put("keyed.servers", "s1", "");
+    test.run_until([&knows] { return !knows("s1"); });
+    const auto reads = [&other_store]
+    {
+        return other_store.topic_calls["keyed.servers"] +
+               other_store.topic_calls["keyed.op"];
+    };
+    const int before = reads();
+    test.run_for(state::milliseconds(3000));
+    CHECK(reads() == before);
+    SUBCASE("a change of the configuration is read at once")
+    {
+        test.put_config(9);
+        other_store.copy("keyed.op", test.store);
+        test.run_until([&other]
+                       { return other.knowledge().routes->config().version == 9; });
+        CHECK(reads() == before + 1);
+    }
+    SUBCASE("an aggregator without the store is not relied on")
+    {
+        test.store.is_down = true;
+        const auto backend =
+            R"({"Service":"plain","Address":"127.0.0.1:9","Zone":"zone-a",)"
+            R"("Slots":8,"State":"ready","born":1})";
+        other_store.copy("keyed.servers", test.store);
+        other_store.put("keyed.servers", "s3", backend);
+        test.run_until([&knows] { return knows("s3"); });
+    }
+}
+
 // Guards against requests to a backend server that all gateways but one know to be
 // leaving.
 TEST_CASE("a gateway without the store learns from another what is leaving")
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -1,3 +1,4 @@
+#include "protocol/backend_page.hpp"
 #include "protocol/event_cutter.hpp"
 #include "protocol/gateway_heartbeat.hpp"
 #include "state/error.hpp"
@@ -107,3 +108,26 @@
     none.feed("data: without an id\n\n");
     CHECK_FALSE(none.last_id().has_value());
 }
+
+TEST_CASE("a page of backend servers survives its encoding")
+{
+    protocol::backend_page page;
+    page.next = 12;
+    page.list_reachable = true;
+    const std::string bytes("\x00\xff any", 6);
+    page.records = {
+        {10, "a", bytes, false}, {11, "b", std::nullopt, false}, {12, "c", {}, true}};
+    const auto copy = protocol::decode_backend_page(protocol::encode_backend_page(page));
+    CHECK(copy.next == 12);
+    CHECK_FALSE(copy.is_whole);
+    CHECK(copy.list_reachable);
+    CHECK_FALSE(copy.settings_reachable);
+    REQUIRE(copy.records.size() == 3);
+    CHECK(copy.records[0].value == bytes);
+    CHECK_FALSE(copy.records[1].value.has_value());
+    CHECK(copy.records[2].is_removal);
+    const std::string whole = protocol::encode_backend_page(page);
+    for (std::size_t size = 0; size + 1 < whole.size(); ++size)
+        CHECK_THROWS_AS(protocol::decode_backend_page(whole.substr(0, size)),
+                        state::error);
+}
