--- a/src/app/gateway/placement/engine_protocol.hpp
+++ b/src/app/gateway/placement/engine_protocol.hpp
@@ -53,6 +53,7 @@
 struct engine_report
 {
     std::int64_t order_sequence = 0;
+    /// An order is being carried out, so that `models` may change.
     bool is_busy = false;
     std::vector<state::loaded_model> models;
 };
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -225,6 +225,7 @@
         {
             this->was_holder = this->lease.is_holder();
             this->engines.clear();
+            ++this->term;
             this->loads.reset(now());
             state::log_event(state::log_level::info,
                              this->was_holder ? "lease_taken" : "lease_lost")
@@ -475,6 +476,7 @@
                                                  planned_order order,
                                                  state::hosted_model model)
 {
+    const std::uint64_t begun_in = this->term;
     if (is_unload(order.operation))
     {
         // The others stop using the weights before they go.
@@ -482,7 +484,11 @@
         this->announce(entry.id);
         co_await this->pause(unload_notice);
     }
+    if (begun_in != this->term)
+        co_return;
     const std::optional<order_answer> answer = co_await this->send_order(entry, order);
+    if (begun_in != this->term)
+        co_return;
     const bool is_done =
         answer == order_answer::accepted || answer == order_answer::already_done;
     // An adapter is unloaded at once, and the engine counts that order as well.
@@ -494,12 +500,16 @@
     if (is_done && order.operation == plan_operation::load_adapter)
     {
         co_await this->pause(adapter_load_time);
+        if (begun_in != this->term)
+            co_return;
         add_adapter(this->control_of(entry).models, order.model, order.adapter);
         this->announce(entry.id);
     }
     if (is_done && order.operation == plan_operation::load_model)
         co_await this->wait_for_model(
             entry, model, order.from_store ? model.store_load : model.disk_load);
+    if (begun_in != this->term)
+        co_return;
     engine_control& control = this->control_of(entry);
     control.has_order = false;
     control.loading.clear();
@@ -514,18 +524,23 @@
 
 asio::awaitable<void> placement_agent::learn(state::backend_entry entry)
 {
+    const std::uint64_t begun_in = this->term;
     co_await this->read_report(entry);
-    this->control_of(entry).has_order = false;
+    if (begun_in == this->term)
+        this->control_of(entry).has_order = false;
 }
 
 asio::awaitable<bool> placement_agent::read_report(const state::backend_entry& entry)
 {
+    const std::uint64_t begun_in = this->term;
     transport::http_call_options options;
     options.progress_timeout = milliseconds(500);
     try
     {
         const transport::http_response response = co_await this->client.fetch(
             entry.address, this->dialect.report_request(), options);
+        if (begun_in != this->term)
+            co_return false;
         const engine_report report = this->dialect.read_report(response);
         engine_control& control = this->control_of(entry);
         control.sequence = report.order_sequence;
@@ -607,6 +622,8 @@
         }
         co_await this->pause(report_period);
     }
+    // The engine may still load it, and has no room for another one then.
+    this->control_of(entry).is_known = false;
     state::log_event(state::log_level::warning, "load_not_seen")
         .field("engine", entry.id)
         .field("model", model.name);
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -99,6 +99,8 @@
     state::time_point planned{};
     std::size_t most_engines = 0;
     state::time_point engines_changed{};
+    /// Grows whenever the lease is taken or lost; what was begun before is void then.
+    std::uint64_t term = 0;
     bool was_holder = false;
     bool had_waiting = false;
 };
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -21,7 +21,8 @@
 namespace
 {
 
-constexpr milliseconds housekeeping_period{500};
+constexpr milliseconds housekeeping_period{100};
+constexpr milliseconds rarer_period{500};
 /// After the signal to stop, callers that still have the address are served this long.
 constexpr milliseconds farewell{2500};
 /// What is left at this time before the end of the grace period is broken off.
@@ -169,9 +170,14 @@
 
 asio::awaitable<void> gateway::housekeeping()
 {
+    state::time_point rarer = now();
     for (;;)
     {
         co_await this->pause(housekeeping_period);
+        this->backends.tick();
+        if (now() < rarer)
+            continue;
+        rarer = now() + rarer_period;
         this->client.drop_expired(now());
         this->shared.loads.forget_idle(now());
         this->shared.chooser.retain(this->shared.directory);
--- /dev/null
+++ b/src/app/gateway/serving/relayed_request_line.cpp
@@ -0,0 +1,150 @@
+#include "app/gateway/serving/relayed_request.hpp"
+
+#include <algorithm>
+
+// Where a request waits until a backend server has room for it, and how long.
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using coordination::backend_choice;
+using coordination::choice_failure;
+using state::milliseconds;
+
+namespace
+{
+
+/// Share of its time that a request may wait for weights to be loaded.
+constexpr double weight_wait_share = 0.6;
+/// Work before a request at its engine, in time to compute the prompts, up to which it is
+/// sent there. What exceeds it waits here, where the order can still change.
+constexpr double in_time_queue_ms = 450.0;
+/// The same for a request whose answer is late anyway.
+constexpr double late_queue_ms = 300.0;
+/// Time in which a stream brings one token at a busy engine.
+constexpr double milliseconds_per_token = 25.0;
+
+state::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+milliseconds since(state::time_point start)
+{
+    return std::chrono::duration_cast<milliseconds>(now() - start);
+}
+
+} // namespace
+
+backend_choice relayed_request::choose_now()
+{
+    return this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
+                                       this->demand, this->tried,
+                                       this->shared.random.unit());
+}
+
+asio::awaitable<backend_choice> relayed_request::choose()
+{
+    backend_choice choice = this->choose_now();
+    // A request that was sent before goes on at once: its caller has waited already.
+    if (this->demand.model.empty() || this->attempts > 0)
+        co_return choice;
+    const bool is_missing = choice.failure == choice_failure::model_missing ||
+                            choice.failure == choice_failure::adapter_missing;
+    const bool is_busy =
+        choice.backend && choice.expected_ms - choice.idle_ms > in_time_queue_ms;
+    const bool has_line = this->shared.line.size() > 0;
+    if (is_missing || is_busy || (choice.backend && has_line))
+        choice = co_await this->wait_in_line();
+    co_return choice;
+}
+
+milliseconds relayed_request::stream_time() const
+{
+    return milliseconds(
+        static_cast<std::int64_t>(this->demand.output_tokens * milliseconds_per_token));
+}
+
+bool relayed_request::may_be_sent(const backend_choice& choice,
+                                  coordination::admission_line::ticket ticket) const
+{
+    if (!choice.backend || !this->shared.line.is_next(now(), ticket))
+        return false;
+    const double queue_ms = choice.expected_ms - choice.idle_ms;
+    return queue_ms <= (this->shared.line.is_in_time(now(), ticket) ? in_time_queue_ms
+                                                                    : late_queue_ms);
+}
+
+double relayed_request::queue_ms(const backend_choice& choice,
+                                 coordination::admission_line::ticket ticket) const
+{
+    // The other gateways are assumed to have as many requests waiting.
+    const double ahead_ms =
+        this->shared.line.work_ahead_ms(now(), ticket) *
+        static_cast<double>(this->shared.gateways) /
+        static_cast<double>(std::max<std::size_t>(choice.candidates, 1));
+    return choice.expected_ms + ahead_ms;
+}
+
+bool relayed_request::has_prospect(const backend_choice& choice,
+                                   coordination::admission_line::ticket ticket)
+{
+    if (choice.backend)
+    {
+        const double queue = this->queue_ms(choice, ticket);
+        this->queue_time = milliseconds(static_cast<std::int64_t>(queue));
+        return this->queue_time < this->time_left() - this->stream_time();
+    }
+    const milliseconds waited = since(this->started);
+    const auto longest = std::chrono::duration_cast<milliseconds>(
+        (this->deadline - this->started) * weight_wait_share);
+    return waited < std::min(this->route->target_latency, longest);
+}
+
+asio::awaitable<backend_choice> relayed_request::wait_in_line()
+{
+    const coordination::weight_name name{this->demand.service, this->demand.model,
+                                         this->demand.adapter};
+    backend_choice choice = this->choose_now();
+    const auto ticket = this->shared.line.enter(
+        {this->demand.model, this->route->priority, this->started,
+         this->started + this->route->target_latency -
+             milliseconds(static_cast<std::int64_t>(choice.idle_ms)),
+         choice.idle_ms});
+    const bool is_missing = !choice.backend;
+    if (is_missing)
+    {
+        this->shared.demand.on_wait(name);
+        this->shared.backends_changed.notify();
+    }
+    while (!this->is_aborted() && !this->may_be_sent(choice, ticket))
+    {
+        if (this->shared.refuses_new)
+        {
+            // Other gateways have time for it, and this one hardly.
+            choice.failure = choice_failure::stopping;
+            choice.backend = nullptr;
+            break;
+        }
+        if (!this->has_prospect(choice, ticket))
+        {
+            this->last_problem = choice.backend ? "the queues are too long" : "";
+            if (choice.backend)
+                choice.failure = choice_failure::overloaded;
+            choice.backend = nullptr;
+            break;
+        }
+        // Looks again at intervals, since the work of other gateways changes unseen.
+        constexpr milliseconds longest_wait{30};
+        co_await this->shared.loads_changed.wait(longest_wait);
+        choice = this->choose_now();
+    }
+    if (is_missing)
+        this->shared.demand.on_wait_ended(name);
+    this->shared.line.leave(ticket);
+    this->shared.loads_changed.notify();
+    co_return choice;
+}
+
+} // namespace pomelorouter::app
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -30,8 +30,8 @@
 /// Pause after a read that failed.
 constexpr milliseconds retry_period{250};
 /// An aggregator answers after its next read of the store, and at the latest after this.
-constexpr milliseconds answer_wait{1200};
-constexpr milliseconds aggregator_limit{1800};
+constexpr milliseconds answer_wait{900};
+constexpr milliseconds aggregator_limit{1200};
 /// An aggregator that did not answer is left alone for this long.
 constexpr milliseconds aggregator_pause{5000};
 /// An answer of the aggregator counts for this long.
@@ -243,9 +243,13 @@
 void backend_watcher::on_read()
 {
     this->is_list_known = true;
+    this->feed_read.notify();
+}
+
+void backend_watcher::tick()
+{
     for (const std::string& id : this->shared.directory.tick(now()))
         state::log_event(state::log_level::info, "backend_gone").field("backend", id);
-    this->feed_read.notify();
 }
 
 void backend_watcher::on_contact(bool is_reachable, const std::string& problem)
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -31,6 +31,8 @@
                     contact_callback settings_contact);
 
     void start();
+    /// Drops the backend servers whose time to come back is over.
+    void tick();
     /// Whether the list was read once.
     bool is_known() const { return this->is_list_known; }
     /// Whether an aggregator that the store answers tells this gateway what changes.
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -11,13 +11,14 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<choice_failure>, 6> failure_names{{
+constexpr std::array<state::enum_name<choice_failure>, 7> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_backend, "no_backend"},
     {choice_failure::model_missing, "model_missing"},
     {choice_failure::adapter_missing, "adapter_missing"},
     {choice_failure::all_tried, "all_tried"},
     {choice_failure::overloaded, "overloaded"},
+    {choice_failure::stopping, "stopping"},
 }};
 
 /// Estimates that differ by less are taken as equal, so that gateways with the same view
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -46,6 +46,8 @@
     all_tried,
     /// All that could serve have more work than the request can wait for.
     overloaded,
+    /// This process stops, and nothing was chosen yet.
+    stopping,
 };
 
 std::string_view to_string(choice_failure failure);
--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -74,6 +74,11 @@
     ++this->calls;
     ++this->topic_calls[std::string(
         transport::target_query(exchange.request().target(), "Topic"))];
+    if (this->is_silent)
+    {
+        boost::asio::steady_timer timer(this->loop, state::seconds(10));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     const std::string path(transport::target_path(exchange.request().target()));
     transport::http_response response;
     if (this->is_down)
--- a/tests/auto/platform/fake_store.hpp
+++ b/tests/auto/platform/fake_store.hpp
@@ -31,6 +31,8 @@
 
     /// Answers every call with 503.
     bool is_down = false;
+    /// Gives no answer to any call.
+    bool is_silent = false;
     /// Carries appends out and gives no answer.
     bool loses_answers = false;
     int calls = 0;
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -32,14 +32,15 @@
 constexpr const char* host = "shop.example";
 
 boost::json::object route(const std::string& path, const std::string& type,
-                          const std::string& service, int timeout_ms, int max_attempts)
+                          const std::string& service, int timeout_ms, int max_attempts,
+                          int target_ms)
 {
     return {{"Name", "r" + path},
             {"Host", host},
             {"PathPrefix", path},
             {"RouteType", type},
             {"TimeoutMs", timeout_ms},
-            {"TargetLatencyMs", 800},
+            {"TargetLatencyMs", target_ms},
             {"TargetGapMs", 250},
             {"Priority", 1},
             {"Service", service},
@@ -106,7 +107,8 @@
                                                                {"Models", held}}));
 }
 
-void gateway_fixture::put_config(int version, int timeout_ms, int max_attempts)
+void gateway_fixture::put_config(int version, int timeout_ms, int max_attempts,
+                                 int target_ms)
 {
     const boost::json::object engine{
         {"Slots", 64},
@@ -121,11 +123,12 @@
                                                           {"AdapterSizeMb", 66.0}}}}};
     const boost::json::object config{
         {"Version", version},
-        {"Routes",
-         boost::json::array{
-             route("/stream/", "streaming", "models", timeout_ms, max_attempts),
-             route("/once/", "non_idempotent", "plain", timeout_ms, 1),
-             route("/again/", "idempotent", "plain", timeout_ms, max_attempts)}},
+        {"Routes", boost::json::array{route("/stream/", "streaming", "models", timeout_ms,
+                                            max_attempts, target_ms),
+                                      route("/once/", "non_idempotent", "plain",
+                                            timeout_ms, 1, target_ms),
+                                      route("/again/", "idempotent", "plain", timeout_ms,
+                                            max_attempts, target_ms)}},
         {"Services",
          boost::json::array{boost::json::object{{"Name", "models"}, {"Engine", engine}},
                             boost::json::object{{"Name", "plain"}}}},
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -34,7 +34,8 @@
                    const std::string& address, const std::string& state = "ready",
                    const std::vector<std::string>& models = {}, int born = 1);
     /// Writes a configuration with the routes /stream/, /once/ and /again/.
-    void put_config(int version, int timeout_ms = 5000, int max_attempts = 2);
+    void put_config(int version, int timeout_ms = 5000, int max_attempts = 2,
+                    int target_ms = 800);
     void start();
     /// Runs the loop until the condition holds; the limit only bounds a failing test.
     void run_until(const std::function<bool()>& condition);
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -25,8 +25,10 @@
     {
         if (request.target() == "/pomelorouter/report")
         {
+            ++this->reports;
             const std::string body =
-                R"({"Sequence":)" + std::to_string(this->sequence) +
+                R"({"Pending":[)" + this->pending + R"(],"Sequence":)" +
+                std::to_string(this->sequence) +
                 R"(,"Busy":false,"Models":[{"Name":"m1","Version":1,"Adapters":[)" +
                 this->adapters + "]}]}";
             return {{answer_text("200 OK", "", body)}};
@@ -41,7 +43,9 @@
     }
 
     int sequence = 0;
+    int reports = 0;
     std::string adapters;
+    std::string pending;
     std::vector<std::string> orders;
 };
 
@@ -253,6 +257,27 @@
     test.run_until(is_leaving);
 }
 
+// Guards against requests to a backend server that has been gone for longer than an
+// instance may need to learn it after a loss of contact.
+TEST_CASE("a backend server that went while the store was silent is given up in time")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", ok);
+    test.add_backend("s2", "plain", ok);
+    test.put_config(1);
+    test.start();
+    test.store.is_silent = true;
+    test.run_for(state::milliseconds(900));
+    test.store.put("keyed.servers", "s1", "");
+    // The gateway is in the middle of a call that gets no answer.
+    test.store.is_silent = false;
+    const auto regained = std::chrono::steady_clock::now();
+    test.run_until([&test]
+                   { return test.gateway->knowledge().directory.find("s1") == nullptr; });
+    constexpr state::milliseconds contact_time{4000};
+    CHECK(std::chrono::steady_clock::now() - regained < contact_time);
+}
+
 // Guards against a planned stop that cuts off a request.
 TEST_CASE("a planned stop lets requests end and refuses later ones")
 {
@@ -278,6 +303,46 @@
 }
 
 // Guards against adapters that requests ask for and nobody loads.
+// Guards against a request that waits for a model and is cut off without an answer.
+TEST_CASE("a planned stop refuses what still waits")
+{
+    gateway_fixture test;
+    test.settings.grace_period = state::milliseconds(4000);
+    test.add_backend("e1", "models", ok, {"other"});
+    test.put_config(1, 30000, 1, 25000);
+    test.start();
+    bool stopped = false;
+    test.gateway->stop([&stopped] { stopped = true; });
+    transport::http_request request = test.request("/stream/x", "a1", "m1");
+    request.set("X-Pomelorouter-Deadline-Ms", "30000");
+    const auto response = test.fetch(request);
+    CHECK_FALSE(stopped);
+    REQUIRE(response);
+    CHECK(response->result_int() == 503);
+    CHECK((*response)["Retry-After"] != "");
+    test.run_until([&stopped] { return stopped; });
+}
+
+// Guards against an order beyond the places of an engine: adapters on their way take
+// some.
+TEST_CASE("an engine with adapters on their way gets no order")
+{
+    gateway_fixture test;
+    ordered_engine engine;
+    engine.pending = R"("m1/a5@1")";
+    test.add_backend("e1", "models",
+                     [&engine](const transport::http_request& request)
+                     { return engine(request); },
+                     {"m1"});
+    test.put_config(1);
+    test.start();
+    test.run_until([&engine] { return engine.reports >= 2; });
+    test.run_for(state::milliseconds(600));
+    CHECK(engine.orders.empty());
+    engine.pending = "";
+    test.run_until([&engine] { return !engine.orders.empty(); });
+}
+
 TEST_CASE("an adapter that a request asks for is loaded")
 {
     gateway_fixture test;
