--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -167,33 +167,18 @@
         return found == this->weights.end() ? 0.0 : found->second / count;
     }
 
-    /// Whether the model is to have copies in reserve, and lacks one if `change` more are
-    /// counted.
-    bool lacks_reserve(const state::hosted_model& model, int change = 0) const
+    /// Demand that one copy of a model has to carry, or what its missing reserve counts
+    /// as.
+    double need(const state::hosted_model& model) const
     {
         const auto position =
             static_cast<std::size_t>(&model - this->profile.models.data());
         const bool is_listed_first =
             position < this->profile.models.size() / listed_first_divisor + 1;
-        return (is_listed_first || !model.adapters.empty()) &&
-               this->model_copies(model.name) + change < reserve_copies;
-    }
-
-    /// Demand that one copy of a model has to carry, or what its missing reserve counts
-    /// as.
-    double need(const state::hosted_model& model) const
-    {
+        const bool lacks_reserve = (is_listed_first || !model.adapters.empty()) &&
+                                   this->model_copies(model.name) < reserve_copies;
         return std::max(this->weight_per_copy(model.name),
-                        this->lacks_reserve(model) ? reserve_weight : 0.0);
-    }
-
-    /// The same for the copies that are left when one goes.
-    double need_without_one(const std::string& name) const
-    {
-        const state::hosted_model* const model = this->find_model(name);
-        const bool is_reserve_lost = model != nullptr && this->lacks_reserve(*model, -1);
-        return std::max(this->weight_per_copy(name, -1),
-                        is_reserve_lost ? reserve_weight : 0.0);
+                        lacks_reserve ? reserve_weight : 0.0);
     }
 
     /// Demand that an engine has to carry with all its models.
@@ -281,7 +266,7 @@
         {
             if (this->held_copies(item.name) < 2)
                 continue;
-            const double rest = this->need_without_one(item.name);
+            const double rest = this->weight_per_copy(item.name, -1);
             if (rest >= weight)
                 continue;
             weight = rest;
