Announce over the aggregators; strong instances aggregate and lead

Cause: the holder of the placement lease told each gateway what engines are about to hold. Change: the holder tells the aggregators, which tell their zones. Settings name the processor share and the link of the instance; the strongest of a zone aggregates, and the strongest takes the lease first. Gateways that start together hear of one another for 0.8 s before one takes the lease; one test waits for that now.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -13,6 +13,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -32,6 +33,7 @@
 constexpr milliseconds second_read{2000};
 constexpr milliseconds members_period{20000};
 constexpr milliseconds retry_period{500};
+constexpr std::int64_t most_capacity = std::numeric_limits<std::int64_t>::max();
 
 state::time_point now()
 {
@@ -40,9 +42,10 @@
 
 boost::json::object to_json(const protocol::gateway_member& member)
 {
-    return {{"node", member.node},       {"incarnation", member.incarnation},
-            {"zone", member.zone},       {"frontend", member.frontend},
-            {"control", member.control}, {"datagrams", member.datagrams}};
+    return {{"node", member.node},        {"incarnation", member.incarnation},
+            {"zone", member.zone},        {"frontend", member.frontend},
+            {"control", member.control},  {"datagrams", member.datagrams},
+            {"capacity", member.capacity}};
 }
 
 protocol::gateway_member member_from_json(const boost::json::value& value)
@@ -55,6 +58,7 @@
     member.frontend = reader.get_string("frontend");
     member.control = reader.get_string("control");
     member.datagrams = reader.get_string("datagrams");
+    member.capacity = reader.get_int("capacity", 0, most_capacity, 0);
     return member;
 }
 
@@ -75,7 +79,7 @@
       client(http_client),
       self(std::move(own_member)),
       table(self.node),
-      plan(self.node, self.zone),
+      plan(self),
       exchange(gateway),
       socket(gateway.executor)
 {
@@ -154,17 +158,21 @@
     if (targets.empty())
         return;
     protocol::gateway_heartbeat heartbeat = this->next_heartbeat();
+    const std::vector<protocol::engine_weights> weights = std::move(heartbeat.weights);
     // Datagrams without loads are the same for all receivers with one period.
-    std::map<int, std::string> plain;
+    std::map<std::pair<int, bool>, std::string> plain;
     this->exchange.begin_round();
     for (const coordination::gossip_target& target : targets)
     {
         heartbeat.period = target.ticks * coordination::gossip_tick;
+        heartbeat.weights.clear();
+        if (target.has_weights)
+            heartbeat.weights = weights;
         try
         {
             if (target.scope == protocol::load_scope::none)
             {
-                std::string& datagram = plain[target.ticks];
+                std::string& datagram = plain[{target.ticks, target.has_weights}];
                 if (datagram.empty())
                 {
                     heartbeat.scope = target.scope;
@@ -204,6 +212,21 @@
     this->send(targets);
 }
 
+void peer_gossip::send_weights()
+{
+    if (now() - this->weights_sent < urgent_period)
+        return;
+    this->weights_sent = now();
+    std::vector<coordination::gossip_target> targets;
+    for (coordination::gossip_target& target : this->plan.all_targets())
+    {
+        target.scope = protocol::load_scope::none;
+        if (target.has_weights)
+            targets.push_back(std::move(target));
+    }
+    this->send(targets);
+}
+
 void peer_gossip::send_demand()
 {
     std::vector<coordination::gossip_target> targets;
@@ -365,7 +388,7 @@
     std::size_t rank = 0;
     for (const protocol::gateway_member& member : this->table.alive(now()))
     {
-        if (member.node < this->self.node)
+        if (is_stronger(member, this->self))
             ++rank;
     }
     return rank;
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -36,6 +36,8 @@
     void set_addresses(std::string frontend, std::string control);
     /// Tells all gateways soon, for a change that should not wait.
     void send_heartbeat();
+    /// Tells the aggregators, or the own zone as its aggregator, what engines hold.
+    void send_weights();
     /// Tells the demand to whom it has to go, for requests that wait for weights.
     void send_demand();
 
@@ -45,7 +47,7 @@
     const protocol::gateway_member& own() const { return this->self; }
     /// Control address of the aggregator of the own zone; empty if this gateway is it.
     std::string aggregator_control() const;
-    /// Place of this gateway among those that are alive, in the order of their names.
+    /// Place of this gateway among those that are alive, the strongest first.
     std::size_t rank() const;
     /// This gateway and all that it knows, as JSON, for a gateway that asks.
     std::string members_json() const;
@@ -77,6 +79,7 @@
     std::uint64_t ticks = 0;
     std::string lease_holder;
     state::time_point urgent_sent{};
+    state::time_point weights_sent{};
     bool is_urgent = false;
     bool was_aggregator = false;
     bool announced = false;
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -46,6 +46,10 @@
 constexpr milliseconds reserve_time{6000};
 constexpr milliseconds settle_time{2500};
 constexpr milliseconds state_log_period{1000};
+/// Keeps a datagram within its size; what is beyond comes with the list.
+constexpr std::size_t most_announced = 150;
+/// Gateways that start together hear of one another before one takes the lease.
+constexpr milliseconds gather_time{800};
 constexpr const char* lease_key = "placement";
 
 constexpr std::array<state::enum_name<order_answer>, 6> answer_names{{
@@ -167,6 +171,7 @@
 
 void placement_agent::start()
 {
+    this->started = now();
     asio::co_spawn(this->shared.executor, this->lease_loop(), asio::detached);
     asio::co_spawn(this->shared.executor, this->plan_loop(), asio::detached);
 }
@@ -176,9 +181,15 @@
     heartbeat.lease = {this->lease.holder(), this->lease.epoch(),
                        this->lease.end_offset()};
     if (!this->lease.is_holder())
+    {
+        if (now() < this->relayed_until)
+            heartbeat.weights = this->relayed;
         return;
+    }
     for (const auto& [id, control] : this->engines)
     {
+        if (heartbeat.weights.size() == most_announced)
+            break;
         if (now() < control.announce_until || !control.unloading.empty())
         {
             heartbeat.weights.push_back(
@@ -202,7 +213,13 @@
         }
     }
     if (changed)
+    {
         this->shared.backends_changed.notify();
+        this->relayed = heartbeat.weights;
+        this->relayed_until = now() + announce_time;
+        if (!this->lease.is_holder())
+            this->peers.send_weights();
+    }
     const bool has_waiting = std::any_of(heartbeat.rates.begin(), heartbeat.rates.end(),
                                          [](const protocol::weight_rate_entry& rate)
                                          { return rate.waiting > 0; });
@@ -217,7 +234,9 @@
         if (this->lease.needs_read())
             co_await this->read_lease();
         coordination::lease_append append;
-        const bool may_hold = this->shared.routes != nullptr && !this->shared.is_stopping;
+        const bool may_hold = this->shared.routes != nullptr &&
+                              !this->shared.is_stopping &&
+                              now() - this->started >= gather_time;
         if (this->lease.next_append(state::boot_time(), this->peers.rank(), may_hold,
                                     append))
             co_await this->append_lease(append);
@@ -656,7 +675,7 @@
     this->shared.directory.on_weights(now(), engine, control.incarnation,
                                       control.sequence, control.models);
     this->shared.backends_changed.notify();
-    this->peers.send_heartbeat();
+    this->peers.send_weights();
 }
 
 asio::awaitable<void> placement_agent::pause(milliseconds duration)
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -42,8 +42,8 @@
         std::int64_t sequence = 0;
         std::vector<state::loaded_model> models;
         std::string loading;
-        /// A model that the engine gives up once its last stream has ended. Until then the
-        /// engine still lists it, and refuses new requests for it.
+        /// A model that the engine gives up once its last stream has ended. Until then
+        /// the engine still lists it, and refuses new requests for it.
         std::string unloading;
         /// A model for which room is made, and until when the room is kept.
         std::string reserved;
@@ -100,6 +100,10 @@
     std::map<std::string, std::map<std::string, int>, std::less<>> first_copies;
     state::time_point state_logged{};
     state::time_point planned{};
+    state::time_point started{};
+    /// What the holder announced last, for the own zone if this gateway aggregates it.
+    std::vector<protocol::engine_weights> relayed;
+    state::time_point relayed_until{};
     std::size_t most_engines = 0;
     state::time_point engines_changed{};
     /// Grows whenever the lease is taken or lost; what was begun before is void then.
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -44,8 +44,17 @@
 
 protocol::gateway_member own_member(const state::gateway_settings& settings)
 {
-    return {settings.node_id,        wall_clock_ms(),      settings.zone, settings.listen,
-            settings.control_listen, settings.peer_listen, false};
+    constexpr double thousandths = 1000.0;
+    const double capacity =
+        settings.processor_share * settings.link_mbit_per_s * thousandths;
+    return {settings.node_id,
+            wall_clock_ms(),
+            settings.zone,
+            settings.listen,
+            settings.control_listen,
+            settings.peer_listen,
+            false,
+            static_cast<std::int64_t>(capacity)};
 }
 
 transport::http_server_limits server_limits(const state::client_limits& limits)
--- a/src/libs/coordination/gossip_plan.cpp
+++ b/src/libs/coordination/gossip_plan.cpp
@@ -30,10 +30,7 @@
 
 } // namespace
 
-gossip_plan::gossip_plan(std::string own_node, std::string own_zone)
-    : node(std::move(own_node)), zone(std::move(own_zone))
-{
-}
+gossip_plan::gossip_plan(protocol::gateway_member own) : self(std::move(own)) {}
 
 void gossip_plan::update(std::vector<gossip_peer> members, std::string lease_holder)
 {
@@ -41,28 +38,28 @@
     this->holder = std::move(lease_holder);
     this->near_peers = 0;
     this->aggregators.clear();
-    this->aggregators[this->zone] = this->node;
+    this->aggregators[this->self.zone] = this->self;
     for (const gossip_peer& peer : this->peers)
     {
         const protocol::gateway_member& member = peer.member;
-        this->near_peers += member.zone == this->zone ? 1 : 0;
+        this->near_peers += member.zone == this->self.zone ? 1 : 0;
         if (!peer.is_alive)
             continue;
-        std::string& first = this->aggregators[member.zone];
-        if (first.empty() || member.node < first)
-            first = member.node;
+        const auto [first, is_only] = this->aggregators.emplace(member.zone, member);
+        if (!is_only && is_stronger(member, first->second))
+            first->second = member;
     }
 }
 
 std::string gossip_plan::aggregator_of(const std::string& zone_name) const
 {
     const auto found = this->aggregators.find(zone_name);
-    return found == this->aggregators.end() ? "" : found->second;
+    return found == this->aggregators.end() ? "" : found->second.node;
 }
 
 bool gossip_plan::is_aggregator() const
 {
-    return this->aggregator_of(this->zone) == this->node;
+    return this->aggregator_of(this->self.zone) == this->self.node;
 }
 
 std::vector<gossip_target> gossip_plan::targets(std::uint64_t number) const
@@ -89,13 +86,20 @@
 gossip_target gossip_plan::target_for(const gossip_peer& peer) const
 {
     const protocol::gateway_member& member = peer.member;
-    const bool is_near = member.zone == this->zone;
+    const bool is_near = member.zone == this->self.zone;
     const bool is_holder = member.node == this->holder;
     const bool is_its_aggregator = member.node == this->aggregator_of(member.zone);
-    gossip_target target{member.node, member.datagrams, load_scope::none, false,
+    gossip_target target{member.node,
+                         member.datagrams,
+                         load_scope::none,
+                         false,
+                         false,
                          is_near ? ticks_among(this->near_peers, near_gateways_per_period)
                                  : ticks_among(this->peers.size() - this->near_peers,
                                                far_gateways_per_period)};
+    const bool is_own_holder = this->self.node == this->holder;
+    target.has_weights =
+        (is_own_holder && is_its_aggregator) || (this->is_aggregator() && is_near);
     if (!this->is_aggregator())
     {
         if (is_near && is_its_aggregator)
--- a/src/libs/coordination/gossip_plan.hpp
+++ b/src/libs/coordination/gossip_plan.hpp
@@ -20,6 +20,8 @@
     protocol::load_scope scope = protocol::load_scope::none;
     /// Whether it carries the demand for models as well.
     bool has_rates = false;
+    /// Whether it carries what engines are about to hold.
+    bool has_weights = false;
     /// Ticks from one to the next one to the same gateway.
     int ticks = 1;
 };
@@ -38,13 +40,14 @@
 ///
 /// The gateways of an availability zone report to one of them, the aggregator. It adds
 /// the reports up, exchanges the sums with the aggregators of the other zones, and tells
-/// its own zone the result, so that the traffic grows with the number of gateways. The
-/// rest only says that the sender is alive, and goes to other zones more rarely when they
-/// are large.
+/// its own zone the result, so that the traffic grows with the number of gateways.
+/// What the holder of the placement lease announces takes the same way. The rest only
+/// says that the sender is alive, and goes to other zones more rarely when they are
+/// large.
 class gossip_plan
 {
 public:
-    gossip_plan(std::string own_node, std::string own_zone);
+    explicit gossip_plan(protocol::gateway_member own);
 
     /// Takes over who is there; `holder` is the holder of the placement lease.
     void update(std::vector<gossip_peer> members, std::string lease_holder);
@@ -52,7 +55,7 @@
     std::vector<gossip_target> targets(std::uint64_t number) const;
     /// What is sent at all, whenever it is due.
     std::vector<gossip_target> all_targets() const;
-    /// The aggregator of `zone`: the first of its living gateways by name. Empty if none
+    /// The aggregator of `zone`: the strongest of its living gateways. Empty if none
     /// lives there.
     std::string aggregator_of(const std::string& zone) const;
     /// Whether this gateway adds up the reports of its zone.
@@ -62,14 +65,13 @@
     gossip_target target_for(const gossip_peer& peer) const;
     int ticks_to_zone() const;
 
-    std::string node;
-    std::string zone;
+    protocol::gateway_member self;
     std::string holder;
     std::vector<gossip_peer> peers;
     /// Gateways of the own zone among them, living or not.
     std::size_t near_peers = 0;
     /// The aggregator of each zone.
-    std::map<std::string, std::string> aggregators;
+    std::map<std::string, protocol::gateway_member> aggregators;
 };
 
 } // namespace pomelorouter::coordination
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace pomelorouter::protocol
@@ -51,6 +52,7 @@
     result.__set_control(member.control);
     result.__set_datagrams(member.datagrams);
     result.__set_ready(member.ready);
+    result.__set_capacity(member.capacity);
     return result;
 }
 
@@ -59,7 +61,7 @@
     return {member.node,    to_unsigned<std::uint64_t>(member.incarnation),
             member.zone,    member.frontend,
             member.control, member.datagrams,
-            member.ready};
+            member.ready,   member.capacity};
 }
 
 gen::EngineWeights to_wire(const engine_weights& weights)
@@ -181,6 +183,11 @@
 
 } // namespace
 
+bool is_stronger(const gateway_member& left, const gateway_member& right)
+{
+    return std::tie(right.capacity, left.node) < std::tie(left.capacity, right.node);
+}
+
 std::string_view to_string(load_scope scope)
 {
     return name_of(scope_names, scope);
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -23,8 +23,13 @@
     std::string control;
     std::string datagrams;
     bool ready = false;
+    /// Processor share times speed of the link, in thousandths of a core times Mbit/s.
+    std::int64_t capacity = 0;
 };
 
+/// Whether `left` goes before `right` where one gateway works for the others.
+bool is_stronger(const gateway_member& left, const gateway_member& right);
+
 /// Calls of a gateway to one process of a backend server.
 struct backend_load_entry
 {
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -980,6 +980,11 @@
 void GatewayMember::__set_ready(const bool val) {
   this->ready = val;
 }
+
+void GatewayMember::__set_capacity(const int64_t val) {
+  this->capacity = val;
+__isset.capacity = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayMember& obj)
 {
   obj.printTo(out);
@@ -1071,6 +1076,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1130,6 +1143,11 @@
   xfer += oprot->writeBool(this->ready);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.capacity) {
+    xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->capacity);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1144,6 +1162,8 @@
   swap(a.control, b.control);
   swap(a.datagrams, b.datagrams);
   swap(a.ready, b.ready);
+  swap(a.capacity, b.capacity);
+  swap(a.__isset, b.__isset);
 }
 
 GatewayMember::GatewayMember(const GatewayMember& other30) {
@@ -1154,6 +1174,8 @@
   control = other30.control;
   datagrams = other30.datagrams;
   ready = other30.ready;
+  capacity = other30.capacity;
+  __isset = other30.__isset;
 }
 GatewayMember& GatewayMember::operator=(const GatewayMember& other31) {
   node = other31.node;
@@ -1163,6 +1185,8 @@
   control = other31.control;
   datagrams = other31.datagrams;
   ready = other31.ready;
+  capacity = other31.capacity;
+  __isset = other31.__isset;
   return *this;
 }
 void GatewayMember::printTo(std::ostream& out) const {
@@ -1175,6 +1199,7 @@
   out << ", " << "control=" << to_string(control);
   out << ", " << "datagrams=" << to_string(datagrams);
   out << ", " << "ready=" << to_string(ready);
+  out << ", " << "capacity="; (__isset.capacity ? (out << to_string(capacity)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -382,6 +382,10 @@
 
 std::ostream& operator<<(std::ostream& out, const SettingsState& obj);
 
+typedef struct _GatewayMember__isset {
+  _GatewayMember__isset() : capacity(false) {}
+  bool capacity :1;
+} _GatewayMember__isset;
 
 class GatewayMember : public virtual ::apache::thrift::TBase {
  public:
@@ -395,7 +399,8 @@
                   frontend(),
                   control(),
                   datagrams(),
-                  ready(0) {
+                  ready(0),
+                  capacity(0) {
   }
 
   virtual ~GatewayMember() noexcept;
@@ -406,6 +411,9 @@
   std::string control;
   std::string datagrams;
   bool ready;
+  int64_t capacity;
+
+  _GatewayMember__isset __isset;
 
   void __set_node(const std::string& val);
 
@@ -421,6 +429,8 @@
 
   void __set_ready(const bool val);
 
+  void __set_capacity(const int64_t val);
+
   bool operator == (const GatewayMember & rhs) const
   {
     if (!(node == rhs.node))
@@ -437,6 +447,10 @@
       return false;
     if (!(ready == rhs.ready))
       return false;
+    if (__isset.capacity != rhs.__isset.capacity)
+      return false;
+    else if (__isset.capacity && !(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const GatewayMember &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -54,6 +54,8 @@
   5: required string control
   6: required string datagrams
   7: required bool ready
+  // Processor share times speed of the link, in thousandths; more is stronger.
+  8: optional i64 capacity
 }
 
 // Calls of a gateway to one process of a backend server.
--- a/src/libs/state/gateway_settings.cpp
+++ b/src/libs/state/gateway_settings.cpp
@@ -42,6 +42,10 @@
     result.platform = read_address(reader, "platform");
     if (reader.find("seeds") != nullptr)
         result.seeds = read_address_list(reader, "seeds");
+    result.processor_share =
+        reader.get_double("processor_share", 0.001, 1000.0, result.processor_share);
+    result.link_mbit_per_s =
+        reader.get_double("link_mbit_per_s", 0.001, 1.0e6, result.link_mbit_per_s);
     result.grace_period = read_ms(reader, "grace_period_ms", result.grace_period);
     result.lease_duration = read_ms(reader, "lease_duration_ms", result.lease_duration);
     result.engines_check_tokens = reader.get_bool("engines_check_tokens", false);
--- a/src/libs/state/gateway_settings.hpp
+++ b/src/libs/state/gateway_settings.hpp
@@ -32,6 +32,9 @@
     std::vector<std::string> seeds;
     /// Address of the platform's store.
     std::string platform;
+    /// Share of a processor core that the instance has, and the speed of its link.
+    double processor_share = 1.0;
+    double link_mbit_per_s = 1000.0;
     /// How long the platform lets a process run after the signal to stop.
     milliseconds grace_period{8000};
     /// Longest time that a holder of a lease may go without renewal.
--- a/tests/auto/coordination/tst_gossip_plan.cpp
+++ b/tests/auto/coordination/tst_gossip_plan.cpp
@@ -47,7 +47,7 @@
         if (other != index)
             peers.push_back(peer_of(other, dead.count(other) == 0));
     }
-    gossip_plan plan(name_of(index), zone_of(index));
+    gossip_plan plan(peer_of(index).member);
     plan.update(std::move(peers), holder);
     return plan;
 }
@@ -143,6 +143,40 @@
     }
 }
 
+TEST_CASE("the strongest gateway of a zone is its aggregator")
+{
+    std::vector<gossip_peer> peers{peer_of(0), peer_of(4), peer_of(8)};
+    peers[1].member.capacity = 100;
+    gossip_plan plan(peer_of(12).member);
+    plan.update(peers, "");
+    CHECK(plan.aggregator_of("zone-0") == name_of(4));
+    peers[1].is_alive = false;
+    plan.update(peers, "");
+    CHECK(plan.aggregator_of("zone-0") == name_of(0));
+}
+
+// Guards against a holder whose link is full of what it announces.
+TEST_CASE("what the holder announces reaches each gateway over the aggregators")
+{
+    const int count = 17;
+    const int holder = 7;
+    std::map<std::string, int> received;
+    for (int index = 0; index < count; ++index)
+    {
+        int sent = 0;
+        const gossip_plan plan = plan_of(index, count, name_of(holder));
+        for (const gossip_target& target : plan.all_targets())
+        {
+            received[target.node] += target.has_weights ? 1 : 0;
+            sent += target.has_weights ? 1 : 0;
+        }
+        if (index == holder)
+            CHECK(sent == zones);
+    }
+    for (int index = 0; index < count; ++index)
+        CHECK(received[name_of(index)] == 1);
+}
+
 TEST_CASE("each zone with a living gateway has one aggregator")
 {
     const gossip_plan plan = plan_of(6, 12, "", {2, 3, 7, 11});
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -412,6 +412,8 @@
                      {"m1"});
     test.put_config(1);
     test.start();
+    // Nobody orders engines while the gateways that start together gather.
+    test.run_until([&engine] { return engine.reports > 0; });
     const auto response = test.fetch(test.request("/stream/x", "a1", "m1/a2"));
     REQUIRE(response);
     CHECK(response->result_int() == 200);
