--- a/src/libs/coordination/peer_key.hpp
+++ b/src/libs/coordination/peer_key.hpp
@@ -2,8 +2,8 @@
 
 #include "protocol/gateway_heartbeat.hpp"
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace pomelorouter::coordination
 {
@@ -15,7 +15,11 @@
     /// Name of the gateway or of the zone; empty for all others.
     std::string name;
 
-    auto operator<=>(const peer_key&) const = default;
+    bool operator==(const peer_key&) const = default;
+    bool operator<(const peer_key& other) const
+    {
+        return std::tie(this->scope, this->name) < std::tie(other.scope, other.name);
+    }
 };
 
 } // namespace pomelorouter::coordination
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -298,14 +298,13 @@
     void give_load(planned_engine& engine, const std::string& model,
                    std::string_view reason)
     {
-        const std::string name = model;
-        const bool from_store = engine.cached.count(name) == 0;
+        const bool from_store = engine.cached.count(model) == 0;
         this->store_loads -= from_store ? 1 : 0;
-        this->give(engine, plan_operation::load_model, name, "", from_store, reason);
+        this->give(engine, plan_operation::load_model, model, "", from_store, reason);
         this->changing += engine.reserved.empty() && engine.loading.empty() ? 1 : 0;
-        engine.loading = name;
+        engine.loading = model;
         engine.reserved.clear();
-        ++this->copies[name];
+        ++this->copies[model];
     }
 
     void give(planned_engine& engine, plan_operation operation, const std::string& model,
