Flush announcements that were held back; relay only news

Found in reading: an announcement within 50 ms of another reached other zones up to a second late, an aggregator repeated what it had passed on, and the unload of an adapter ended the announcement of a model's unload.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -109,6 +109,8 @@
         this->update_plan();
         if (this->is_urgent)
             this->send_urgent();
+        if (this->has_weights)
+            this->send_weights();
         this->send(this->plan.targets(this->ticks++));
         for (const std::string& node : this->table.tick(now()))
         {
@@ -214,7 +216,8 @@
 
 void peer_gossip::send_weights()
 {
-    if (now() - this->weights_sent < urgent_period)
+    this->has_weights = now() - this->weights_sent < urgent_period;
+    if (this->has_weights)
         return;
     this->weights_sent = now();
     std::vector<coordination::gossip_target> targets;
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -81,6 +81,8 @@
     state::time_point urgent_sent{};
     state::time_point weights_sent{};
     bool is_urgent = false;
+    /// Weights are to be told with the next tick.
+    bool has_weights = false;
     bool was_aggregator = false;
     bool announced = false;
 };
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -136,6 +136,18 @@
     return text;
 }
 
+bool is_same(const std::vector<protocol::engine_weights>& left,
+             const std::vector<protocol::engine_weights>& right)
+{
+    const auto is_equal =
+        [](const protocol::engine_weights& one, const protocol::engine_weights& other)
+    {
+        return one.engine == other.engine && one.incarnation == other.incarnation &&
+               one.order_sequence == other.order_sequence && one.models == other.models;
+    };
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), is_equal);
+}
+
 bool is_adapter_operation(plan_operation operation)
 {
     return operation == plan_operation::load_adapter ||
@@ -215,9 +227,10 @@
     if (changed)
     {
         this->shared.backends_changed.notify();
-        this->relayed = heartbeat.weights;
         this->relayed_until = now() + announce_time;
-        if (!this->lease.is_holder())
+        const bool is_news = !is_same(this->relayed, heartbeat.weights);
+        this->relayed = heartbeat.weights;
+        if (is_news && !this->lease.is_holder())
             this->peers.send_weights();
     }
     const bool has_waiting = std::any_of(heartbeat.rates.begin(), heartbeat.rates.end(),
@@ -521,9 +534,11 @@
     const bool is_done =
         answer == order_answer::accepted || answer == order_answer::already_done;
     // An engine that carries out a load has finished the unload before it.
-    if (order.operation == plan_operation::load_model
-            ? answer == order_answer::accepted
-            : answer == order_answer::already_done)
+    const bool has_loaded =
+        order.operation == plan_operation::load_model && answer == order_answer::accepted;
+    const bool was_gone = order.operation == plan_operation::unload_model &&
+                          answer == order_answer::already_done;
+    if (has_loaded || was_gone)
         this->control_of(entry).unloading.clear();
     // An adapter is unloaded at once, and the engine counts that order as well.
     const bool is_counted =
