Ask an engine that was away while it loaded before the next order

Change: a load that was not seen to end leaves the engine unknown, and it is asked before the next order. Test: one, failed before (2 orders where 1 is right).

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -667,8 +667,9 @@
     while (now() < limit && this->lease.is_holder())
     {
         const auto backend = this->shared.directory.find(entry.id);
-        if (!backend || backend->entry.incarnation != entry.incarnation)
-            co_return;
+        const bool is_away = !backend || backend->entry.incarnation != entry.incarnation;
+        if (is_away)
+            break;
         if (co_await this->read_report(entry))
         {
             this->announce(entry.id);
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -27,6 +27,11 @@
     {
         if (request.target() == "/pomelorouter/report")
         {
+            if (!this->report.empty())
+            {
+                ++this->reports;
+                return {{answer_text("200 OK", "", this->report)}};
+            }
             ++this->reports;
             const std::string body =
                 R"({"Pending":[)" + this->pending + R"(],"Sequence":)" +
@@ -41,6 +46,8 @@
             if (this->is_busy)
                 return {{answer_text("409 Conflict", "", "")}};
             this->orders.push_back(request.body());
+            if (!this->report.empty())
+                this->report = this->report_after_order;
             this->is_busy = request.body().find("unloading") != std::string::npos &&
                             request.body().find("m1/") == std::string::npos;
             ++this->sequence;
@@ -51,6 +58,9 @@
 
     int sequence = 0;
     int reports = 0;
+    /// The whole report, if it is not to be made up.
+    std::string report;
+    std::string report_after_order;
     /// The unload of a model waits for the streams that use it.
     bool is_busy = false;
     std::string adapters;
@@ -402,6 +412,41 @@
     CHECK(listed == 0);
 }
 
+// Guards against an order beyond the memory of an engine whose load was never seen to
+// end.
+TEST_CASE("an engine that was away while it loaded is asked before the next order")
+{
+    gateway_fixture test;
+    ordered_engine engine;
+    engine.report = R"({"Sequence":0,"Busy":false,"Models":[]})";
+    engine.report_after_order = "cut off";
+    const auto& backend = test.add_backend(
+        "e1", "models",
+        [&engine](const transport::http_request& request) { return engine(request); });
+    test.put_config(1, 30000, 1, 25000);
+    test.start();
+    const auto ask_for = [&test](const std::string& model, const std::string& deadline)
+    {
+        transport::http_request request = test.request("/stream/x", model, model);
+        request.set("X-Pomelorouter-Deadline-Ms", deadline);
+        return test.fetch(request);
+    };
+    // The load is ordered, and lasts until the engine has left the list.
+    CHECK(ask_for("large", "6000")->result_int() == 503);
+    REQUIRE(engine.orders.size() == 1);
+    test.store.put("keyed.servers", "e1", "");
+    test.run_until([&test]
+                   { return test.gateway->knowledge().directory.find("e1") == nullptr; });
+    test.run_for(state::milliseconds(1000));
+    engine.report =
+        R"({"Sequence":1,"Busy":false,"Models":[{"Name":"large","Version":1,"Adapters":[]}]})";
+    test.put_entry("e1", "models", backend.address);
+    test.run_until([&test]
+                   { return test.gateway->knowledge().directory.find("e1") != nullptr; });
+    CHECK(ask_for("m1", "3000")->result_int() == 503);
+    CHECK(engine.orders.size() == 1);
+}
+
 TEST_CASE("an adapter that a request asks for is loaded")
 {
     gateway_fixture test;
