--- a/tests/auto/coordination/tst_gossip_plan.cpp
+++ b/tests/auto/coordination/tst_gossip_plan.cpp
@@ -128,8 +128,9 @@
     deliver(load_scope::gateway);
     deliver(load_scope::zone);
     deliver(load_scope::others);
-    for (const auto& [node, plan] : plans)
+    for (const auto& receiver : plans)
     {
+        const std::string& node = receiver.first;
         CAPTURE(node);
         std::multiset<std::string> expected;
         for (const auto& [other, ignored] : plans)
