--- a/src/app/gateway/peers/load_exchange.cpp
+++ b/src/app/gateway/peers/load_exchange.cpp
@@ -13,6 +13,7 @@
 using coordination::peer_key;
 using coordination::weight_demand;
 using protocol::load_scope;
+using state::now;
 
 namespace
 {
@@ -21,12 +22,7 @@
 constexpr std::size_t most_rates = 300;
 constexpr std::size_t most_loads = 500;
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-/// The report of `sender` with the given scope.
+/// Whose report the heartbeat is.
 peer_key key_of(const protocol::gateway_heartbeat& heartbeat)
 {
     switch (heartbeat.scope)
--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -4,12 +4,10 @@
 #include "state/json_reader.hpp"
 #include "state/log.hpp"
 #include "transport/http_error.hpp"
+#include "transport/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -22,6 +20,7 @@
 
 namespace asio = boost::asio;
 using state::milliseconds;
+using state::now;
 
 namespace
 {
@@ -35,11 +34,6 @@
 constexpr milliseconds retry_period{500};
 constexpr std::int64_t most_capacity = std::numeric_limits<std::int64_t>::max();
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 boost::json::object to_json(const protocol::gateway_member& member)
 {
     return {{"node", member.node},        {"incarnation", member.incarnation},
@@ -62,13 +56,6 @@
     return member;
 }
 
-asio::awaitable<void> pause(const asio::any_io_executor& executor, milliseconds duration)
-{
-    asio::steady_timer timer(executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 peer_gossip::peer_gossip(gateway_state& gateway, keyed_store& platform_store,
@@ -107,9 +94,9 @@
     for (;;)
     {
         this->update_plan();
-        if (this->is_urgent)
+        if (this->urgent_pending)
             this->send_urgent();
-        if (this->has_weights)
+        if (this->weights_pending)
             this->send_weights();
         this->send(this->plan.targets(this->ticks++));
         for (const std::string& node : this->table.tick(now()))
@@ -118,7 +105,7 @@
             state::log_event(state::log_level::info, "gateway_forgotten")
                 .field("gateway", node);
         }
-        co_await pause(this->shared.executor, coordination::gossip_tick);
+        co_await transport::pause(this->shared.executor, coordination::gossip_tick);
     }
 }
 
@@ -199,14 +186,14 @@
 
 void peer_gossip::send_heartbeat()
 {
-    this->is_urgent = true;
+    this->urgent_pending = true;
     if (now() - this->urgent_sent >= urgent_period)
         this->send_urgent();
 }
 
 void peer_gossip::send_urgent()
 {
-    this->is_urgent = false;
+    this->urgent_pending = false;
     this->urgent_sent = now();
     std::vector<coordination::gossip_target> targets = this->plan.all_targets();
     for (coordination::gossip_target& target : targets)
@@ -216,8 +203,8 @@
 
 void peer_gossip::send_weights()
 {
-    this->has_weights = now() - this->weights_sent < urgent_period;
-    if (this->has_weights)
+    this->weights_pending = now() - this->weights_sent < urgent_period;
+    if (this->weights_pending)
         return;
     this->weights_sent = now();
     std::vector<coordination::gossip_target> targets;
@@ -278,13 +265,13 @@
         const bool succeeded = co_await this->read_members();
         if (succeeded && this->announced)
         {
-            co_await pause(this->shared.executor,
-                           std::exchange(next_read, members_period));
+            co_await transport::pause(this->shared.executor,
+                                      std::exchange(next_read, members_period));
             continue;
         }
         if (this->table.alive(now()).empty())
             co_await this->ask_seeds();
-        co_await pause(this->shared.executor, retry_period);
+        co_await transport::pause(this->shared.executor, retry_period);
     }
 }
 
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -80,9 +80,9 @@
     std::string lease_holder;
     state::time_point urgent_sent{};
     state::time_point weights_sent{};
-    bool is_urgent = false;
-    /// Weights are to be told with the next tick.
-    bool has_weights = false;
+    /// Something that was held back is to be told with the next tick.
+    bool urgent_pending = false;
+    bool weights_pending = false;
     bool was_aggregator = false;
     bool announced = false;
 };
--- /dev/null
+++ b/src/app/gateway/placement/lease_text.cpp
@@ -0,0 +1,31 @@
+#include "app/gateway/placement/lease_text.hpp"
+
+#include "state/json_reader.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace pomelorouter::app
+{
+
+std::string lease_text(const coordination::lease_record& record)
+{
+    return boost::json::serialize(boost::json::object{{"holder", record.holder},
+                                                      {"incarnation", record.incarnation},
+                                                      {"epoch", record.epoch},
+                                                      {"release", record.is_release}});
+}
+
+coordination::lease_record read_lease_text(const std::string& text)
+{
+    const boost::json::value value = state::parse_json(text, "lease record");
+    state::json_reader reader(value, "lease record");
+    coordination::lease_record record;
+    record.holder = reader.get_string("holder");
+    record.incarnation = reader.get_uint64("incarnation");
+    record.epoch = reader.get_uint64("epoch");
+    record.is_release = reader.get_bool("release", false);
+    return record;
+}
+
+} // namespace pomelorouter::app
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -1,19 +1,16 @@
 #include "app/gateway/placement/placement_agent.hpp"
 
+#include "app/gateway/placement/held_weights.hpp"
+#include "app/gateway/placement/lease_text.hpp"
+#include "app/gateway/placement/placement_log.hpp"
 #include "state/boot_clock.hpp"
-#include "state/enum_table.hpp"
 #include "state/error.hpp"
-#include "state/json_reader.hpp"
 #include "state/log.hpp"
 #include "transport/http_error.hpp"
+#include "transport/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -25,6 +22,7 @@
 using coordination::plan_operation;
 using coordination::planned_order;
 using state::milliseconds;
+using state::now;
 
 namespace
 {
@@ -52,20 +50,6 @@
 constexpr milliseconds gather_time{800};
 constexpr const char* lease_key = "placement";
 
-constexpr std::array<state::enum_name<order_answer>, 6> answer_names{{
-    {order_answer::accepted, "accepted"},
-    {order_answer::already_done, "already_done"},
-    {order_answer::conflict, "conflict"},
-    {order_answer::fenced, "fenced"},
-    {order_answer::misdirected, "misdirected"},
-    {order_answer::refused, "refused"},
-}};
-
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 coordination::store_lease_timing lease_timing(const state::gateway_settings& settings)
 {
     coordination::store_lease_timing timing;
@@ -74,99 +58,8 @@
     return timing;
 }
 
-std::string lease_text(const coordination::lease_record& record)
-{
-    return boost::json::serialize(boost::json::object{{"holder", record.holder},
-                                                      {"incarnation", record.incarnation},
-                                                      {"epoch", record.epoch},
-                                                      {"release", record.is_release}});
-}
-
-coordination::lease_record read_lease_text(const std::string& text)
-{
-    const boost::json::value value = state::parse_json(text, "lease record");
-    state::json_reader reader(value, "lease record");
-    coordination::lease_record record;
-    record.holder = reader.get_string("holder");
-    record.incarnation = reader.get_uint64("incarnation");
-    record.epoch = reader.get_uint64("epoch");
-    record.is_release = reader.get_bool("release", false);
-    return record;
-}
-
-void add_adapter(std::vector<state::loaded_model>& models, const std::string& model,
-                 const std::string& adapter)
-{
-    for (state::loaded_model& item : models)
-    {
-        if (item.name == model && std::find(item.adapters.begin(), item.adapters.end(),
-                                            adapter) == item.adapters.end())
-            item.adapters.push_back(adapter);
-    }
-}
-
-void remove_weights(std::vector<state::loaded_model>& models, const std::string& model,
-                    const std::string& adapter)
-{
-    for (auto item = models.begin(); item != models.end(); ++item)
-    {
-        if (item->name != model)
-            continue;
-        if (adapter.empty())
-        {
-            models.erase(item);
-            return;
-        }
-        auto& adapters = item->adapters;
-        adapters.erase(std::remove(adapters.begin(), adapters.end(), adapter),
-                       adapters.end());
-    }
-}
-
-/// Models with the number of their adapters, for the log.
-std::string weights_text(const std::vector<state::loaded_model>& models)
-{
-    std::string text;
-    for (const state::loaded_model& item : models)
-    {
-        if (!text.empty())
-            text += ',';
-        text += item.name + "+" + std::to_string(item.adapters.size());
-    }
-    return text;
-}
-
-bool is_same(const std::vector<protocol::engine_weights>& left,
-             const std::vector<protocol::engine_weights>& right)
-{
-    const auto is_equal =
-        [](const protocol::engine_weights& one, const protocol::engine_weights& other)
-    {
-        return one.engine == other.engine && one.incarnation == other.incarnation &&
-               one.order_sequence == other.order_sequence && one.models == other.models;
-    };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), is_equal);
-}
-
-bool is_adapter_operation(plan_operation operation)
-{
-    return operation == plan_operation::load_adapter ||
-           operation == plan_operation::unload_adapter;
-}
-
-bool is_unload(plan_operation operation)
-{
-    return operation == plan_operation::unload_model ||
-           operation == plan_operation::unload_adapter;
-}
-
 } // namespace
 
-std::string_view to_string(order_answer answer)
-{
-    return name_of(answer_names, answer);
-}
-
 placement_agent::placement_agent(gateway_state& gateway, keyed_store& platform_store,
                                  transport::http_client& http_client,
                                  const engine_protocol& order_words,
@@ -264,7 +157,7 @@
                 .field("epoch", this->lease.epoch())
                 .field("holder", this->lease.holder());
         }
-        co_await this->pause(lease_tick);
+        co_await transport::pause(this->shared.executor, lease_tick);
     }
 }
 
@@ -342,6 +235,7 @@
 {
     const int store_loads = this->loads.available(
         now(), service.engine->loads_per_s * this->shared.settings.load_rate_factor);
+    this->refresh_engines(service);
     std::vector<coordination::planned_engine> engine_list =
         this->planned_engines(service);
     const bool settled = this->is_settled();
@@ -355,7 +249,11 @@
         }
     }
     const coordination::weight_demand::rates demand = this->shared.demand.total(now());
-    this->log_state(engine_list, demand);
+    if (now() - this->state_logged >= state_log_period)
+    {
+        this->state_logged = now();
+        log_placement(engine_list, demand);
+    }
     const auto orders =
         this->planner.plan(*service.engine, std::move(engine_list), service.name, demand,
                            copies, store_loads, settled);
@@ -367,57 +265,6 @@
     }
 }
 
-void placement_agent::log_state(
-    const std::vector<coordination::planned_engine>& engine_list,
-    const coordination::weight_demand::rates& demand)
-{
-    if (now() - this->state_logged < state_log_period)
-        return;
-    this->state_logged = now();
-    struct model_state
-    {
-        double tokens_per_s = 0.0;
-        std::uint32_t waiting = 0;
-        int copies = 0;
-        int loading = 0;
-        double active = 0.0;
-    };
-    std::map<std::string, model_state> models;
-    for (const auto& [name, rate] : demand)
-    {
-        models[name.model].tokens_per_s += rate.tokens_per_s;
-        models[name.model].waiting += rate.waiting;
-    }
-    int busy = 0;
-    for (const coordination::planned_engine& engine : engine_list)
-    {
-        busy += engine.is_busy ? 1 : 0;
-        for (const state::loaded_model& model : engine.models)
-        {
-            ++models[model.name].copies;
-            models[model.name].active += engine.active;
-        }
-        if (!engine.loading.empty())
-            ++models[engine.loading].loading;
-    }
-    state::log_event line(state::log_level::info, "placement_state");
-    line.field("engines", static_cast<std::uint64_t>(engine_list.size()))
-        .field("busy", busy);
-    constexpr double least_tokens_per_s = 1000.0;
-    for (const auto& [name, model] : models)
-    {
-        if (model.tokens_per_s < least_tokens_per_s && model.loading == 0)
-            continue;
-        line.field(name, std::to_string(static_cast<int>(model.tokens_per_s)) + "t/s," +
-                             std::to_string(model.copies) + "+" +
-                             std::to_string(model.loading) + "copies," +
-                             std::to_string(model.waiting) + "waiting," +
-                             std::to_string(static_cast<int>(model.active /
-                                                             std::max(model.copies, 1))) +
-                             "active");
-    }
-}
-
 /// Whether the list of engines has been the same for a while. Engines that start together
 /// register one after another, and each may hold what the others lack.
 bool placement_agent::is_settled() const
@@ -435,10 +282,8 @@
     this->most_engines = known;
 }
 
-std::vector<coordination::planned_engine>
-placement_agent::planned_engines(const state::gateway_service& service)
+void placement_agent::refresh_engines(const state::gateway_service& service)
 {
-    std::vector<coordination::planned_engine> result;
     for (const auto& backend : this->shared.directory.of_service(service.name))
     {
         if (backend->is_leaving)
@@ -450,12 +295,24 @@
             control.has_order = true;
             asio::co_spawn(this->shared.executor, this->learn(entry), asio::detached);
         }
-        if (!control.unloading.empty())
-        {
-            // Newer entries of the engine still list the model.
-            this->shared.directory.on_weights(now(), entry.id, control.incarnation,
-                                              control.sequence, control.models);
-        }
+        if (control.unloading.empty())
+            continue;
+        // Newer entries of the engine still list the model.
+        this->shared.directory.on_weights(now(), entry.id, control.incarnation,
+                                          control.sequence, control.models);
+    }
+}
+
+std::vector<coordination::planned_engine>
+placement_agent::planned_engines(const state::gateway_service& service)
+{
+    std::vector<coordination::planned_engine> result;
+    for (const auto& backend : this->shared.directory.of_service(service.name))
+    {
+        if (backend->is_leaving)
+            continue;
+        const state::backend_entry& entry = backend->entry;
+        engine_control& control = this->control_of(entry);
         coordination::planned_engine engine;
         engine.id = entry.id;
         const bool is_told = control.is_known || !control.unloading.empty();
@@ -524,7 +381,7 @@
         if (order.operation == plan_operation::unload_model)
             control.unloading = order.model;
         this->announce(entry.id);
-        co_await this->pause(unload_notice);
+        co_await transport::pause(this->shared.executor, unload_notice);
     }
     if (begun_in != this->term)
         co_return;
@@ -548,7 +405,7 @@
         ++this->control_of(entry).sequence;
     if (is_done && order.operation == plan_operation::load_adapter)
     {
-        co_await this->pause(adapter_load_time);
+        co_await transport::pause(this->shared.executor, adapter_load_time);
         if (begun_in != this->term)
             co_return;
         add_adapter(this->control_of(entry).models, order.model, order.adapter);
@@ -663,7 +520,7 @@
 {
     // Loads take longer while many are under way.
     const state::time_point limit = now() + 3 * expected + milliseconds(2000);
-    co_await this->pause(expected);
+    co_await transport::pause(this->shared.executor, expected);
     while (now() < limit && this->lease.is_holder())
     {
         const auto backend = this->shared.directory.find(entry.id);
@@ -675,7 +532,7 @@
             this->announce(entry.id);
             co_return;
         }
-        co_await this->pause(report_period);
+        co_await transport::pause(this->shared.executor, report_period);
     }
     // The engine may still load it, and has no room for another one then.
     this->control_of(entry).is_known = false;
@@ -694,11 +551,4 @@
     this->peers.send_weights();
 }
 
-asio::awaitable<void> placement_agent::pause(milliseconds duration)
-{
-    asio::steady_timer timer(this->shared.executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace pomelorouter::app
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -63,9 +63,9 @@
     bool is_settled() const;
     /// Notices engines that come; whichever gateway becomes the holder has to know.
     void watch_engines();
-    /// Logs once a second what the models in demand have and need.
-    void log_state(const std::vector<coordination::planned_engine>& engine_list,
-                   const coordination::weight_demand::rates& demand);
+    /// Asks the engines of which nothing certain is known, and repeats in the directory
+    /// what the others are about to give up.
+    void refresh_engines(const state::gateway_service& service);
     std::vector<coordination::planned_engine>
     planned_engines(const state::gateway_service& service);
     engine_control& control_of(const state::backend_entry& entry);
@@ -85,7 +85,6 @@
                                                 const state::hosted_model& model,
                                                 state::milliseconds expected);
     void announce(const std::string& engine);
-    boost::asio::awaitable<void> pause(state::milliseconds duration);
 
     gateway_state& shared;
     keyed_store& store;
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -3,12 +3,10 @@
 #include "state/error.hpp"
 #include "state/log.hpp"
 #include "transport/http_error.hpp"
+#include "transport/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -17,6 +15,7 @@
 
 namespace asio = boost::asio;
 using state::milliseconds;
+using state::now;
 
 namespace
 {
@@ -37,11 +36,6 @@
             .count());
 }
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 protocol::gateway_member own_member(const state::gateway_settings& settings)
 {
     constexpr double thousandths = 1000.0;
@@ -182,7 +176,7 @@
     state::time_point rarer = now();
     for (;;)
     {
-        co_await this->pause(housekeeping_period);
+        co_await transport::pause(this->shared.executor, housekeeping_period);
         this->backends.tick();
         if (now() < rarer)
             continue;
@@ -199,23 +193,16 @@
     const state::time_point begun = now();
     this->peers.send_heartbeat();
     this->frontend_server.announce_close();
-    co_await this->pause(farewell);
+    co_await transport::pause(this->shared.executor, farewell);
     this->shared.refuses_new = true;
     this->frontend_server.stop_accepting();
     const state::time_point last = begun + this->settings.grace_period - kill_margin;
     while (now() < last && this->frontend_server.requests_in_flight() > 0)
-        co_await this->pause(stop_poll);
+        co_await transport::pause(this->shared.executor, stop_poll);
     state::log_event(state::log_level::info, "gateway_leaving")
         .field("broken_off",
                static_cast<std::uint64_t>(this->frontend_server.requests_in_flight()));
     on_stopped();
 }
 
-asio::awaitable<void> gateway::pause(milliseconds duration)
-{
-    asio::steady_timer timer(this->loop, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace pomelorouter::app
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -46,7 +46,6 @@
     void on_config(const state::gateway_config& newest);
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> wind_down(std::function<void()> on_stopped);
-    boost::asio::awaitable<void> pause(state::milliseconds duration);
 
     boost::asio::io_context& loop;
     state::gateway_settings settings;
--- /dev/null
+++ b/src/app/gateway/serving/attempt_filter.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "app/gateway/serving/request_dialect.hpp"
+#include "transport/http_client.hpp"
+
+#include <string>
+
+namespace pomelorouter::app
+{
+
+/// Takes only the answers to one attempt. Both arguments outlive the filter.
+class attempt_filter : public transport::response_filter
+{
+public:
+    attempt_filter(const request_dialect& words, const std::string& attempt);
+
+    bool is_answer(const transport::http_response& head) const override;
+
+private:
+    const request_dialect& dialect;
+    const std::string& attempt_id;
+};
+
+} // namespace pomelorouter::app
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -1,5 +1,7 @@
 #include "app/gateway/serving/relayed_request.hpp"
 
+#include "app/gateway/serving/attempt_filter.hpp"
+#include "app/gateway/serving/call_record.hpp"
 #include "state/enum_table.hpp"
 #include "state/error.hpp"
 #include "state/log.hpp"
@@ -16,9 +18,12 @@
 using coordination::backend_choice;
 using coordination::call_result;
 using coordination::choice_failure;
+using protocol::promises_not_run;
 using protocol::run_state;
 using state::error_code;
 using state::milliseconds;
+using state::now;
+using state::since;
 
 namespace
 {
@@ -51,64 +56,8 @@
 constexpr milliseconds stream_stall_limit{1500};
 /// With less time left, nothing is tried again.
 constexpr milliseconds least_time_for_retry{60};
-/// When to come back after a refusal that a moment may cure.
-constexpr milliseconds short_retry_after{200};
-constexpr milliseconds long_retry_after{1000};
-/// Callers wait for at most this part of the time they have left.
-constexpr int retry_after_divisor = 3;
-constexpr double ms_per_s = 1000.0;
-
-constexpr unsigned status_request_timeout = 408;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned first_server_error = 500;
-
-/// Whether a status tells the caller that the request was not run.
-bool promises_not_run(unsigned code)
-{
-    return code == status_request_timeout || code == status_misdirected ||
-           code == status_too_many || code == status_unavailable;
-}
-
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-milliseconds since(state::time_point start)
-{
-    return std::chrono::duration_cast<milliseconds>(now() - start);
-}
-
-std::string format_seconds(milliseconds value)
-{
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.3f",
-                  static_cast<double>(value.count()) / ms_per_s);
-    return text.data();
-}
-
-/// Takes only the answers to one attempt.
-class attempt_filter : public transport::response_filter
-{
-public:
-    attempt_filter(const request_dialect& words, const std::string& attempt)
-        : dialect(words), attempt_id(attempt)
-    {
-    }
-
-    bool is_answer(const transport::http_response& head) const override
-    {
-        const std::string answered = this->dialect.read_answer(head).attempt_id;
-        return answered.empty() || this->attempt_id.empty() ||
-               answered == this->attempt_id;
-    }
 
-private:
-    const request_dialect& dialect;
-    const std::string& attempt_id;
-};
+constexpr unsigned first_server_error = 500;
 
 } // namespace
 
@@ -122,39 +71,6 @@
     return name_of(end_names, end);
 }
 
-/// Accounts for one call in the load of its backend server.
-class relayed_request::call_record
-{
-public:
-    call_record(gateway_state& gateway, const backend_choice& choice,
-                std::uint32_t output_tokens)
-        : shared(gateway),
-          id(gateway.loads.begin(
-              now(), coordination::backend_chooser::process_key(choice.backend->entry),
-              {choice.uncached_tokens, output_tokens, choice.idle_ms}))
-    {
-    }
-    ~call_record()
-    {
-        this->shared.loads.end(now(), this->id, this->result);
-        this->shared.loads_changed.notify();
-    }
-    call_record(const call_record&) = delete;
-    call_record& operator=(const call_record&) = delete;
-
-    void on_first_byte()
-    {
-        this->shared.loads.on_first_byte(now(), this->id);
-        this->shared.loads_changed.notify();
-    }
-    void set_result(call_result value) { this->result = value; }
-
-private:
-    gateway_state& shared;
-    coordination::backend_loads::call_id id;
-    call_result result = call_result::cancelled;
-};
-
 relayed_request::relayed_request(gateway_state& gateway,
                                  const request_dialect& request_words,
                                  transport::http_client& backend_client,
@@ -570,109 +486,4 @@
     co_await this->exchange.begin_stream(std::move(response));
 }
 
-asio::awaitable<void> relayed_request::finish(call_end last)
-{
-    const abort_reason reason = this->aborted->reason;
-    if (reason == abort_reason::client_closed)
-    {
-        this->log_end("client_closed", 0);
-        co_return;
-    }
-    if (this->stream_begun)
-    {
-        this->log_end("broken_off", 0);
-        throw state::error(error_code::connection_lost, this->last_backend,
-                           "the rest of the stream");
-    }
-    if (this->error_answer)
-    {
-        const unsigned code = this->error_answer->result_int();
-        const bool is_false_promise =
-            promises_not_run(code) && !this->route->may_repeat();
-        if (!is_false_promise)
-        {
-            this->log_end("error_answer", code);
-            this->dialect.clean_answer(*this->error_answer);
-            co_await this->exchange.respond(std::move(*this->error_answer));
-            co_return;
-        }
-    }
-    const run_state run = this->may_have_run ? run_state::unknown : run_state::not_run;
-    if (reason == abort_reason::deadline_passed)
-    {
-        co_await this->refuse(this->may_have_run ? error_code::timed_out
-                                                 : error_code::deadline_unreachable,
-                              "an answer in time", run);
-        co_return;
-    }
-    if (this->may_have_run)
-    {
-        co_await this->refuse(error_code::connection_lost, this->last_problem, run);
-        co_return;
-    }
-    const bool is_missing = this->last_failure == choice_failure::model_missing ||
-                            this->last_failure == choice_failure::adapter_missing;
-    error_code code =
-        is_missing ? error_code::model_not_resident : error_code::no_backend_server;
-    if (this->last_failure == choice_failure::overloaded)
-        code = error_code::overloaded;
-    if (this->last_failure == choice_failure::stopping)
-        code = error_code::draining;
-    const bool was_refused = last == call_end::not_run && this->attempts > 0;
-    if (!was_refused && this->last_failure != choice_failure::overloaded)
-        this->last_problem = to_string(this->last_failure);
-    co_await this->refuse(code, this->last_problem, run);
-}
-
-asio::awaitable<void> relayed_request::refuse(error_code code,
-                                              const std::string& expected, run_state run)
-{
-    protocol::refusal refusal(
-        state::error(code, this->route == nullptr ? "" : this->route->name, expected));
-    refusal.run = run;
-    const unsigned status = protocol::status_of(code);
-    transport::http_response response;
-    if (promises_not_run(status))
-        refusal.retry_after = this->retry_after();
-    response = transport::json_response(static_cast<transport::status>(status),
-                                        refusal.to_json());
-    if (refusal.retry_after)
-        response.set(transport::field::retry_after, format_seconds(*refusal.retry_after));
-    this->log_end(to_string(code), status);
-    co_await this->exchange.respond(std::move(response));
-}
-
-milliseconds relayed_request::retry_after() const
-{
-    const bool is_missing = this->last_failure == choice_failure::model_missing;
-    milliseconds after = is_missing ? long_retry_after : short_retry_after;
-    if (this->last_failure == choice_failure::overloaded)
-    {
-        // Coming back sooner would find the same queues.
-        after = std::clamp(
-            this->queue_time / 2, short_retry_after,
-            std::max(this->time_left() / retry_after_divisor, short_retry_after));
-    }
-    // Callers that were refused together come back spread out.
-    const double spread = 0.75 + 0.5 * this->shared.random.unit();
-    return std::chrono::duration_cast<milliseconds>(after * spread);
-}
-
-void relayed_request::log_end(std::string_view outcome, unsigned status)
-{
-    state::log_event(state::log_level::info, "request")
-        .field("request", this->facts.attempt_id)
-        .field("route", this->route == nullptr ? "" : this->route->name)
-        .field("service", this->demand.service)
-        .field("weights", this->demand.weights())
-        .field("outcome", outcome)
-        .field("status", static_cast<std::int64_t>(status))
-        .field("backend", this->last_backend)
-        .field("attempts", this->attempts)
-        .field("events", this->events.events())
-        .field("first_byte_ms", this->first_byte_time.count())
-        .field("elapsed_ms", since(this->started).count())
-        .field("problem", this->last_problem);
-}
-
 } // namespace pomelorouter::app
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -18,6 +18,8 @@
 namespace pomelorouter::app
 {
 
+class call_record;
+
 /// Why a request is given up before its answer is complete.
 enum class abort_reason
 {
@@ -67,7 +69,6 @@
         /// The request itself; null once it is gone.
         relayed_request* request = nullptr;
     };
-    class call_record;
 
     void prepare();
     void watch();
--- /dev/null
+++ b/src/app/gateway/serving/relayed_request_end.cpp
@@ -0,0 +1,149 @@
+#include "app/gateway/serving/relayed_request.hpp"
+
+#include "protocol/refusal.hpp"
+#include "state/error.hpp"
+#include "state/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+// The final answer of a request that no backend server has answered.
+
+namespace pomelorouter::app
+{
+
+namespace asio = boost::asio;
+using coordination::choice_failure;
+using protocol::promises_not_run;
+using protocol::run_state;
+using state::error_code;
+using state::milliseconds;
+using state::since;
+
+namespace
+{
+
+/// When to come back after a refusal that a moment may cure.
+constexpr milliseconds short_retry_after{200};
+constexpr milliseconds long_retry_after{1000};
+/// Callers wait for at most this part of the time they have left.
+constexpr int retry_after_divisor = 3;
+constexpr double ms_per_s = 1000.0;
+
+std::string format_seconds(milliseconds value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  static_cast<double>(value.count()) / ms_per_s);
+    return text.data();
+}
+
+} // namespace
+
+asio::awaitable<void> relayed_request::finish(call_end last)
+{
+    const abort_reason reason = this->aborted->reason;
+    if (reason == abort_reason::client_closed)
+    {
+        this->log_end("client_closed", 0);
+        co_return;
+    }
+    if (this->stream_begun)
+    {
+        this->log_end("broken_off", 0);
+        throw state::error(error_code::connection_lost, this->last_backend,
+                           "the rest of the stream");
+    }
+    if (this->error_answer)
+    {
+        const unsigned code = this->error_answer->result_int();
+        const bool is_false_promise =
+            promises_not_run(code) && !this->route->may_repeat();
+        if (!is_false_promise)
+        {
+            this->log_end("error_answer", code);
+            this->dialect.clean_answer(*this->error_answer);
+            co_await this->exchange.respond(std::move(*this->error_answer));
+            co_return;
+        }
+    }
+    const run_state run = this->may_have_run ? run_state::unknown : run_state::not_run;
+    if (reason == abort_reason::deadline_passed)
+    {
+        co_await this->refuse(this->may_have_run ? error_code::timed_out
+                                                 : error_code::deadline_unreachable,
+                              "an answer in time", run);
+        co_return;
+    }
+    if (this->may_have_run)
+    {
+        co_await this->refuse(error_code::connection_lost, this->last_problem, run);
+        co_return;
+    }
+    const bool is_missing = this->last_failure == choice_failure::model_missing ||
+                            this->last_failure == choice_failure::adapter_missing;
+    error_code code =
+        is_missing ? error_code::model_not_resident : error_code::no_backend_server;
+    if (this->last_failure == choice_failure::overloaded)
+        code = error_code::overloaded;
+    if (this->last_failure == choice_failure::stopping)
+        code = error_code::draining;
+    const bool was_refused = last == call_end::not_run && this->attempts > 0;
+    if (!was_refused && this->last_failure != choice_failure::overloaded)
+        this->last_problem = to_string(this->last_failure);
+    co_await this->refuse(code, this->last_problem, run);
+}
+
+asio::awaitable<void> relayed_request::refuse(error_code code,
+                                              const std::string& expected, run_state run)
+{
+    protocol::refusal refusal(
+        state::error(code, this->route == nullptr ? "" : this->route->name, expected));
+    refusal.run = run;
+    const unsigned status = protocol::status_of(code);
+    transport::http_response response;
+    if (promises_not_run(status))
+        refusal.retry_after = this->retry_after();
+    response = transport::json_response(static_cast<transport::status>(status),
+                                        refusal.to_json());
+    if (refusal.retry_after)
+        response.set(transport::field::retry_after, format_seconds(*refusal.retry_after));
+    this->log_end(to_string(code), status);
+    co_await this->exchange.respond(std::move(response));
+}
+
+milliseconds relayed_request::retry_after() const
+{
+    const bool is_missing = this->last_failure == choice_failure::model_missing;
+    milliseconds after = is_missing ? long_retry_after : short_retry_after;
+    if (this->last_failure == choice_failure::overloaded)
+    {
+        // Coming back sooner would find the same queues.
+        after = std::clamp(
+            this->queue_time / 2, short_retry_after,
+            std::max(this->time_left() / retry_after_divisor, short_retry_after));
+    }
+    // Callers that were refused together come back spread out.
+    const double spread = 0.75 + 0.5 * this->shared.random.unit();
+    return std::chrono::duration_cast<milliseconds>(after * spread);
+}
+
+void relayed_request::log_end(std::string_view outcome, unsigned status)
+{
+    state::log_event(state::log_level::info, "request")
+        .field("request", this->facts.attempt_id)
+        .field("route", this->route == nullptr ? "" : this->route->name)
+        .field("service", this->demand.service)
+        .field("weights", this->demand.weights())
+        .field("outcome", outcome)
+        .field("status", static_cast<std::int64_t>(status))
+        .field("backend", this->last_backend)
+        .field("attempts", this->attempts)
+        .field("events", this->events.events())
+        .field("first_byte_ms", this->first_byte_time.count())
+        .field("elapsed_ms", since(this->started).count())
+        .field("problem", this->last_problem);
+}
+
+} // namespace pomelorouter::app
--- a/src/app/gateway/serving/relayed_request_line.cpp
+++ b/src/app/gateway/serving/relayed_request_line.cpp
@@ -11,6 +11,8 @@
 using coordination::backend_choice;
 using coordination::choice_failure;
 using state::milliseconds;
+using state::now;
+using state::since;
 
 namespace
 {
@@ -25,16 +27,6 @@
 /// Time in which a stream brings one token at a busy engine.
 constexpr double milliseconds_per_token = 25.0;
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-milliseconds since(state::time_point start)
-{
-    return std::chrono::duration_cast<milliseconds>(now() - start);
-}
-
 } // namespace
 
 backend_choice relayed_request::choose_now()
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -5,12 +5,10 @@
 #include "state/log.hpp"
 #include "transport/http_error.hpp"
 #include "transport/log_service.hpp"
+#include "transport/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -20,6 +18,7 @@
 namespace asio = boost::asio;
 using coordination::feed_record;
 using state::milliseconds;
+using state::now;
 
 namespace
 {
@@ -37,11 +36,6 @@
 /// An answer of the aggregator counts for this long.
 constexpr milliseconds lead_life{2500};
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 backend_watcher::backend_watcher(gateway_state& gateway, keyed_store& platform_store,
@@ -81,7 +75,8 @@
             this->ask_again = now() + aggregator_pause;
         }
         const bool succeeded = co_await this->read_store();
-        co_await this->pause(succeeded ? read_period : retry_period);
+        co_await transport::pause(this->shared.executor,
+                                  succeeded ? read_period : retry_period);
     }
 }
 
@@ -264,11 +259,4 @@
         .field("problem", problem);
 }
 
-asio::awaitable<void> backend_watcher::pause(milliseconds duration)
-{
-    asio::steady_timer timer(this->shared.executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace pomelorouter::app
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -50,7 +50,6 @@
                    const std::vector<coordination::feed_record>& records);
     void on_read();
     void on_contact(bool is_reachable, const std::string& problem);
-    boost::asio::awaitable<void> pause(state::milliseconds duration);
 
     gateway_state& shared;
     keyed_store& store;
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -4,12 +4,10 @@
 #include "state/log.hpp"
 #include "transport/http_error.hpp"
 #include "transport/log_service.hpp"
+#include "transport/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -61,7 +59,7 @@
         if (this->version < 0 || !this->is_led())
             succeeded = co_await this->read_store();
         if (!succeeded)
-            co_await this->pause(retry_period);
+            co_await transport::pause(this->shared.executor, retry_period);
     }
 }
 
@@ -123,7 +121,7 @@
         co_await this->read_store();
     }
     else
-        co_await this->pause(store_head_start);
+        co_await transport::pause(this->shared.executor, store_head_start);
     if (this->version == before)
         co_await this->fetch_from_peer(std::move(peer));
     this->is_fetching = false;
@@ -188,11 +186,4 @@
         .field("problem", problem);
 }
 
-asio::awaitable<void> config_watcher::pause(milliseconds duration)
-{
-    asio::steady_timer timer(this->shared.executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace pomelorouter::app
--- a/src/app/gateway/store/config_watcher.hpp
+++ b/src/app/gateway/store/config_watcher.hpp
@@ -42,7 +42,6 @@
     boost::asio::awaitable<void> fetch_from_peer(std::string peer);
     void apply(const std::string& text, std::string_view source);
     void on_contact(bool is_reachable, const std::string& problem);
-    boost::asio::awaitable<void> pause(state::milliseconds duration);
 
     gateway_state& shared;
     keyed_store& store;
--- a/src/app/node/completion_proxy.cpp
+++ b/src/app/node/completion_proxy.cpp
@@ -25,6 +25,7 @@
 using state::error;
 using state::error_code;
 using state::milliseconds;
+using state::now;
 
 namespace
 {
@@ -36,11 +37,6 @@
 // refused then still has the other half to try another node.
 constexpr int copy_wait_divisor = 2;
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Reports a caller that waits for a model that is not resident, for as long as it waits.
 class waiting_caller
 {
--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -20,6 +20,7 @@
 namespace asio = boost::asio;
 using state::attribute;
 using state::error_code;
+using state::now;
 
 namespace
 {
@@ -27,11 +28,6 @@
 constexpr std::string_view done_event = "[DONE]";
 constexpr state::milliseconds cancel_timeout{500};
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 transport::http_call_options call_options(const state::attribute_values& attributes)
 {
     transport::http_call_options options;
--- a/src/libs/coordination/weight_planner.hpp
+++ b/src/libs/coordination/weight_planner.hpp
@@ -13,6 +13,11 @@
 namespace pomelorouter::coordination
 {
 
+namespace internal
+{
+struct plan_workspace;
+}
+
 /// One engine as the planner sees it.
 struct planned_engine
 {
@@ -28,6 +33,10 @@
     std::string loading;
     /// A model for which room is made, or was made a moment ago.
     std::string reserved;
+
+    bool holds_model(std::string_view name) const;
+    bool holds_adapter(std::string_view model, std::string_view adapter) const;
+    int adapter_count() const;
 };
 
 enum class plan_operation
@@ -39,6 +48,8 @@
 };
 
 std::string_view to_string(plan_operation operation);
+bool is_adapter_operation(plan_operation operation);
+bool is_unload(plan_operation operation);
 
 struct planned_order
 {
@@ -71,17 +82,18 @@
                                     int store_loads, bool is_settled) const;
 
 private:
-    struct workspace;
-
-    void place_waiting_adapters(workspace& work) const;
-    void load_reserved_models(workspace& work) const;
-    void place_missing_models(workspace& work, bool only_waiting) const;
-    void fill_adapter_places(workspace& work) const;
-    void copy_busy_adapters(workspace& work) const;
-    void balance_models(workspace& work) const;
-    static bool make_adapter_place(workspace& work, planned_engine& engine);
-    static bool move_copy(workspace& work, const state::hosted_model& wanted);
-    static bool load_missing(workspace& work, const state::hosted_model& wanted);
+    void place_waiting_adapters(internal::plan_workspace& work) const;
+    void load_reserved_models(internal::plan_workspace& work) const;
+    void place_missing_models(internal::plan_workspace& work, bool only_waiting) const;
+    void fill_adapter_places(internal::plan_workspace& work) const;
+    void copy_busy_adapters(internal::plan_workspace& work) const;
+    void balance_models(internal::plan_workspace& work) const;
+    static bool make_adapter_place(internal::plan_workspace& work,
+                                   planned_engine& engine);
+    static bool move_copy(internal::plan_workspace& work,
+                          const state::hosted_model& wanted);
+    static bool load_missing(internal::plan_workspace& work,
+                             const state::hosted_model& wanted);
 };
 
 } // namespace pomelorouter::coordination
--- a/src/libs/protocol/refusal.cpp
+++ b/src/libs/protocol/refusal.cpp
@@ -25,6 +25,8 @@
 constexpr unsigned conflict = 409;
 constexpr unsigned payload_too_large = 413;
 constexpr unsigned unprocessable = 422;
+constexpr unsigned request_timeout = 408;
+constexpr unsigned misdirected = 421;
 constexpr unsigned too_many_requests = 429;
 constexpr unsigned internal_error = 500;
 constexpr unsigned bad_gateway = 502;
@@ -87,6 +89,12 @@
     }
 }
 
+bool promises_not_run(unsigned status)
+{
+    return status == request_timeout || status == misdirected ||
+           status == too_many_requests || status == unavailable;
+}
+
 refusal::refusal(const state::error& failure)
     : code(failure.code()),
       message(failure.what()),
--- a/src/libs/protocol/refusal.hpp
+++ b/src/libs/protocol/refusal.hpp
@@ -22,6 +22,8 @@
 
 /// The HTTP status for an error that a caller sees.
 unsigned status_of(state::error_code code);
+/// Whether a status tells the caller that the request was not run, and never will be.
+bool promises_not_run(unsigned status);
 
 /// The body of every refusal.
 struct refusal
--- a/src/tools/engine_stand_in/engine_handler.cpp
+++ b/src/tools/engine_stand_in/engine_handler.cpp
@@ -22,6 +22,7 @@
 namespace asio = boost::asio;
 using state::error;
 using state::error_code;
+using state::now;
 using transport::json_response;
 using transport::status;
 using transport::verb;
@@ -35,11 +36,6 @@
 constexpr state::milliseconds caller_check_period{10};
 constexpr state::milliseconds weights_timeout{600000};
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Reads `model[:adapter][@bytes]`.
 state::resident_model parse_resident_option(const std::string& text)
 {
--- a/src/tools/platform_stand_in/platform_handler.cpp
+++ b/src/tools/platform_stand_in/platform_handler.cpp
@@ -17,6 +17,7 @@
 namespace asio = boost::asio;
 using state::error;
 using state::error_code;
+using state::now;
 using transport::json_response;
 using transport::status;
 using transport::verb;
@@ -45,11 +46,6 @@
     return number;
 }
 
-state::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::string read_weights_name(const std::string& body)
 {
     const auto value = state::parse_json(body, "body");
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <fstream>
 #include <map>
+#include <string>
+#include <vector>
 
 namespace
 {
@@ -68,6 +70,42 @@
     std::vector<std::string> orders;
 };
 
+state::gateway_settings settings_of_second(const gateway_fixture& test)
+{
+    state::gateway_settings settings = test.settings;
+    settings.node_id = "gateway-2";
+    settings.seeds = {test.gateway->own_settings().control_listen};
+    return settings;
+}
+
+/// Another gateway of the zone, before a store of its own that begins with the records of
+/// the fixture's.
+struct second_gateway
+{
+    second_gateway(gateway_fixture& test, const std::vector<std::string>& topics)
+        : store(test.loop),
+          store_server(test.loop, {}, this->store, test.counters),
+          gateway(test.loop, this->settings_for(test, topics), test.settings_path,
+                  *test.adapter, test.counters)
+    {
+    }
+
+    test::fake_store store;
+    transport::http_server store_server;
+    app::gateway gateway;
+
+private:
+    state::gateway_settings settings_for(const gateway_fixture& test,
+                                         const std::vector<std::string>& topics)
+    {
+        for (const std::string& topic : topics)
+            this->store.copy(topic, test.store);
+        state::gateway_settings settings = settings_of_second(test);
+        settings.platform = this->store_server.listen("127.0.0.1:0");
+        return settings;
+    }
+};
+
 } // namespace
 
 // Guards against a change that is not taken over, and one that is taken back.
@@ -176,9 +214,7 @@
     test.put_config(4);
     test.start();
     test.store.is_down = true;
-    state::gateway_settings settings = test.settings;
-    settings.node_id = "gateway-2";
-    settings.seeds = {test.gateway->own_settings().control_listen};
+    const state::gateway_settings settings = settings_of_second(test);
     app::gateway other(test.loop, settings, test.settings_path, *test.adapter,
                        test.counters);
     other.start();
@@ -196,17 +232,10 @@
     test.add_backend("s1", "plain", ok);
     test.put_config(4);
     test.start();
-    state::gateway_settings settings = test.settings;
-    settings.node_id = "gateway-2";
-    settings.seeds = {test.gateway->own_settings().control_listen};
-    test::fake_store other_store(test.loop);
-    transport::http_server server(test.loop, {}, other_store, test.counters);
-    settings.platform = server.listen("127.0.0.1:0");
     test.run_until([&test] { return test.store.end("keyed.gateways") == 1; });
-    for (const char* topic : {"keyed.servers", "keyed.op", "keyed.gateways"})
-        other_store.copy(topic, test.store);
-    app::gateway other(test.loop, settings, test.settings_path, *test.adapter,
-                       test.counters);
+    second_gateway second(test, {"keyed.servers", "keyed.op", "keyed.gateways"});
+    app::gateway& other = second.gateway;
+    test::fake_store& other_store = second.store;
     other.start();
     test.run_until([&other] { return other.is_ready(); });
     const auto knows = [&other](const char* id)
@@ -252,19 +281,11 @@
     auto& backend = test.add_backend("s1", "plain", ok);
     test.put_config(4);
     test.start();
-    state::gateway_settings settings = test.settings;
-    settings.node_id = "gateway-2";
-    settings.seeds = {test.gateway->own_settings().control_listen};
-    test::fake_store other_store(test.loop);
-    transport::http_server server(test.loop, {}, other_store, test.counters);
-    settings.platform = server.listen("127.0.0.1:0");
-    for (const char* topic : {"keyed.servers", "keyed.op"})
-        other_store.copy(topic, test.store);
-    app::gateway other(test.loop, settings, test.settings_path, *test.adapter,
-                       test.counters);
+    second_gateway second(test, {"keyed.servers", "keyed.op"});
+    app::gateway& other = second.gateway;
     other.start();
     test.run_until([&other] { return other.is_ready(); });
-    other_store.is_down = true;
+    second.store.is_down = true;
     const auto is_leaving = [&other]
     {
         const auto known = other.knowledge().directory.find("s1");
