--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -17,7 +17,6 @@
 namespace asio = boost::asio;
 using coordination::backend_choice;
 using coordination::call_result;
-using coordination::choice_failure;
 using protocol::promises_not_run;
 using protocol::run_state;
 using state::error_code;
--- a/src/libs/transport/pause.cpp
+++ b/src/libs/transport/pause.cpp
@@ -4,8 +4,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <utility>
-
 namespace pomelorouter::transport
 {
 
@@ -13,7 +11,7 @@
 
 asio::awaitable<void> pause(asio::any_io_executor executor, state::milliseconds duration)
 {
-    asio::steady_timer timer(std::move(executor), duration);
+    asio::steady_timer timer(executor, duration);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
