Let the aggregators tell who is there

Urgent changes went to all as well. Each gateway read the store for each change of the configuration.

Change: from 16 gateways on, a gateway reports to its aggregator alone. Aggregators tell their zone and one another of the members: changes at once and three times, all others in rounds of 10 s (member_news). What a gateway hears itself goes before what it is told (gateway_members); one that is relied on has to be heard within 2 s; a zone of which nobody is heard for 4 s is dropped; an aggregator that does not know the one of another zone asks its gateways in turn. A led gateway takes a new configuration from its aggregator.

"Datagrams grow in proportion" now holds for all datagrams (it allowed the square for signs of life). "All gateways hear from one another" is replaced by three: small fleet directly, large fleet over the aggregators, search.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -3,11 +3,10 @@
 #include "state/error.hpp"
 #include "state/json_reader.hpp"
 #include "state/log.hpp"
+#include "transport/duty.hpp"
 #include "transport/http_error.hpp"
 #include "transport/pause.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -79,8 +78,10 @@
     this->self.datagrams =
         this->socket.listen(this->self.datagrams, [this](std::string_view datagram)
                             { this->on_datagram(datagram); });
-    asio::co_spawn(this->shared.executor, this->heartbeat_loop(), asio::detached);
-    asio::co_spawn(this->shared.executor, this->discovery_loop(), asio::detached);
+    transport::spawn_duty(this->shared.executor, "heartbeat_loop",
+                          [this] { return this->heartbeat_loop(); });
+    transport::spawn_duty(this->shared.executor, "discovery_loop",
+                          [this] { return this->discovery_loop(); });
 }
 
 void peer_gossip::set_addresses(std::string frontend, std::string control)
@@ -98,6 +99,9 @@
             this->send_urgent();
         if (this->weights_pending)
             this->send_weights();
+        const auto window = static_cast<std::uint64_t>(this->plan.ticks_in_zone());
+        if (this->plan.is_aggregator() && this->ticks % window == 0)
+            this->update_news(this->plan.ticks_in_zone() * coordination::gossip_tick);
         this->send(this->plan.targets(this->ticks++));
         for (const std::string& node : this->table.tick(now()))
         {
@@ -117,14 +121,21 @@
     {
         const bool is_alive = this->table.is_alive(now(), member.node);
         alive += is_alive ? 1 : 0;
-        members.push_back({std::move(member), is_alive});
+        const bool is_aggregating = this->table.is_aggregating(now(), member.node);
+        members.push_back({std::move(member), is_alive, is_aggregating});
     }
     this->shared.gateways = 1 + alive;
     this->plan.update(std::move(members), this->lease_holder);
+    for (const std::string& node : this->plan.relied_on())
+        this->table.rely_on(now(), node);
     const bool is_aggregator = this->plan.is_aggregator();
+    if (is_aggregator)
+        this->table.drop_silent_zones(now(), this->self.zone);
     if (is_aggregator == this->was_aggregator)
         return;
     this->was_aggregator = is_aggregator;
+    if (is_aggregator)
+        this->table.begin_to_aggregate(now(), this->self.zone);
     // What was heard in the other role counts the same calls in another way.
     this->exchange.forget_all();
     state::log_event(state::log_level::info, "aggregator_changed")
@@ -132,6 +143,24 @@
         .field("aggregator", this->plan.aggregator_of(this->self.zone));
 }
 
+/// The heartbeats of one window say the same, since each goes to another gateway.
+void peer_gossip::update_news(milliseconds period)
+{
+    std::vector<protocol::member_notice> zone;
+    std::vector<protocol::member_notice> far;
+    for (const protocol::gateway_member& member : this->table.known())
+    {
+        const bool is_alive = this->table.is_alive(now(), member.node);
+        zone.push_back({member, is_alive});
+        if (member.zone == this->self.zone)
+            far.push_back({member, is_alive});
+    }
+    this->zone_news.update(zone);
+    this->far_news.update(far);
+    this->zone_notices = this->zone_news.next(period);
+    this->far_notices = this->far_news.next(period);
+}
+
 protocol::gateway_heartbeat peer_gossip::next_heartbeat()
 {
     protocol::gateway_heartbeat heartbeat;
@@ -147,6 +176,7 @@
     if (targets.empty())
         return;
     protocol::gateway_heartbeat heartbeat = this->next_heartbeat();
+    heartbeat.is_aggregator = this->plan.is_aggregator();
     const std::vector<protocol::engine_weights> weights = std::move(heartbeat.weights);
     // Datagrams without loads are the same for all receivers with one period.
     std::map<std::pair<int, bool>, std::string> plain;
@@ -165,6 +195,7 @@
                 if (datagram.empty())
                 {
                     heartbeat.scope = target.scope;
+                    heartbeat.members.clear();
                     heartbeat.loads.clear();
                     heartbeat.rates.clear();
                     datagram = encode_gateway_heartbeat(heartbeat);
@@ -173,6 +204,7 @@
                 continue;
             }
             this->exchange.fill(heartbeat, target);
+            this->fill_members(heartbeat);
             this->socket.send(target.address, encode_gateway_heartbeat(heartbeat));
         }
         catch (const state::error& failure)
@@ -184,6 +216,15 @@
     }
 }
 
+void peer_gossip::fill_members(protocol::gateway_heartbeat& heartbeat) const
+{
+    heartbeat.members.clear();
+    if (heartbeat.scope == protocol::load_scope::zone)
+        heartbeat.members = this->far_notices;
+    if (heartbeat.scope == protocol::load_scope::others)
+        heartbeat.members = this->zone_notices;
+}
+
 void peer_gossip::send_heartbeat()
 {
     this->urgent_pending = true;
@@ -242,6 +283,11 @@
                 .field("gateway", heartbeat.origin.node)
                 .field("incarnation", heartbeat.origin.incarnation);
         }
+        if (heartbeat.is_aggregator)
+        {
+            for (const protocol::member_notice& notice : heartbeat.members)
+                this->table.on_notice(now(), notice);
+        }
         const bool must_pass_on =
             this->exchange.accept(heartbeat, this->plan.is_aggregator());
         this->heartbeat_received(heartbeat);
@@ -258,11 +304,15 @@
 asio::awaitable<void> peer_gossip::discovery_loop()
 {
     milliseconds next_read = second_read;
+    bool was_read = false;
     for (;;)
     {
         if (!this->announced)
             this->announced = co_await this->announce();
-        const bool succeeded = co_await this->read_members();
+        // An aggregator tells of those that come later.
+        const bool is_told = was_read && !this->plan.is_aggregator();
+        const bool succeeded = is_told || co_await this->read_members();
+        was_read |= succeeded;
         if (succeeded && this->announced)
         {
             co_await transport::pause(this->shared.executor,
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -6,6 +6,7 @@
 #include "app/gateway/store/keyed_store.hpp"
 #include "coordination/gateway_members.hpp"
 #include "coordination/gossip_plan.hpp"
+#include "coordination/member_news.hpp"
 #include "protocol/gateway_heartbeat.hpp"
 #include "transport/datagram_socket.hpp"
 #include "transport/http_client.hpp"
@@ -49,13 +50,18 @@
     std::string aggregator_control() const;
     /// Place of this gateway among those that are alive, the strongest first.
     std::size_t rank() const;
+    /// Whether this gateway passes on what others say.
+    bool is_aggregator() const { return this->plan.is_aggregator(); }
     /// This gateway and all that it knows, as JSON, for a gateway that asks.
     std::string members_json() const;
 
 private:
     boost::asio::awaitable<void> heartbeat_loop();
     void update_plan();
+    /// Collects what an aggregator has to say of the other gateways in one period.
+    void update_news(state::milliseconds period);
     void send(const std::vector<coordination::gossip_target>& targets);
+    void fill_members(protocol::gateway_heartbeat& heartbeat) const;
     void send_urgent();
     protocol::gateway_heartbeat next_heartbeat();
     boost::asio::awaitable<void> discovery_loop();
@@ -71,6 +77,12 @@
     protocol::gateway_member self;
     coordination::gateway_members table;
     coordination::gossip_plan plan;
+    /// What this gateway, as an aggregator, says of the members to its own zone, and to
+    /// the aggregators of the others.
+    coordination::member_news zone_news;
+    coordination::member_news far_news;
+    std::vector<protocol::member_notice> zone_notices;
+    std::vector<protocol::member_notice> far_notices;
     load_exchange exchange;
     transport::datagram_socket socket;
     fill_callback fill_heartbeat;
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -2,13 +2,11 @@
 
 #include "state/error.hpp"
 #include "state/log.hpp"
+#include "transport/duty.hpp"
 #include "transport/http_error.hpp"
 #include "transport/log_service.hpp"
 #include "transport/pause.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <utility>
 
 namespace pomelorouter::app
@@ -26,8 +24,8 @@
 /// Pause after a read that failed, and between two looks at whether another gateway
 /// still watches the store.
 constexpr milliseconds retry_period{250};
-/// A newer configuration that a peer has is fetched from it after this time. The store
-/// mostly brings it first.
+/// A newer configuration that a peer has is fetched from it after this time by a gateway
+/// that watches the store, which mostly brings it first.
 constexpr milliseconds store_head_start{150};
 constexpr milliseconds peer_answer_limit{1000};
 
@@ -48,7 +46,8 @@
 
 void config_watcher::start()
 {
-    asio::co_spawn(this->shared.executor, this->watch(), asio::detached);
+    transport::spawn_duty(this->shared.executor, "config_watcher",
+                          [this] { return this->watch(); });
 }
 
 asio::awaitable<void> config_watcher::watch()
@@ -102,12 +101,13 @@
     if (this->is_fetching)
         return;
     this->is_fetching = true;
-    asio::co_spawn(this->shared.executor, this->fetch_newer(std::move(peer)),
-                   asio::detached);
+    transport::spawn_task(this->shared.executor, "fetch_newer",
+                          this->fetch_newer(std::move(peer)));
 }
 
-/// Many gateways hear of a change at once, and a peer may have a slow link: the store is
-/// asked first.
+/// A gateway that watches the store itself mostly has the change from there. One that has
+/// an aggregator asks that: a read by each gateway would cost the store as many calls as
+/// there are gateways, for each change.
 asio::awaitable<void> config_watcher::fetch_newer(std::string peer)
 {
     const std::int64_t before = this->version;
@@ -115,15 +115,15 @@
         .field("peer", peer)
         .field("version", before)
         .field("led", this->is_led());
-    if (this->is_led())
+    if (!this->is_led())
+        co_await transport::pause(this->shared.executor, store_head_start);
+    if (this->version == before)
+        co_await this->fetch_from_peer(std::move(peer));
+    if (this->version == before)
     {
         this->position.reset();
         co_await this->read_store();
     }
-    else
-        co_await transport::pause(this->shared.executor, store_head_start);
-    if (this->version == before)
-        co_await this->fetch_from_peer(std::move(peer));
     this->is_fetching = false;
 }
 
--- a/src/libs/coordination/gateway_members.cpp
+++ b/src/libs/coordination/gateway_members.cpp
@@ -27,7 +27,14 @@
     const bool is_other = origin.incarnation != item.member.incarnation;
     if (item.was_heard && after <= before && !(is_silent && is_other))
         return false;
-    item = {origin, heartbeat.counter, true, now, heartbeat.period};
+    item = {origin,
+            heartbeat.counter,
+            true,
+            now,
+            heartbeat.period,
+            heartbeat.is_aggregator,
+            item.noticed_until};
+    this->zones_heard[origin.zone] = now;
     return true;
 }
 
@@ -37,9 +44,74 @@
     if (member.node == this->node)
         return;
     entry& item = this->entries[member.node];
-    if (item.was_heard && item.member.incarnation >= member.incarnation)
+    const bool is_known_better = item.was_heard || now < item.noticed_until;
+    if (is_known_better && item.member.incarnation >= member.incarnation)
         return;
-    item = {member, 0, false, now, state::milliseconds(0)};
+    item = {member, 0, false, now, state::milliseconds(0), false, item.noticed_until};
+}
+
+void gateway_members::on_notice(state::time_point now,
+                                const protocol::member_notice& notice)
+{
+    const protocol::gateway_member& member = notice.member;
+    if (member.node == this->node)
+        return;
+    const auto found = this->entries.find(member.node);
+    if (found == this->entries.end() && !notice.is_alive)
+        return;
+    entry& item = this->entries[member.node];
+    // The wall clock of a restarted gateway may have been set back, so an older process
+    // counts once the one that is known is gone.
+    const bool is_older = member.incarnation < item.member.incarnation;
+    const bool is_other = member.incarnation != item.member.incarnation;
+    if (this->is_heard(item, now) || (is_older && this->is_alive(item, now)))
+        return;
+    if (!notice.is_alive)
+    {
+        if (!is_other)
+            item.noticed_until = {};
+        return;
+    }
+    if (is_other)
+    {
+        item.counter = 0;
+        item.was_heard = false;
+    }
+    item.member = member;
+    item.is_aggregating = false;
+    item.noticed_until = now + this->timing.notice_life;
+}
+
+void gateway_members::rely_on(state::time_point now, std::string_view name)
+{
+    const auto found = this->entries.find(name);
+    if (found == this->entries.end() || this->is_heard(found->second, now))
+        return;
+    state::time_point& until = found->second.noticed_until;
+    until = std::min(until, now + this->timing.answer);
+}
+
+void gateway_members::begin_to_aggregate(state::time_point now, std::string_view own_zone)
+{
+    this->zones_heard.clear();
+    for (const auto& [name, item] : this->entries)
+    {
+        if (item.member.zone == own_zone)
+            this->rely_on(now, name);
+    }
+}
+
+void gateway_members::drop_silent_zones(state::time_point now, std::string_view own_zone)
+{
+    for (auto& [name, item] : this->entries)
+    {
+        const std::string& zone = item.member.zone;
+        if (zone == own_zone || now >= item.noticed_until)
+            continue;
+        const auto heard = this->zones_heard.try_emplace(zone, now).first;
+        if (now - heard->second > this->timing.zone_silence)
+            item.noticed_until = {};
+    }
 }
 
 std::vector<std::string> gateway_members::tick(state::time_point now)
@@ -47,7 +119,8 @@
     std::vector<std::string> forgotten;
     for (auto item = this->entries.begin(); item != this->entries.end();)
     {
-        if (now - item->second.last_heard <= this->timing.forget)
+        if (now - item->second.last_heard <= this->timing.forget ||
+            this->is_alive(item->second, now))
         {
             ++item;
             continue;
@@ -74,7 +147,7 @@
     std::vector<protocol::gateway_member> result;
     for (const auto& [name, item] : this->entries)
     {
-        if (this->is_heard(item, now))
+        if (this->is_alive(item, now))
             result.push_back(item.member);
     }
     return result;
@@ -95,11 +168,29 @@
 }
 
 bool gateway_members::is_alive(state::time_point now, std::string_view name) const
+{
+    const auto found = this->entries.find(name);
+    return found != this->entries.end() && this->is_alive(found->second, now);
+}
+
+bool gateway_members::is_heard(state::time_point now, std::string_view name) const
 {
     const auto found = this->entries.find(name);
     return found != this->entries.end() && this->is_heard(found->second, now);
 }
 
+bool gateway_members::is_aggregating(state::time_point now, std::string_view name) const
+{
+    const auto found = this->entries.find(name);
+    return found != this->entries.end() && found->second.is_aggregating &&
+           this->is_heard(found->second, now);
+}
+
+bool gateway_members::is_alive(const entry& item, state::time_point now) const
+{
+    return this->is_heard(item, now) || now < item.noticed_until;
+}
+
 bool gateway_members::is_heard(const entry& item, state::time_point now) const
 {
     const state::milliseconds silence =
--- a/src/libs/coordination/gossip_plan.cpp
+++ b/src/libs/coordination/gossip_plan.cpp
@@ -13,20 +13,12 @@
 
 /// Signs of life are this many ticks apart.
 constexpr int usual_ticks = 2;
-/// Within a zone they are rarer in proportion above this number of gateways.
-constexpr std::size_t near_gateways_per_period = 16;
-/// Above this number of gateways in a zone its aggregator sends half as often, so that a
-/// small instance can bear it.
+/// From this number of gateways in a zone on, its reports and sums are sent half as
+/// often, so that a small instance can bear it.
 constexpr std::size_t large_zone = 8;
-/// To other zones they are rarer in proportion above this number of gateways there.
-constexpr std::size_t far_gateways_per_period = 8;
-constexpr int longest_ticks = 10;
-
-int ticks_among(std::size_t gateways, std::size_t gateways_per_period)
-{
-    const auto share = static_cast<int>(gateways / gateways_per_period);
-    return std::clamp(usual_ticks * share, usual_ticks, longest_ticks);
-}
+/// Up to this number of gateways, all tell one another that they are alive. In larger
+/// fleets the aggregators do, since such signs of life grow with the square.
+constexpr std::size_t small_fleet = 16;
 
 } // namespace
 
@@ -38,16 +30,24 @@
     this->holder = std::move(lease_holder);
     this->near_peers = 0;
     this->aggregators.clear();
+    this->aggregators_heard.clear();
     this->aggregators[this->self.zone] = this->self;
     for (const gossip_peer& peer : this->peers)
     {
         const protocol::gateway_member& member = peer.member;
-        this->near_peers += member.zone == this->self.zone ? 1 : 0;
+        const bool is_near = member.zone == this->self.zone;
+        this->near_peers += is_near ? 1 : 0;
         if (!peer.is_alive)
             continue;
+        // In another zone, whoever does the work goes before who should do it.
+        const bool does_it = !is_near && peer.is_aggregating;
+        const bool is_done = this->aggregators_heard.count(member.zone) > 0;
         const auto [first, is_only] = this->aggregators.emplace(member.zone, member);
-        if (!is_only && is_stronger(member, first->second))
+        if (!is_only && ((does_it && !is_done) ||
+                         (does_it == is_done && is_stronger(member, first->second))))
             first->second = member;
+        if (does_it)
+            this->aggregators_heard.insert(member.zone);
     }
 }
 
@@ -62,6 +62,18 @@
     return this->aggregator_of(this->self.zone) == this->self.node;
 }
 
+std::vector<std::string> gossip_plan::relied_on() const
+{
+    std::vector<std::string> result;
+    for (const auto& [zone, member] : this->aggregators)
+    {
+        const bool is_own_zone = zone == this->self.zone;
+        if (member.node != this->self.node && (is_own_zone || this->is_aggregator()))
+            result.push_back(member.node);
+    }
+    return result;
+}
+
 std::vector<gossip_target> gossip_plan::targets(std::uint64_t number) const
 {
     std::vector<gossip_target> result;
@@ -72,6 +84,8 @@
         if (turn++ % static_cast<std::uint64_t>(target.ticks) == 0)
             result.push_back(std::move(target));
     }
+    if (this->is_aggregator() && !this->is_small_fleet())
+        this->add_searches(number, result);
     return result;
 }
 
@@ -79,47 +93,67 @@
 {
     std::vector<gossip_target> result;
     for (const gossip_peer& peer : this->peers)
-        result.push_back(this->target_for(peer));
+    {
+        if (auto target = this->target_for(peer))
+            result.push_back(std::move(*target));
+    }
     return result;
 }
 
-gossip_target gossip_plan::target_for(const gossip_peer& peer) const
+std::optional<gossip_target> gossip_plan::target_for(const gossip_peer& peer) const
 {
     const protocol::gateway_member& member = peer.member;
     const bool is_near = member.zone == this->self.zone;
     const bool is_holder = member.node == this->holder;
     const bool is_its_aggregator = member.node == this->aggregator_of(member.zone);
-    gossip_target target{member.node,
-                         member.datagrams,
-                         load_scope::none,
-                         false,
-                         false,
-                         is_near ? ticks_among(this->near_peers, near_gateways_per_period)
-                                 : ticks_among(this->peers.size() - this->near_peers,
-                                               far_gateways_per_period)};
     const bool is_own_holder = this->self.node == this->holder;
+    gossip_target target{member.node, member.datagrams, load_scope::none, false,
+                         false,       usual_ticks};
     target.has_weights =
         (is_own_holder && is_its_aggregator) || (this->is_aggregator() && is_near);
-    if (!this->is_aggregator())
+    if (!this->is_aggregator() && is_near && is_its_aggregator)
     {
-        if (is_near && is_its_aggregator)
-        {
-            target.scope = load_scope::gateway;
-            target.has_rates = true;
-            target.ticks = 1;
-        }
+        target.scope = load_scope::gateway;
+        target.has_rates = true;
+        target.ticks = this->ticks_in_zone();
         return target;
     }
-    if (is_near || is_holder || is_its_aggregator)
+    if (this->is_aggregator() && (is_near || is_holder || is_its_aggregator))
     {
         target.scope = is_near ? load_scope::others : load_scope::zone;
         target.has_rates = is_holder;
-        target.ticks = this->ticks_to_zone();
+        target.ticks = this->ticks_in_zone();
+        return target;
     }
-    return target;
+    if (target.has_weights || this->is_small_fleet())
+        return target;
+    return std::nullopt;
+}
+
+void gossip_plan::add_searches(std::uint64_t number,
+                               std::vector<gossip_target>& result) const
+{
+    std::map<std::string, std::vector<const gossip_peer*>> unknown;
+    for (const gossip_peer& peer : this->peers)
+    {
+        const std::string& zone = peer.member.zone;
+        if (zone != this->self.zone && this->aggregators_heard.count(zone) == 0)
+            unknown[zone].push_back(&peer);
+    }
+    for (const auto& [zone, members] : unknown)
+    {
+        const protocol::gateway_member& member = members[number % members.size()]->member;
+        result.push_back(
+            {member.node, member.datagrams, load_scope::none, false, false, usual_ticks});
+    }
+}
+
+bool gossip_plan::is_small_fleet() const
+{
+    return this->peers.size() < small_fleet;
 }
 
-int gossip_plan::ticks_to_zone() const
+int gossip_plan::ticks_in_zone() const
 {
     return this->near_peers < large_zone ? 1 : 2;
 }
--- a/src/libs/coordination/gossip_plan.hpp
+++ b/src/libs/coordination/gossip_plan.hpp
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,8 @@
 {
     protocol::gateway_member member;
     bool is_alive = false;
+    /// It was heard lately, and said that it adds up the reports of its zone.
+    bool is_aggregating = false;
 };
 
 /// Time between two ticks of the plan.
@@ -41,9 +45,8 @@
 /// The gateways of an availability zone report to one of them, the aggregator. It adds
 /// the reports up, exchanges the sums with the aggregators of the other zones, and tells
 /// its own zone the result, so that the traffic grows with the number of gateways.
-/// What the holder of the placement lease announces takes the same way. The rest only
-/// says that the sender is alive, and goes to other zones more rarely when they are
-/// large.
+/// What the holder of the placement lease announces takes the same way, and so does who
+/// is there. In a small fleet all gateways also tell one another that they are alive.
 class gossip_plan
 {
 public:
@@ -60,10 +63,18 @@
     std::string aggregator_of(const std::string& zone) const;
     /// Whether this gateway adds up the reports of its zone.
     bool is_aggregator() const;
+    /// The gateways that this one counts on to pass on what it says, and to tell it what
+    /// it does not hear itself.
+    std::vector<std::string> relied_on() const;
+    /// Ticks from one report, or sum, in the own zone to the next.
+    int ticks_in_zone() const;
 
 private:
-    gossip_target target_for(const gossip_peer& peer) const;
-    int ticks_to_zone() const;
+    std::optional<gossip_target> target_for(const gossip_peer& peer) const;
+    /// Appends a gateway of each zone whose aggregator is not known, another one in each
+    /// tick.
+    void add_searches(std::uint64_t number, std::vector<gossip_target>& result) const;
+    bool is_small_fleet() const;
 
     protocol::gateway_member self;
     std::string holder;
@@ -72,6 +83,8 @@
     std::size_t near_peers = 0;
     /// The aggregator of each zone.
     std::map<std::string, protocol::gateway_member> aggregators;
+    /// The zones of which it was heard lately.
+    std::set<std::string> aggregators_heard;
 };
 
 } // namespace pomelorouter::coordination
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -129,6 +129,16 @@
         item.__set_id(process.id);
         item.__set_incarnation(process.incarnation);
     }
+    result.__set_aggregator(heartbeat.is_aggregator);
+    if (heartbeat.members.empty())
+        return result;
+    result.__isset.members = true;
+    for (const member_notice& notice : heartbeat.members)
+    {
+        gen::MemberNotice& item = result.members.emplace_back();
+        item.__set_member(to_wire(notice.member));
+        item.__set_alive(notice.is_alive);
+    }
     return result;
 }
 
@@ -178,6 +188,9 @@
         result.weights.push_back(from_wire(weights));
     for (const gen::LeavingBackend& process : heartbeat.leaving)
         result.leaving.push_back({process.id, process.incarnation});
+    result.is_aggregator = heartbeat.__isset.aggregator && heartbeat.aggregator;
+    for (const gen::MemberNotice& notice : heartbeat.members)
+        result.members.push_back({from_wire(notice.member), notice.alive});
     return result;
 }
 
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -77,6 +77,14 @@
     std::int64_t incarnation = 0;
 };
 
+/// What an aggregator says of another gateway.
+struct member_notice
+{
+    gateway_member member;
+    /// Whether it was heard lately.
+    bool is_alive = false;
+};
+
 /// Whose calls and requests a heartbeat counts.
 enum class load_scope
 {
@@ -107,6 +115,10 @@
     std::vector<weight_rate_entry> rates;
     std::vector<engine_weights> weights;
     std::vector<leaving_process> leaving;
+    /// Whether the sender adds up the reports of its zone.
+    bool is_aggregator = false;
+    /// What an aggregator says of the gateways that the receiver does not hear itself.
+    std::vector<member_notice> members;
 };
 
 /// Largest datagram of a heartbeat.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -2098,6 +2098,121 @@
 }
 
 
+MemberNotice::~MemberNotice() noexcept {
+}
+
+
+void MemberNotice::__set_member(const GatewayMember& val) {
+  this->member = val;
+}
+
+void MemberNotice::__set_alive(const bool val) {
+  this->alive = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_member = false;
+  bool isset_alive = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          isset_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->alive);
+          isset_alive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_member)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_alive)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t MemberNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberNotice");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alive", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->alive);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberNotice &a, MemberNotice &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.alive, b.alive);
+}
+
+MemberNotice::MemberNotice(const MemberNotice& other54) {
+  member = other54.member;
+  alive = other54.alive;
+}
+MemberNotice& MemberNotice::operator=(const MemberNotice& other55) {
+  member = other55.member;
+  alive = other55.alive;
+  return *this;
+}
+void MemberNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberNotice(";
+  out << "member=" << to_string(member);
+  out << ", " << "alive=" << to_string(alive);
+  out << ")";
+}
+
+
 GatewayHeartbeat::~GatewayHeartbeat() noexcept {
 }
 
@@ -2143,6 +2258,16 @@
   this->periodMs = val;
 __isset.periodMs = true;
 }
+
+void GatewayHeartbeat::__set_aggregator(const bool val) {
+  this->aggregator = val;
+__isset.aggregator = true;
+}
+
+void GatewayHeartbeat::__set_members(const std::vector<MemberNotice> & val) {
+  this->members = val;
+__isset.members = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -2215,14 +2340,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->loads.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->loads.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->loads[_i58].read(iprot);
+              xfer += this->loads[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2235,14 +2360,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->rates.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->rates.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->rates[_i63].read(iprot);
+              xfer += this->rates[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2255,14 +2380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->weights.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->weights.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->weights[_i68].read(iprot);
+              xfer += this->weights[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2275,14 +2400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->leaving.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->leaving.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->leaving[_i73].read(iprot);
+              xfer += this->leaving[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2307,6 +2432,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->aggregator);
+          this->__isset.aggregator = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->members.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->members[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2359,10 +2512,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<BackendLoad> ::const_iterator _iter74;
-    for (_iter74 = this->loads.begin(); _iter74 != this->loads.end(); ++_iter74)
+    std::vector<BackendLoad> ::const_iterator _iter81;
+    for (_iter81 = this->loads.begin(); _iter81 != this->loads.end(); ++_iter81)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2371,10 +2524,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<WeightRate> ::const_iterator _iter75;
-    for (_iter75 = this->rates.begin(); _iter75 != this->rates.end(); ++_iter75)
+    std::vector<WeightRate> ::const_iterator _iter82;
+    for (_iter82 = this->rates.begin(); _iter82 != this->rates.end(); ++_iter82)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2383,10 +2536,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
-    std::vector<EngineWeights> ::const_iterator _iter76;
-    for (_iter76 = this->weights.begin(); _iter76 != this->weights.end(); ++_iter76)
+    std::vector<EngineWeights> ::const_iterator _iter83;
+    for (_iter83 = this->weights.begin(); _iter83 != this->weights.end(); ++_iter83)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2395,10 +2548,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingBackend> ::const_iterator _iter77;
-    for (_iter77 = this->leaving.begin(); _iter77 != this->leaving.end(); ++_iter77)
+    std::vector<LeavingBackend> ::const_iterator _iter84;
+    for (_iter84 = this->leaving.begin(); _iter84 != this->leaving.end(); ++_iter84)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2414,6 +2567,24 @@
     xfer += oprot->writeI32(this->periodMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.aggregator) {
+    xfer += oprot->writeFieldBegin("aggregator", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->aggregator);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.members) {
+    xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+      std::vector<MemberNotice> ::const_iterator _iter85;
+      for (_iter85 = this->members.begin(); _iter85 != this->members.end(); ++_iter85)
+      {
+        xfer += (*_iter85).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2431,34 +2602,40 @@
   swap(a.leaving, b.leaving);
   swap(a.scope, b.scope);
   swap(a.periodMs, b.periodMs);
+  swap(a.aggregator, b.aggregator);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other78) {
-  origin = other78.origin;
-  counter = other78.counter;
-  configVersion = other78.configVersion;
-  lease = other78.lease;
-  loads = other78.loads;
-  rates = other78.rates;
-  weights = other78.weights;
-  leaving = other78.leaving;
-  scope = other78.scope;
-  periodMs = other78.periodMs;
-  __isset = other78.__isset;
-}
-GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other79) {
-  origin = other79.origin;
-  counter = other79.counter;
-  configVersion = other79.configVersion;
-  lease = other79.lease;
-  loads = other79.loads;
-  rates = other79.rates;
-  weights = other79.weights;
-  leaving = other79.leaving;
-  scope = other79.scope;
-  periodMs = other79.periodMs;
-  __isset = other79.__isset;
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other86) {
+  origin = other86.origin;
+  counter = other86.counter;
+  configVersion = other86.configVersion;
+  lease = other86.lease;
+  loads = other86.loads;
+  rates = other86.rates;
+  weights = other86.weights;
+  leaving = other86.leaving;
+  scope = other86.scope;
+  periodMs = other86.periodMs;
+  aggregator = other86.aggregator;
+  members = other86.members;
+  __isset = other86.__isset;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other87) {
+  origin = other87.origin;
+  counter = other87.counter;
+  configVersion = other87.configVersion;
+  lease = other87.lease;
+  loads = other87.loads;
+  rates = other87.rates;
+  weights = other87.weights;
+  leaving = other87.leaving;
+  scope = other87.scope;
+  periodMs = other87.periodMs;
+  aggregator = other87.aggregator;
+  members = other87.members;
+  __isset = other87.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -2474,6 +2651,8 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "scope="; (__isset.scope ? (out << to_string(scope)) : (out << "<null>"));
   out << ", " << "periodMs="; (__isset.periodMs ? (out << to_string(periodMs)) : (out << "<null>"));
+  out << ", " << "aggregator="; (__isset.aggregator ? (out << to_string(aggregator)) : (out << "<null>"));
+  out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2615,19 +2794,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other80) {
-  key = other80.key;
-  offset = other80.offset;
-  value = other80.value;
-  removal = other80.removal;
-  __isset = other80.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other88) {
+  key = other88.key;
+  offset = other88.offset;
+  value = other88.value;
+  removal = other88.removal;
+  __isset = other88.__isset;
 }
-BackendRecord& BackendRecord::operator=(const BackendRecord& other81) {
-  key = other81.key;
-  offset = other81.offset;
-  value = other81.value;
-  removal = other81.removal;
-  __isset = other81.__isset;
+BackendRecord& BackendRecord::operator=(const BackendRecord& other89) {
+  key = other89.key;
+  offset = other89.offset;
+  value = other89.value;
+  removal = other89.removal;
+  __isset = other89.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -2733,14 +2912,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->records.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->records.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->records[_i86].read(iprot);
+              xfer += this->records[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2795,10 +2974,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter87;
-    for (_iter87 = this->records.begin(); _iter87 != this->records.end(); ++_iter87)
+    std::vector<BackendRecord> ::const_iterator _iter95;
+    for (_iter95 = this->records.begin(); _iter95 != this->records.end(); ++_iter95)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2818,19 +2997,19 @@
   swap(a.records, b.records);
 }
 
-BackendPage::BackendPage(const BackendPage& other88) {
-  nextOffset = other88.nextOffset;
-  whole = other88.whole;
-  listReachable = other88.listReachable;
-  settingsReachable = other88.settingsReachable;
-  records = other88.records;
+BackendPage::BackendPage(const BackendPage& other96) {
+  nextOffset = other96.nextOffset;
+  whole = other96.whole;
+  listReachable = other96.listReachable;
+  settingsReachable = other96.settingsReachable;
+  records = other96.records;
 }
-BackendPage& BackendPage::operator=(const BackendPage& other89) {
-  nextOffset = other89.nextOffset;
-  whole = other89.whole;
-  listReachable = other89.listReachable;
-  settingsReachable = other89.settingsReachable;
-  records = other89.records;
+BackendPage& BackendPage::operator=(const BackendPage& other97) {
+  nextOffset = other97.nextOffset;
+  whole = other97.whole;
+  listReachable = other97.listReachable;
+  settingsReachable = other97.settingsReachable;
+  records = other97.records;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -2960,17 +3139,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other90) {
-  heartbeat = other90.heartbeat;
-  settingsPull = other90.settingsPull;
-  settingsState = other90.settingsState;
-  __isset = other90.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other98) {
+  heartbeat = other98.heartbeat;
+  settingsPull = other98.settingsPull;
+  settingsState = other98.settingsState;
+  __isset = other98.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other91) {
-  heartbeat = other91.heartbeat;
-  settingsPull = other91.settingsPull;
-  settingsState = other91.settingsState;
-  __isset = other91.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other99) {
+  heartbeat = other99.heartbeat;
+  settingsPull = other99.settingsPull;
+  settingsState = other99.settingsState;
+  __isset = other99.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -3080,13 +3259,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other92) {
-  sender = other92.sender;
-  message = other92.message;
+Envelope::Envelope(const Envelope& other100) {
+  sender = other100.sender;
+  message = other100.message;
 }
-Envelope& Envelope::operator=(const Envelope& other93) {
-  sender = other93.sender;
-  message = other93.message;
+Envelope& Envelope::operator=(const Envelope& other101) {
+  sender = other101.sender;
+  message = other101.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -45,6 +45,8 @@
 
 class LeaseView;
 
+class MemberNotice;
+
 class GatewayHeartbeat;
 
 class BackendRecord;
@@ -773,10 +775,54 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaseView& obj);
 
+
+class MemberNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberNotice(const MemberNotice&);
+  MemberNotice& operator=(const MemberNotice&);
+  MemberNotice() noexcept
+               : alive(0) {
+  }
+
+  virtual ~MemberNotice() noexcept;
+  GatewayMember member;
+  bool alive;
+
+  void __set_member(const GatewayMember& val);
+
+  void __set_alive(const bool val);
+
+  bool operator == (const MemberNotice & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(alive == rhs.alive))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberNotice &a, MemberNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberNotice& obj);
+
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false) {}
   bool scope :1;
   bool periodMs :1;
+  bool aggregator :1;
+  bool members :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -788,7 +834,8 @@
                    : counter(0),
                      configVersion(0),
                      scope(0),
-                     periodMs(0) {
+                     periodMs(0),
+                     aggregator(0) {
   }
 
   virtual ~GatewayHeartbeat() noexcept;
@@ -802,6 +849,8 @@
   std::vector<LeavingBackend>  leaving;
   int32_t scope;
   int32_t periodMs;
+  bool aggregator;
+  std::vector<MemberNotice>  members;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -825,6 +874,10 @@
 
   void __set_periodMs(const int32_t val);
 
+  void __set_aggregator(const bool val);
+
+  void __set_members(const std::vector<MemberNotice> & val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -851,6 +904,14 @@
       return false;
     else if (__isset.periodMs && !(periodMs == rhs.periodMs))
       return false;
+    if (__isset.aggregator != rhs.__isset.aggregator)
+      return false;
+    else if (__isset.aggregator && !(aggregator == rhs.aggregator))
+      return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -100,6 +100,12 @@
   3: required i64 endOffset
 }
 
+// What an aggregator says of another gateway.
+struct MemberNotice {
+  1: required GatewayMember member
+  2: required bool alive
+}
+
 // Sent as a datagram several times a second.
 struct GatewayHeartbeat {
   1: required GatewayMember origin
@@ -115,6 +121,9 @@
   9: optional i32 scope
   // Time until the next datagram to the same receiver, in milliseconds.
   10: optional i32 periodMs
+  // Whether the sender adds up the reports of its zone.
+  11: optional bool aggregator
+  12: optional list<MemberNotice> members
 }
 
 struct BackendRecord {
--- a/tests/auto/coordination/tst_gossip_plan.cpp
+++ b/tests/auto/coordination/tst_gossip_plan.cpp
@@ -34,6 +34,7 @@
     peer.member.zone = zone_of(index);
     peer.member.datagrams = "10.0.0.1:" + std::to_string(index);
     peer.is_alive = is_alive;
+    peer.is_aggregating = is_alive && index < zones;
     return peer;
 }
 
@@ -189,29 +190,95 @@
 }
 
 // Guards against a fleet whose own traffic grows with the square of its size.
-TEST_CASE("datagrams with loads grow in proportion to the gateways")
+TEST_CASE("datagrams grow in proportion to the gateways")
 {
     const auto [few, few_loads] = datagrams_per_s(32);
     const auto [many, many_loads] = datagrams_per_s(256);
     CHECK(many_loads < 9 * few_loads);
-    // The signs of life have no sums to carry; they are small, and rarer in large fleets.
-    CHECK(many < 8 * 8 * few / 2);
+    CHECK(many < 9 * few);
 }
 
-TEST_CASE("all gateways hear from one another within the time that they count on")
+// Guards against a gateway of a large fleet that others do not know of: each is heard by
+// its aggregator, which is heard by all of its zone and by the other aggregators.
+TEST_CASE("in a large fleet all gateways hear of one another over the aggregators")
 {
     const int count = 60;
-    const gossip_plan plan = plan_of(9, count, "");
+    std::map<std::string, std::set<std::string>> heard;
+    for (int index = 0; index < count; ++index)
+    {
+        const gossip_plan plan = plan_of(index, count, "");
+        for (int tick = 0; tick < ticks_per_s; ++tick)
+        {
+            for (const gossip_target& target : plan.targets(tick))
+            {
+                // The sender counts as alive for three of these periods.
+                CHECK(target.ticks <= 3);
+                heard[target.node].insert(name_of(index));
+            }
+        }
+    }
+    for (int index = 0; index < count; ++index)
+    {
+        CAPTURE(index);
+        const std::string aggregator = name_of(index % zones);
+        const bool is_aggregator = index < zones;
+        if (!is_aggregator)
+        {
+            CHECK(heard[aggregator].count(name_of(index)) == 1);
+            CHECK(heard[name_of(index)].count(aggregator) == 1);
+            CHECK(heard[name_of(index)].size() == 1);
+            continue;
+        }
+        for (int other = 0; other < zones; ++other)
+            CHECK((other == index || heard[aggregator].count(name_of(other)) == 1));
+    }
+}
+
+TEST_CASE("in a small fleet all gateways hear one another")
+{
+    const int count = 8;
+    const gossip_plan plan = plan_of(5, count, "");
     std::map<std::string, int> heard;
-    for (int tick = 0; tick < 2 * ticks_per_s; ++tick)
+    for (int tick = 0; tick < ticks_per_s; ++tick)
     {
         for (const gossip_target& target : plan.targets(tick))
-        {
-            CHECK(target.ticks <= ticks_per_s);
             ++heard[target.node];
-        }
     }
     CHECK(heard.size() == count - 1);
     for (const auto& [node, times] : heard)
         CHECK(times >= 2);
 }
+
+// Guards against two zones that never find each other because the strongest gateway of
+// each, as it is known, is gone.
+TEST_CASE("an aggregator looks for the one of another zone among all its gateways")
+{
+    const int count = 60;
+    std::vector<gossip_peer> peers;
+    for (int other = 1; other < count; ++other)
+        peers.push_back(peer_of(other, zone_of(other) != "zone-1"));
+    gossip_plan plan(peer_of(0).member);
+    plan.update(peers, "");
+    REQUIRE(plan.is_aggregator());
+    std::set<std::string> asked;
+    for (int tick = 0; tick < count / zones; ++tick)
+    {
+        for (const gossip_target& target : plan.targets(tick))
+            asked.insert(target.node);
+    }
+    for (int other = 1; other < count; other += zones)
+        CHECK(asked.count(name_of(other)) == 1);
+}
+
+TEST_CASE("whoever aggregates in another zone goes before who should")
+{
+    std::vector<gossip_peer> peers;
+    for (int other = 1; other < 40; ++other)
+        peers.push_back(peer_of(other));
+    peers[0].is_aggregating = false;
+    peers[8].is_aggregating = true; // n1009 of zone-1
+    gossip_plan plan(peer_of(0).member);
+    plan.update(peers, "");
+    CHECK(plan.aggregator_of("zone-1") == name_of(9));
+    CHECK(plan.aggregator_of("zone-2") == name_of(2));
+}
