Start with what the aggregator knows; read the lease in turn

Change: in a large fleet a gateway waits up to 1.5 s for its aggregator, takes list and configuration from it, and reads the members once. The topic of the lease is first read in the order of strength.

Test: "a gateway of a large fleet starts with what its aggregator knows" (no read of list or configuration).

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -10,6 +10,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <utility>
@@ -31,6 +32,8 @@
 constexpr milliseconds second_read{2000};
 constexpr milliseconds members_period{20000};
 constexpr milliseconds retry_period{500};
+/// A gateway waits for at most this long after its start to hear from its aggregator.
+constexpr milliseconds gather_limit{1500};
 constexpr std::int64_t most_capacity = std::numeric_limits<std::int64_t>::max();
 
 boost::json::object to_json(const protocol::gateway_member& member)
@@ -75,6 +78,7 @@
 {
     this->fill_heartbeat = std::move(fill);
     this->heartbeat_received = std::move(on_heartbeat);
+    this->started = now();
     this->self.datagrams =
         this->socket.listen(this->self.datagrams, [this](std::string_view datagram)
                             { this->on_datagram(datagram); });
@@ -304,15 +308,14 @@
 asio::awaitable<void> peer_gossip::discovery_loop()
 {
     milliseconds next_read = second_read;
-    bool was_read = false;
     for (;;)
     {
         if (!this->announced)
             this->announced = co_await this->announce();
         // An aggregator tells of those that come later.
-        const bool is_told = was_read && !this->plan.is_aggregator();
+        const bool is_told = this->members_read && !this->plan.is_aggregator();
         const bool succeeded = is_told || co_await this->read_members();
-        was_read |= succeeded;
+        this->members_read |= succeeded;
         if (succeeded && this->announced)
         {
             co_await transport::pause(this->shared.executor,
@@ -423,6 +426,23 @@
     return member == nullptr ? "" : member->control;
 }
 
+bool peer_gossip::is_gathering() const
+{
+    if (now() - this->started >= gather_limit)
+        return false;
+    const std::string aggregator = this->plan.aggregator_of(this->self.zone);
+    if (this->table.is_heard(now(), aggregator))
+        return false;
+    if (!this->members_read)
+        return true;
+    const std::vector<protocol::gateway_member> known = this->table.known();
+    // The strongest of a zone waits for nobody.
+    const auto may_aggregate = [this](const protocol::gateway_member& member)
+    { return member.zone == this->self.zone && is_stronger(member, this->self); };
+    return known.size() >= coordination::small_fleet &&
+           std::any_of(known.begin(), known.end(), may_aggregate);
+}
+
 std::size_t peer_gossip::rank() const
 {
     std::size_t rank = 0;
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -50,6 +50,9 @@
     std::string aggregator_control() const;
     /// Place of this gateway among those that are alive, the strongest first.
     std::size_t rank() const;
+    /// Whether this gateway was started a moment ago in a large fleet and may soon hear
+    /// from its aggregator what it would have to read from the store.
+    bool is_gathering() const;
     /// Whether this gateway passes on what others say.
     bool is_aggregator() const { return this->plan.is_aggregator(); }
     /// This gateway and all that it knows, as JSON, for a gateway that asks.
@@ -97,6 +100,8 @@
     bool weights_pending = false;
     bool was_aggregator = false;
     bool announced = false;
+    bool members_read = false;
+    state::time_point started{};
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -47,6 +47,8 @@
 constexpr std::size_t most_announced = 150;
 /// Gateways that start together hear of one another before one takes the lease.
 constexpr milliseconds gather_time{800};
+/// The first read of the lease waits for this long for each stronger gateway.
+constexpr milliseconds lease_read_step{300};
 constexpr const char* lease_key = "placement";
 
 coordination::store_lease_timing lease_timing(const state::gateway_settings& settings)
@@ -138,12 +140,17 @@
 {
     for (;;)
     {
-        if (this->lease.needs_read())
+        const auto age = now() - this->started;
+        const bool may_hold = this->shared.routes != nullptr &&
+                              !this->shared.is_stopping && age >= gather_time;
+        // Whoever is not among the first to claim the lease mostly hears of a holder
+        // before its turn, and does not have to read the topic.
+        const bool is_turn =
+            this->lease.end_offset() > 0 ||
+            age >= gather_time + lease_read_step * static_cast<int>(this->peers.rank());
+        if (this->lease.needs_read() && is_turn)
             co_await this->read_lease();
         coordination::lease_append append;
-        const bool may_hold = this->shared.routes != nullptr &&
-                              !this->shared.is_stopping &&
-                              now() - this->started >= gather_time;
         if (this->lease.next_append(state::boot_time(), this->peers.rank(), may_hold,
                                     append))
             co_await this->append_lease(append);
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds aggregator_limit{1200};
 /// An aggregator that did not answer is left alone for this long.
 constexpr milliseconds aggregator_pause{5000};
+constexpr milliseconds gather_poll{20};
 /// An answer of the aggregator counts for this long.
 constexpr milliseconds lead_life{2500};
 
@@ -40,13 +41,15 @@
                                  transport::http_client& http_client,
                                  const document_reader& documents,
                                  aggregator_callback find_aggregator,
-                                 contact_callback settings_contact)
+                                 contact_callback settings_contact,
+                                 gather_callback gathers)
     : shared(gateway),
       store(platform_store),
       client(http_client),
       reader(documents),
       aggregator(std::move(find_aggregator)),
       settings_reachable(std::move(settings_contact)),
+      is_gathering(std::move(gathers)),
       feed_read(gateway.executor)
 {
 }
@@ -64,10 +67,12 @@
 
 asio::awaitable<void> backend_watcher::watch()
 {
+    while (this->is_gathering())
+        co_await transport::pause(this->shared.executor, gather_poll);
     for (;;)
     {
         const std::string address = this->aggregator();
-        if (!address.empty() && this->feed.next() && now() >= this->ask_again)
+        if (!address.empty() && now() >= this->ask_again)
         {
             if (co_await this->read_aggregator(address))
                 continue;
@@ -83,8 +88,9 @@
 {
     transport::http_call_options options;
     options.progress_timeout = aggregator_limit;
-    const std::string target =
-        "/gateway/backends?from=" + std::to_string(*this->feed.next());
+    std::string target = "/gateway/backends";
+    if (this->feed.next())
+        target += "?from=" + std::to_string(*this->feed.next());
     std::string problem;
     try
     {
@@ -110,7 +116,7 @@
                 this->apply_all(page.next, records);
             else
                 this->apply(records);
-            this->feed.set_next(std::max(page.next, *this->feed.next()));
+            this->feed.set_next(std::max(page.next, this->feed.next().value_or(0)));
             this->on_read();
             if (page.settings_reachable)
                 this->led_until = now() + lead_life;
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -24,11 +24,13 @@
     using aggregator_callback = std::function<std::string()>;
     /// Whether the store answered this gateway's last call for the configuration.
     using contact_callback = std::function<bool()>;
+    /// Whether an aggregator may be heard soon.
+    using gather_callback = std::function<bool()>;
 
     backend_watcher(gateway_state& gateway, keyed_store& platform_store,
                     transport::http_client& client, const document_reader& documents,
                     aggregator_callback find_aggregator,
-                    contact_callback settings_contact);
+                    contact_callback settings_contact, gather_callback gathers);
 
     void start();
     /// Drops the backend servers whose time to come back is over.
@@ -57,6 +59,7 @@
     const document_reader& reader;
     aggregator_callback aggregator;
     contact_callback settings_reachable;
+    gather_callback is_gathering;
     coordination::backend_feed feed;
     transport::loop_signal feed_read;
     bool reachable = true;
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -55,7 +55,7 @@
     for (;;)
     {
         bool succeeded = false;
-        if (this->version < 0 || !this->is_led())
+        if (!this->is_led())
             succeeded = co_await this->read_store();
         if (!succeeded)
             co_await transport::pause(this->shared.executor, retry_period);
--- a/src/libs/coordination/gossip_plan.cpp
+++ b/src/libs/coordination/gossip_plan.cpp
@@ -16,9 +16,6 @@
 /// From this number of gateways in a zone on, its reports and sums are sent half as
 /// often, so that a small instance can bear it.
 constexpr std::size_t large_zone = 8;
-/// Up to this number of gateways, all tell one another that they are alive. In larger
-/// fleets the aggregators do, since such signs of life grow with the square.
-constexpr std::size_t small_fleet = 16;
 
 } // namespace
 
--- a/src/libs/coordination/gossip_plan.hpp
+++ b/src/libs/coordination/gossip_plan.hpp
@@ -37,6 +37,10 @@
     bool is_aggregating = false;
 };
 
+/// Below this number of others, all gateways tell one another that they are alive. In
+/// larger fleets the aggregators do, since such signs of life grow with the square.
+inline constexpr std::size_t small_fleet = 16;
+
 /// Time between two ticks of the plan.
 inline constexpr state::milliseconds gossip_tick{100};
 
--- a/tests/auto/coordination/tst_member_news.cpp
+++ b/tests/auto/coordination/tst_member_news.cpp
@@ -32,6 +32,7 @@
 std::vector<member_notice> fleet(int count)
 {
     std::vector<member_notice> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         result.push_back(notice_of(index));
     return result;
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -278,6 +278,33 @@
     }
 }
 
+// Guards against a fleet whose start costs the store some calls for each gateway.
+TEST_CASE("a gateway of a large fleet starts with what its aggregator knows")
+{
+    gateway_fixture test;
+    test.add_backend("s1", "plain", ok);
+    test.put_config(4);
+    for (int number = 0; number < 20; ++number)
+    {
+        const std::string name = "later-" + std::to_string(number);
+        test.store.put(
+            "keyed.gateways", name,
+            R"({"node":")" + name +
+                R"(","incarnation":1,"zone":"zone-b","frontend":"127.0.0.1:1",)"
+                R"("control":"127.0.0.1:1","datagrams":"127.0.0.1:1",)"
+                R"("capacity":1})");
+    }
+    test.start();
+    test.run_until([&test] { return test.store.end("keyed.gateways") == 21; });
+    second_gateway second(test, {"keyed.gateways"});
+    second.gateway.start();
+    test.run_until([&second] { return second.gateway.is_ready(); });
+    CHECK(second.gateway.knowledge().routes->config().version == 4);
+    CHECK(second.gateway.knowledge().directory.find("s1") != nullptr);
+    CHECK(second.store.topic_calls["keyed.servers"] == 0);
+    CHECK(second.store.topic_calls["keyed.op"] == 0);
+}
+
 // Guards against requests to a backend server that all gateways but one know to be
 // leaving.
 TEST_CASE("a gateway without the store learns from another what is leaving")
