Tell of the members only where the gateways do not hear one another

Change: aggregators tell of the members from 12 others on; signs of life to all end at 16. Below 12 all is as it was before the aggregators told of members.

Test: tst_gossip_plan, "in a small fleet all gateways hear one another".

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -104,7 +104,7 @@
         if (this->weights_pending)
             this->send_weights();
         const auto window = static_cast<std::uint64_t>(this->plan.ticks_in_zone());
-        if (this->plan.is_aggregator() && this->ticks % window == 0)
+        if (this->ticks % window == 0)
             this->update_news(this->plan.ticks_in_zone() * coordination::gossip_tick);
         this->send(this->plan.targets(this->ticks++));
         for (const std::string& node : this->table.tick(now()))
@@ -150,6 +150,10 @@
 /// The heartbeats of one window say the same, since each goes to another gateway.
 void peer_gossip::update_news(milliseconds period)
 {
+    this->zone_notices.clear();
+    this->far_notices.clear();
+    if (!this->plan.tells_members())
+        return;
     std::vector<protocol::member_notice> zone;
     std::vector<protocol::member_notice> far;
     for (const protocol::gateway_member& member : this->table.known())
--- a/src/libs/coordination/gossip_plan.cpp
+++ b/src/libs/coordination/gossip_plan.cpp
@@ -145,6 +145,11 @@
     }
 }
 
+bool gossip_plan::tells_members() const
+{
+    return this->is_aggregator() && this->peers.size() >= told_fleet;
+}
+
 bool gossip_plan::is_small_fleet() const
 {
     return this->peers.size() < small_fleet;
--- a/src/libs/coordination/gossip_plan.hpp
+++ b/src/libs/coordination/gossip_plan.hpp
@@ -40,6 +40,9 @@
 /// Below this number of others, all gateways tell one another that they are alive. In
 /// larger fleets the aggregators do, since such signs of life grow with the square.
 inline constexpr std::size_t small_fleet = 16;
+/// Aggregators tell of the members from this number on, a little below, since the others
+/// may count a few more.
+inline constexpr std::size_t told_fleet = 12;
 
 /// Time between two ticks of the plan.
 inline constexpr state::milliseconds gossip_tick{100};
@@ -70,6 +73,9 @@
     /// The gateways that this one counts on to pass on what it says, and to tell it what
     /// it does not hear itself.
     std::vector<std::string> relied_on() const;
+    /// Whether this gateway, as an aggregator, tells of the members. Where all hear one
+    /// another that would only keep the dead alive for longer.
+    bool tells_members() const;
     /// Ticks from one report, or sum, in the own zone to the next.
     int ticks_in_zone() const;
 
--- a/tests/auto/coordination/tst_gossip_plan.cpp
+++ b/tests/auto/coordination/tst_gossip_plan.cpp
@@ -247,6 +247,10 @@
     CHECK(heard.size() == count - 1);
     for (const auto& [node, times] : heard)
         CHECK(times >= 2);
+    // What the aggregator said would count for longer than a gateway may be silent.
+    CHECK_FALSE(plan_of(0, count, "").tells_members());
+    CHECK(plan_of(0, 13, "").tells_members());
+    CHECK_FALSE(plan_of(5, 60, "").tells_members());
 }
 
 // Guards against two zones that never find each other because the strongest gateway of
