Leave members out of a heartbeat that would be too large

A heartbeat of an aggregator may carry 320 loads (about 13 KB), what 150 engines hold (about 15 KB) and up to 46 members (about 6 KB), over the limit of 32 KB for a datagram; it was then not sent at all (`heartbeat_not_sent`).

Change: such a heartbeat goes without the members, which later ones repeat.

Not tested by a test of its own; sizes estimated from the codec.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -44,6 +44,24 @@
             {"capacity", member.capacity}};
 }
 
+/// Leaves out what later heartbeats repeat if a datagram would be too large, since loads
+/// and signs of life must not wait for it.
+std::string encode_fitting(const protocol::gateway_heartbeat& heartbeat)
+{
+    try
+    {
+        return protocol::encode_gateway_heartbeat(heartbeat);
+    }
+    catch (const state::error& failure)
+    {
+        if (failure.code() != state::error_code::too_large || heartbeat.members.empty())
+            throw;
+    }
+    protocol::gateway_heartbeat smaller = heartbeat;
+    smaller.members.clear();
+    return protocol::encode_gateway_heartbeat(smaller);
+}
+
 protocol::gateway_member member_from_json(const boost::json::value& value)
 {
     state::json_reader reader(value, "gateway member");
@@ -213,7 +231,7 @@
             }
             this->exchange.fill(heartbeat, target);
             this->fill_members(heartbeat);
-            this->socket.send(target.address, encode_gateway_heartbeat(heartbeat));
+            this->socket.send(target.address, encode_fitting(heartbeat));
         }
         catch (const state::error& failure)
         {
