Answer for the list of backend servers after the first read of it

Gateways that start together asked their aggregator before it had read the list, were told that it had none, and read the store themselves for 5 s.

--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -74,9 +74,11 @@
         const std::string address = this->aggregator();
         if (!address.empty() && now() >= this->ask_again)
         {
+            const bool is_start = !this->feed.next();
             if (co_await this->read_aggregator(address))
                 continue;
-            this->ask_again = now() + aggregator_pause;
+            // Gateways that start together ask before their aggregator has read the list.
+            this->ask_again = now() + (is_start ? retry_period : aggregator_pause);
         }
         const bool succeeded = co_await this->read_store();
         co_await transport::pause(this->shared.executor,
@@ -137,7 +139,7 @@
 
 asio::awaitable<std::string> backend_watcher::answer(std::optional<std::uint64_t> from)
 {
-    const bool has_news = !from || this->feed.next() > from;
+    const bool has_news = this->feed.next() && (!from || this->feed.next() > from);
     if (!has_news)
         co_await this->feed_read.wait(answer_wait);
     protocol::backend_page page = this->feed.page(from);
