Log what tells a late gateway's causes apart

The log could not tell a busy event loop from a stale source or a long fetch, and its limit had left out single config_applied lines beside hundreds of order lines.

Change: the first five lines of each event in a second are exempt from the limit.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -243,6 +243,11 @@
         if (service.engine)
             this->plan_service(service);
     }
+    const auto duration =
+        std::chrono::duration_cast<state::microseconds>(now() - this->last_plan);
+    ++this->statistics.plans;
+    this->statistics.total += duration;
+    this->statistics.longest = std::max(this->statistics.longest, duration);
 }
 
 void placement_agent::plan_service(const state::gateway_service& service)
@@ -266,7 +271,7 @@
     if (now() - this->last_state_log >= state_log_period)
     {
         this->last_state_log = now();
-        log_placement(engine_list, demand);
+        log_placement(engine_list, demand, std::exchange(this->statistics, {}));
     }
     const auto orders =
         this->planner.plan(*service.engine, std::move(engine_list), service.name, demand,
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "app/gateway/peers/peer_gossip.hpp"
 #include "app/gateway/placement/engine_protocol.hpp"
+#include "app/gateway/placement/placement_log.hpp"
 #include "app/gateway/serving/gateway_state.hpp"
 #include "app/gateway/store/keyed_store.hpp"
 #include "coordination/load_rate_limiter.hpp"
@@ -100,6 +101,7 @@
     /// Copies of each model when the list of engines was first stable, by service.
     std::map<std::string, std::map<std::string, int>, std::less<>> initial_copies;
     state::time_point last_state_log{};
+    plan_statistics statistics;
     state::time_point last_plan{};
     state::time_point started{};
     /// The last announcement of the lease holder, which an aggregator forwards to its
--- a/src/app/gateway/placement/placement_log.cpp
+++ b/src/app/gateway/placement/placement_log.cpp
@@ -10,7 +10,8 @@
 {
 
 void log_placement(const std::vector<coordination::planned_engine>& engines,
-                   const coordination::weight_demand::rates& demand)
+                   const coordination::weight_demand::rates& demand,
+                   const plan_statistics& statistics)
 {
     struct model_state
     {
@@ -39,7 +40,11 @@
             ++models[engine.loading].loading;
     }
     state::log_event line(state::log_level::info, "placement_state");
-    line.field("engines", static_cast<std::uint64_t>(engines.size())).field("busy", busy);
+    line.field("engines", static_cast<std::uint64_t>(engines.size()))
+        .field("busy", busy)
+        .field("plans", statistics.plans)
+        .field("plan_us", statistics.total.count())
+        .field("longest_plan_us", statistics.longest.count());
     constexpr double min_tokens_per_s = 1000.0;
     for (const auto& [name, model] : models)
     {
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -26,6 +26,8 @@
 /// Requests still in progress this long before the end of the grace period are aborted.
 constexpr milliseconds abort_margin{350};
 constexpr milliseconds stop_poll{50};
+/// The event loop is reported as late if a timer fires this long after its time.
+constexpr milliseconds max_timer_delay{250};
 /// For this long, an aggregator forwards the notice that a backend server is leaving.
 constexpr milliseconds leaving_forward_time{3000};
 
@@ -179,13 +181,19 @@
 {
     bool has_new_leaving = false;
     for (const protocol::leaving_process& process : heartbeat.leaving)
-        has_new_leaving |=
-            this->shared.directory.on_draining(now(), process.id, process.incarnation);
+    {
+        if (!this->shared.directory.on_draining(now(), process.id, process.incarnation))
+            continue;
+        has_new_leaving = true;
+        state::log_event(state::log_level::info, "backend_leaving_heard")
+            .field("backend", process.id)
+            .field("gateway", heartbeat.origin.node);
+    }
     if (has_new_leaving && this->peers.is_aggregator())
         this->peers.send_heartbeat();
     this->placement.on_heartbeat(heartbeat);
     if (heartbeat.config_version > this->config.config_version())
-        this->config.on_newer(heartbeat.origin.control);
+        this->config.on_newer(heartbeat.origin.control, heartbeat.config_version);
 }
 
 asio::awaitable<void> gateway::housekeeping()
@@ -193,7 +201,16 @@
     state::time_point next_slow_housekeeping = now();
     for (;;)
     {
+        const state::time_point timer_set = now();
+        const milliseconds processor_time = state::process_cpu_time();
         co_await transport::pause(this->shared.executor, housekeeping_period);
+        const milliseconds delay = state::since(timer_set) - housekeeping_period;
+        if (delay > max_timer_delay)
+        {
+            state::log_event(state::log_level::warning, "event_loop_late")
+                .field("delay_ms", delay.count())
+                .field("cpu_ms", (state::process_cpu_time() - processor_time).count());
+        }
         this->backends.tick();
         if (now() < next_slow_housekeeping)
             continue;
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds aggregator_wait_poll{20};
 /// A response of the aggregator is valid for this long.
 constexpr milliseconds aggregator_validity{2500};
+/// Two successive reads of the list that are further apart are logged.
+constexpr milliseconds max_read_gap{2500};
 
 } // namespace
 
@@ -122,7 +124,7 @@
             else
                 this->apply(records);
             this->feed.set_next(std::max(page.next, this->feed.next().value_or(0)));
-            this->on_read();
+            this->on_read("aggregator");
             if (page.settings_reachable)
                 this->follows_until = now() + aggregator_validity;
             co_return true;
@@ -174,7 +176,7 @@
         else
             this->apply_all(page.next, records);
         this->feed.set_next(page.next);
-        this->on_read();
+        this->on_read("store");
         co_return true;
     }
     catch (const transport::log_truncated&)
@@ -246,8 +248,16 @@
     this->shared.backends_changed.notify();
 }
 
-void backend_watcher::on_read()
+void backend_watcher::on_read(std::string_view source)
 {
+    const milliseconds gap = state::since(this->last_read);
+    if (this->is_list_known && gap > max_read_gap)
+    {
+        state::log_event(state::log_level::info, "backends_read_late")
+            .field("gap_ms", gap.count())
+            .field("source", source);
+    }
+    this->last_read = now();
     this->is_list_known = true;
     this->feed_read.notify();
 }
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pomelorouter::app
@@ -54,7 +55,7 @@
     void apply(const std::vector<coordination::feed_record>& records);
     void apply_all(std::uint64_t next,
                    const std::vector<coordination::feed_record>& records);
-    void on_read();
+    void on_read(std::string_view source);
     void on_contact(bool is_reachable, const std::string& problem);
 
     gateway_state& shared;
@@ -68,6 +69,7 @@
     transport::async_event feed_read;
     bool reachable = true;
     bool is_list_known = false;
+    state::time_point last_read{};
     state::time_point follows_until{};
     /// No request is sent to the aggregator before this time.
     state::time_point next_aggregator_read{};
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -97,11 +97,18 @@
     }
 }
 
-void config_watcher::on_newer(std::string peer)
+void config_watcher::on_newer(std::string peer, std::int64_t announced_version)
 {
+    if (!this->newer_heard)
+        this->newer_heard = state::now();
     if (this->is_fetching)
         return;
     this->is_fetching = true;
+    state::log_event(state::log_level::info, "newer_config_heard")
+        .field("peer", peer)
+        .field("announced", announced_version)
+        .field("version", this->version)
+        .field("led", this->follows_aggregator());
     transport::spawn_task(this->shared.executor, "fetch_newer",
                           this->fetch_newer(std::move(peer)));
 }
@@ -112,10 +119,6 @@
 asio::awaitable<void> config_watcher::fetch_newer(std::string peer)
 {
     const std::int64_t before = this->version;
-    state::log_event(state::log_level::info, "newer_config_heard")
-        .field("peer", peer)
-        .field("version", before)
-        .field("led", this->follows_aggregator());
     if (!this->follows_aggregator())
         co_await transport::pause(this->shared.executor, peer_fetch_delay);
     if (this->version == before)
@@ -164,7 +167,11 @@
             .field("version", config->version)
             .field("source", source)
             .field("routes", static_cast<std::uint64_t>(config->routes.size()))
-            .field("services", static_cast<std::uint64_t>(config->services.size()));
+            .field("services", static_cast<std::uint64_t>(config->services.size()))
+            .field("bytes", static_cast<std::uint64_t>(text.size()))
+            .field("heard_ms",
+                   this->newer_heard ? state::since(*this->newer_heard).count() : 0);
+        this->newer_heard.reset();
         this->config_changed(std::move(config));
     }
     catch (const state::error& failure)
--- a/src/app/gateway/store/config_watcher.hpp
+++ b/src/app/gateway/store/config_watcher.hpp
@@ -3,6 +3,7 @@
 #include "app/gateway/serving/gateway_state.hpp"
 #include "app/gateway/store/document_reader.hpp"
 #include "app/gateway/store/keyed_store.hpp"
+#include "state/clock.hpp"
 #include "transport/http_client.hpp"
 
 #include <functional>
@@ -28,8 +29,8 @@
 
     void start();
     /// Fetches a newer configuration in the background. `peer` is the control address of
-    /// a gateway that has it.
-    void on_newer(std::string peer);
+    /// a gateway that has `announced_version`.
+    void on_newer(std::string peer, std::int64_t announced_version);
     /// The newest configuration document, unchanged; empty if none is known.
     const std::string& config_document() const { return this->document; }
     std::int64_t config_version() const { return this->version; }
@@ -55,6 +56,8 @@
     std::int64_t version = -1;
     bool reachable = true;
     bool is_fetching = false;
+    /// When a heartbeat first named a version newer than the one in force.
+    std::optional<state::time_point> newer_heard;
 };
 
 } // namespace pomelorouter::app
--- a/src/libs/state/clock.hpp
+++ b/src/libs/state/clock.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace pomelorouter::state
 {
@@ -23,4 +24,13 @@
     return std::chrono::duration_cast<milliseconds>(now() - start);
 }
 
+/// Processor time that this process has used.
+inline milliseconds process_cpu_time()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<milliseconds>(
+        seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 } // namespace pomelorouter::state
--- a/src/libs/state/rate_limited_log.cpp
+++ b/src/libs/state/rate_limited_log.cpp
@@ -7,6 +7,7 @@
 #include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -24,6 +25,9 @@
 namespace blog = boost::log;
 
 constexpr std::int64_t us_per_s = 1'000'000;
+/// Lines of each event in a second that do not count towards the limit, so that frequent
+/// events do not displace rare ones.
+constexpr std::int64_t reserved_lines_per_event = 5;
 
 std::string_view event_name(std::string_view line)
 {
@@ -73,12 +77,17 @@
         this->begin_second(wall_us);
         const bool urgent = *level >= log_level::warning;
         std::int64_t& used = urgent ? this->urgent_lines : this->lines;
-        if (used >= this->lines_per_s || !this->write(wall_us, *message))
+        const std::string event(event_name(*message));
+        const bool is_reserved = this->event_lines[event] <
+                                 std::min(reserved_lines_per_event, this->lines_per_s);
+        if ((!is_reserved && used >= this->lines_per_s) ||
+            !this->write(wall_us, *message))
         {
-            ++this->dropped[std::string(event_name(*message))];
+            ++this->dropped[event];
             return;
         }
-        ++used;
+        ++this->event_lines[event];
+        used += is_reserved ? 0 : 1;
     }
 
 private:
@@ -89,6 +98,7 @@
         this->second = wall_us / us_per_s;
         this->lines = 0;
         this->urgent_lines = 0;
+        this->event_lines.clear();
         if (this->dropped.empty())
             return;
         std::string line = "level=warning event=log_lines_left_out";
@@ -114,6 +124,8 @@
     std::int64_t second = 0;
     std::int64_t lines = 0;
     std::int64_t urgent_lines = 0;
+    /// Lines written in this second, by event.
+    std::map<std::string, std::int64_t> event_lines;
     std::map<std::string, std::int64_t> dropped;
 };
 
--- a/src/libs/state/rate_limited_log.hpp
+++ b/src/libs/state/rate_limited_log.hpp
@@ -9,7 +9,8 @@
 {
 
 /// Writes log lines of at least the level `minimum` to standard output, at most
-/// `lines_per_s` per second. Warnings and errors have a separate limit of the same size.
+/// `lines_per_s` per second. Warnings and errors have a separate limit of the same size,
+/// and the first few lines of each event in a second do not count towards a limit.
 /// Never blocks: a line that the descriptor does not accept at once is dropped. A summary
 /// line, at most once per second, counts the dropped lines of each event.
 void init_rate_limited_logging(const std::string& process, log_level minimum,
