Bound the share of the event loop that planning takes

Cause: the lease holder planned at each change and at each heartbeat that reported waiting requests, at least 25 ms after the start of the last plan. With 320 engines and 698 models a plan lasts longer than that, so plans followed one another and each other handler of the event loop waited behind one. Evidence: on the unchanged code edge-hanoi-a-1, holder and aggregator, heard of version 8 0.74 s after the other aggregators and needed 4.26 s to fetch it where they needed 0.05 s; meanwhile it logged 419 orders in 3.5 s, in batches 25 to 60 ms apart.

Change: task_pacer bounds the share of time of a recurring task by what its runs took. Planning takes a quarter at most; heartbeats only wake the plan loop and no longer plan themselves.

New counters placement_plans_total and placement_plan_us_total.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -28,8 +28,10 @@
 
 constexpr milliseconds lease_tick{100};
 constexpr milliseconds plan_period{100};
-/// Minimum interval between plans that waiting requests trigger.
 constexpr milliseconds min_plan_interval{25};
+/// Largest share of the event loop's time that planning takes. Requests, heartbeats and
+/// reads of the store need the rest.
+constexpr double max_plan_share = 0.25;
 /// An adapter is assumed to be loaded this long after the engine accepted the order.
 constexpr milliseconds adapter_load_time{35};
 /// Gateways are told to stop using weights this long before the unload order is sent.
@@ -75,7 +77,12 @@
       engine_messages(platform_protocol),
       peers(gateway_peers),
       lease(gateway_peers.own().node, gateway_peers.own().incarnation,
-            lease_timing(gateway.settings))
+            lease_timing(gateway.settings)),
+      plan_pacer(max_plan_share, min_plan_interval),
+      plan_count(gateway.counters.count("placement_plans_total",
+                                        "plans made as holder of the placement lease")),
+      plan_us(gateway.counters.count("placement_plan_us_total",
+                                     "duration of these plans in microseconds"))
 {
 }
 
@@ -137,8 +144,8 @@
     const bool has_waiting = std::any_of(heartbeat.rates.begin(), heartbeat.rates.end(),
                                          [](const protocol::weight_rate_entry& rate)
                                          { return rate.waiting > 0; });
-    if (has_waiting && now() - this->last_plan >= min_plan_interval)
-        this->plan();
+    if (has_waiting && this->lease.is_holder())
+        this->shared.backends_changed.notify();
 }
 
 asio::awaitable<void> placement_agent::lease_loop()
@@ -223,6 +230,12 @@
     for (;;)
     {
         co_await this->shared.backends_changed.wait(plan_period);
+        const auto remaining = this->plan_pacer.next_start() - now();
+        if (remaining.count() > 0)
+        {
+            co_await transport::pause(this->shared.executor,
+                                      std::chrono::ceil<milliseconds>(remaining));
+        }
         // Another gateway may hold the lease, and has to know of waiting requests.
         const bool has_waiting = this->shared.demand.has_waiting();
         if (has_waiting && !this->had_waiting && !this->lease.is_holder())
@@ -237,14 +250,17 @@
 {
     if (!this->lease.may_issue_orders(state::boot_time()) || !this->shared.routes)
         return;
-    this->last_plan = now();
+    const state::time_point start = now();
     for (const state::gateway_service& service : this->shared.routes->config().services)
     {
         if (service.engine)
             this->plan_service(service);
     }
-    const auto duration =
-        std::chrono::duration_cast<state::microseconds>(now() - this->last_plan);
+    const state::time_point end = now();
+    this->plan_pacer.on_run(start, end);
+    const auto duration = std::chrono::duration_cast<state::microseconds>(end - start);
+    this->plan_count.add();
+    this->plan_us.add(duration.count());
     ++this->statistics.plans;
     this->statistics.total += duration;
     this->statistics.longest = std::max(this->statistics.longest, duration);
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -7,6 +7,7 @@
 #include "app/gateway/store/keyed_store.hpp"
 #include "coordination/load_rate_limiter.hpp"
 #include "coordination/store_lease.hpp"
+#include "coordination/task_pacer.hpp"
 #include "coordination/weight_planner.hpp"
 #include "protocol/gateway_heartbeat.hpp"
 #include "transport/http_client.hpp"
@@ -101,8 +102,10 @@
     /// Copies of each model when the list of engines was first stable, by service.
     std::map<std::string, std::map<std::string, int>, std::less<>> initial_copies;
     state::time_point last_state_log{};
+    coordination::task_pacer plan_pacer;
     plan_statistics statistics;
-    state::time_point last_plan{};
+    state::counter& plan_count;
+    state::counter& plan_us;
     state::time_point started{};
     /// The last announcement of the lease holder, which an aggregator forwards to its
     /// zone.
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -48,12 +48,12 @@
             {"Resumable", type == "streaming"}};
 }
 
-boost::json::object hosted_model(const std::string& name, double size_mb)
+boost::json::object hosted_model(const std::string& name, double size_mb, int adapters)
 {
     return {{"Name", name},
             {"WeightSize", size_mb},
             {"LoadTimeS", 1.0},
-            {"Adapters", name == "m1" ? 2 : 0},
+            {"Adapters", adapters},
             {"AdapterSizeMb", 66.0}};
 }
 
@@ -117,7 +117,7 @@
 }
 
 void gateway_fixture::put_config(int version, int timeout_ms, int max_attempts,
-                                 int target_ms)
+                                 int target_ms, int adapters)
 {
     const boost::json::object engine{
         {"Slots", 64},
@@ -125,8 +125,8 @@
         {"WeightSize", 230000.0},
         {"AdapterSlots", 8},
         {"LoadsPerS", 2.0},
-        {"Models", boost::json::array{hosted_model("m1", 72700.0),
-                                      hosted_model("large", 200000.0)}}};
+        {"Models", boost::json::array{hosted_model("m1", 72700.0, adapters),
+                                      hosted_model("large", 200000.0, 0)}}};
     const boost::json::object config{
         {"Version", version},
         {"Routes", boost::json::array{route("/stream/", "streaming", "models", timeout_ms,
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -33,9 +33,10 @@
     void put_entry(const std::string& id, const std::string& service,
                    const std::string& address, const std::string& state = "ready",
                    const std::vector<std::string>& models = {}, int born = 1);
-    /// Writes a configuration with the routes /stream/, /once/ and /again/.
+    /// Writes a configuration with the routes /stream/, /once/ and /again/. The model m1
+    /// has `adapters` adapters.
     void put_config(int version, int timeout_ms = 5000, int max_attempts = 2,
-                    int target_ms = 800);
+                    int target_ms = 800, int adapters = 2);
     void start();
     /// Runs the loop until the condition holds. Fails after a time limit.
     void run_until(const std::function<bool()>& condition);
