Shorten a heartbeat that exceeds the size of a datagram

Cause: a heartbeat that was too large without its members was not sent at all, and with it the sign of life, the versions and the leaving servers were lost. The limits on loads and rates count entries, not bytes.

Change: encode_within_limit() leaves out the members, then the smaller half of the rates or loads, then weights, until the rest fits.

Measured: the new test in tst_protocol encodes a heartbeat that encode_gateway_heartbeat() refuses, as the gateway did before; versions, lease and leaving servers remain.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -45,24 +45,6 @@
             {"capacity", member.capacity}};
 }
 
-/// Omits the members if the datagram would be too large: later heartbeats repeat them,
-/// while loads and liveness must not be delayed.
-std::string encode_within_limit(const protocol::gateway_heartbeat& heartbeat)
-{
-    try
-    {
-        return protocol::encode_gateway_heartbeat(heartbeat);
-    }
-    catch (const state::error& failure)
-    {
-        if (failure.code() != state::error_code::too_large || heartbeat.members.empty())
-            throw;
-    }
-    protocol::gateway_heartbeat smaller = heartbeat;
-    smaller.members.clear();
-    return protocol::encode_gateway_heartbeat(smaller);
-}
-
 protocol::gateway_member member_from_json(const boost::json::value& value)
 {
     state::json_reader reader(value, "gateway member");
@@ -231,7 +213,7 @@
                     heartbeat.members.clear();
                     heartbeat.loads.clear();
                     heartbeat.rates.clear();
-                    datagram = encode_gateway_heartbeat(heartbeat);
+                    datagram = encode_within_limit(heartbeat);
                 }
                 this->socket.send(target.address, datagram);
                 continue;
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -195,6 +195,56 @@
     return result;
 }
 
+void check_size(const std::string& datagram)
+{
+    if (datagram.size() <= gateway_datagram_max_bytes)
+        return;
+    throw error(error_code::too_large, place,
+                "the encoded heartbeat exceeds " +
+                    std::to_string(gateway_datagram_max_bytes) + " bytes");
+}
+
+template <typename Entry, typename Compare>
+void keep_larger_half(std::vector<Entry>& list, Compare is_larger)
+{
+    const std::size_t kept = list.size() / 2;
+    std::nth_element(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(kept),
+                     list.end(), is_larger);
+    list.resize(kept);
+}
+
+/// Removes part of the lists that later heartbeats repeat. Returns false if they are
+/// empty.
+bool shorten(gateway_heartbeat& heartbeat)
+{
+    if (!heartbeat.members.empty())
+        heartbeat.members.clear();
+    else if (!heartbeat.rates.empty() && heartbeat.rates.size() >= heartbeat.loads.size())
+    {
+        keep_larger_half(heartbeat.rates,
+                         [](const weight_rate_entry& left, const weight_rate_entry& right)
+                         {
+                             return std::tie(left.waiting, left.usual_tokens_per_s) >
+                                    std::tie(right.waiting, right.usual_tokens_per_s);
+                         });
+    }
+    else if (!heartbeat.loads.empty())
+    {
+        keep_larger_half(
+            heartbeat.loads,
+            [](const backend_load_entry& left, const backend_load_entry& right)
+            {
+                return std::tie(left.active, left.prompt_rate) >
+                       std::tie(right.active, right.prompt_rate);
+            });
+    }
+    else if (!heartbeat.weights.empty())
+        heartbeat.weights.resize(heartbeat.weights.size() / 2);
+    else
+        return false;
+    return true;
+}
+
 } // namespace
 
 bool is_preferred(const gateway_member& left, const gateway_member& right)
@@ -210,12 +260,16 @@
 std::string encode_gateway_heartbeat(const gateway_heartbeat& heartbeat)
 {
     std::string result = internal::encode_compact(to_wire(heartbeat));
-    if (result.size() > gateway_datagram_max_bytes)
-    {
-        throw error(error_code::too_large, place,
-                    "the encoded heartbeat exceeds " +
-                        std::to_string(gateway_datagram_max_bytes) + " bytes");
-    }
+    check_size(result);
+    return result;
+}
+
+std::string encode_within_limit(gateway_heartbeat heartbeat)
+{
+    std::string result = internal::encode_compact(to_wire(heartbeat));
+    while (result.size() > gateway_datagram_max_bytes && shorten(heartbeat))
+        result = internal::encode_compact(to_wire(heartbeat));
+    check_size(result);
     return result;
 }
 
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -129,6 +129,10 @@
 
 /// Encodes a heartbeat as one datagram. Throws `state::error` (`too_large`).
 std::string encode_gateway_heartbeat(const gateway_heartbeat& heartbeat);
+/// The same for a heartbeat of any size. Leaves out what does not fit: first the members,
+/// then the smallest loads and rates, then announced weights. Throws only if the rest is
+/// too large.
+std::string encode_within_limit(gateway_heartbeat heartbeat);
 /// Decodes a datagram. Throws `state::error` (`malformed_frame`, `unsupported_version`).
 gateway_heartbeat decode_gateway_heartbeat(std::string_view datagram);
 
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -84,6 +84,35 @@
     CHECK_THROWS_AS(protocol::encode_gateway_heartbeat(large), state::error);
 }
 
+// Guards against a heartbeat that is not sent at all, with the versions and the leaving
+// backend servers in it, because its lists of loads and rates are too long.
+TEST_CASE("a heartbeat with long lists is shortened to the size of a datagram")
+{
+    gateway_heartbeat large = sample();
+    large.members.resize(200, {large.origin, true});
+    for (std::uint32_t number = 0; number < 500; ++number)
+    {
+        const std::string id = "backend-server-" + std::to_string(number);
+        large.loads.push_back({id + "@1790000000", number, 1, 0, 0.5});
+        large.rates.push_back({"assistant", id, "a1", 1.0, 100.0, 100.0, number});
+    }
+    CHECK_THROWS_AS(protocol::encode_gateway_heartbeat(large), state::error);
+    const std::string datagram = protocol::encode_within_limit(large);
+    CHECK(datagram.size() <= protocol::gateway_datagram_max_bytes);
+    const gateway_heartbeat copy = protocol::decode_gateway_heartbeat(datagram);
+    CHECK(copy.config_version == large.config_version);
+    CHECK(copy.lease.epoch == large.lease.epoch);
+    REQUIRE(copy.leaving.size() == 1);
+    CHECK(copy.leaving.front().id == "e4");
+    CHECK(copy.weights.size() == large.weights.size());
+    // The largest demand remains.
+    CHECK(copy.rates.size() >= 100);
+    for (const protocol::weight_rate_entry& rate : copy.rates)
+        CHECK(rate.waiting >= 500 - copy.rates.size());
+    CHECK(protocol::encode_within_limit(sample()) ==
+          protocol::encode_gateway_heartbeat(sample()));
+}
+
 // Guards against a stream that is split or continued in the middle of an event.
 TEST_CASE("a stream is split at event boundaries for every chunk size")
 {
