Bound the whole of a fetch from a peer or the aggregator

Cause: the limits on fetches of the configuration and of the list of backend servers applied to each step, and the whole could take 10 s. Meanwhile the next source was not tried.

Change: a configuration is fetched from a peer for 1 s and the list from the aggregator for 2 s at most; then the store is read.

--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -30,6 +30,8 @@
 /// latest.
 constexpr milliseconds max_response_wait{900};
 constexpr milliseconds aggregator_timeout{1200};
+/// Maximum duration of a whole response of the aggregator.
+constexpr milliseconds aggregator_total_timeout{2000};
 /// Delay before an aggregator that did not respond is asked again.
 constexpr milliseconds aggregator_retry_delay{5000};
 constexpr milliseconds aggregator_wait_poll{20};
@@ -95,6 +97,7 @@
 {
     transport::http_call_options options;
     options.progress_timeout = aggregator_timeout;
+    options.total_timeout = aggregator_total_timeout;
     std::string target = "/gateway/backends";
     if (this->feed.next())
         target += "?from=" + std::to_string(*this->feed.next());
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -27,6 +27,7 @@
 /// Delay before a gateway that watches the store fetches a newer configuration from a
 /// peer. The store usually delivers it earlier.
 constexpr milliseconds peer_fetch_delay{150};
+/// Maximum duration of a fetch from a peer. The store is read after it.
 constexpr milliseconds peer_timeout{1000};
 
 } // namespace
@@ -135,6 +136,7 @@
 {
     transport::http_call_options options;
     options.progress_timeout = peer_timeout;
+    options.total_timeout = peer_timeout;
     try
     {
         const transport::http_response response = co_await this->client.fetch(
--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -83,6 +83,11 @@
     transport::http_response response;
     if (this->is_down)
         response = transport::text_response(status::service_unavailable, "down");
+    else if (this->is_trickling && path != "/pomelorouter/log-append")
+    {
+        co_await this->trickle(exchange);
+        co_return;
+    }
     else if (path == "/pomelorouter/log-read")
     {
         co_await this->read(exchange);
@@ -102,6 +107,17 @@
     co_await exchange.respond(std::move(response));
 }
 
+boost::asio::awaitable<void> fake_store::trickle(transport::http_exchange& exchange)
+{
+    co_await exchange.begin_stream(transport::text_response(status::ok, ""));
+    while (!exchange.client_has_closed())
+    {
+        co_await exchange.write_piece("x");
+        boost::asio::steady_timer timer(this->loop, state::milliseconds(200));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
 boost::asio::awaitable<void> fake_store::read(transport::http_exchange& exchange)
 {
     const auto& request = exchange.request();
--- a/tests/auto/platform/fake_store.hpp
+++ b/tests/auto/platform/fake_store.hpp
@@ -33,6 +33,8 @@
     bool is_down = false;
     /// Never responds to any call.
     bool is_silent = false;
+    /// Sends the responses to reads so slowly that none is ever complete.
+    bool is_trickling = false;
     /// Carries out appends without responding.
     bool drops_append_responses = false;
     int calls = 0;
@@ -51,6 +53,7 @@
         std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
     };
 
+    boost::asio::awaitable<void> trickle(transport::http_exchange& exchange);
     boost::asio::awaitable<void> read(transport::http_exchange& exchange);
     transport::http_response newest(const std::string& topic);
     transport::http_response append(const transport::http_request& request);
