Do not vouch for a list of backend servers that was read long ago

Cause: an aggregator told its zone that it reached the store if its last finished read had succeeded, however long ago. While a read took long, or the event loop was late, the gateways of its zone went on with a stale list and did not read the store themselves.

Change: the list counts as current for 2.5 s after its last read, the configuration for 3 s after the last contact with the store.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -87,7 +87,7 @@
       backends(
           this->shared, *this->store, this->client, this->adapter.documents(),
           [this] { return this->peers.aggregator_control(); },
-          [this] { return this->config.is_reachable(); },
+          [this] { return this->config.is_current(); },
           [this] { return this->peers.awaits_aggregator(); }),
       peers(this->shared, *this->store, this->client, own_member(this->settings)),
       placement(this->shared, *this->store, this->client, this->adapter.engines(),
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -39,6 +39,8 @@
 constexpr milliseconds aggregator_validity{2500};
 /// Two successive reads of the list that are further apart are logged.
 constexpr milliseconds max_read_gap{2500};
+/// A list counts as current for this long after its last read.
+constexpr milliseconds list_validity{2500};
 
 } // namespace
 
@@ -152,7 +154,9 @@
     if (!has_new_records)
         co_await this->feed_read.wait(max_response_wait);
     protocol::backend_page page = this->feed.page(from);
-    page.list_reachable = this->reachable && this->feed.next().has_value();
+    // The last read may have succeeded long ago if the present one takes long.
+    page.list_reachable = this->reachable && this->feed.next().has_value() &&
+                          state::since(this->last_read) < list_validity;
     page.settings_reachable = this->settings_reachable();
     co_return protocol::encode_backend_page(page);
 }
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -25,7 +25,7 @@
     /// Returns the control address of the aggregator; empty if this gateway is the
     /// aggregator or none is known.
     using aggregator_callback = std::function<std::string()>;
-    /// Whether the last read of the configuration reached the store.
+    /// Whether the configuration was read from the store recently.
     using reachability_callback = std::function<bool()>;
     /// Whether the gateway should still wait for its aggregator after the start.
     using aggregator_wait_callback = std::function<bool()>;
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -21,6 +21,8 @@
 /// Longest wait of a settings read for a change. Short enough to detect a dead connection
 /// well within the time in which a change must be in force.
 constexpr milliseconds settings_wait{1500};
+/// The configuration counts as current for this long after a read of the store.
+constexpr milliseconds read_validity{3000};
 /// Delay after a failed read, and between two checks whether another gateway still
 /// watches the store.
 constexpr milliseconds retry_delay{250};
@@ -185,8 +187,15 @@
     }
 }
 
+bool config_watcher::is_current() const
+{
+    return this->reachable && state::since(this->last_contact) < read_validity;
+}
+
 void config_watcher::on_contact(bool is_reachable, const std::string& problem)
 {
+    if (is_reachable)
+        this->last_contact = state::now();
     if (this->reachable == is_reachable)
         return;
     this->reachable = is_reachable;
--- a/src/app/gateway/store/config_watcher.hpp
+++ b/src/app/gateway/store/config_watcher.hpp
@@ -34,8 +34,8 @@
     /// The newest configuration document, unchanged; empty if none is known.
     const std::string& config_document() const { return this->document; }
     std::int64_t config_version() const { return this->version; }
-    /// Whether the last call reached the store.
-    bool is_reachable() const { return this->reachable; }
+    /// Whether a recent call reached the store.
+    bool is_current() const;
 
 private:
     boost::asio::awaitable<void> watch();
@@ -55,6 +55,7 @@
     std::string document;
     std::int64_t version = -1;
     bool reachable = true;
+    state::time_point last_contact{};
     bool is_fetching = false;
     /// When a heartbeat first named a version newer than the one in force.
     std::optional<state::time_point> newer_heard;
--- a/src/libs/protocol/backend_page.hpp
+++ b/src/libs/protocol/backend_page.hpp
@@ -26,8 +26,8 @@
     std::uint64_t next = 0;
     /// Whether the page is the full list: the receiver removes every key that it lacks.
     bool is_full_list = false;
-    /// Whether the sender's last read of the list from the store, and of the
-    /// configuration, succeeded.
+    /// Whether the sender has recently read the list, and the configuration, from the
+    /// store.
     bool list_reachable = false;
     bool settings_reachable = false;
     std::vector<backend_page_record> records;
