Look up the engines that hold a model in the planner

Change: a plan indexes the engines by the models that they hold, and looks at those only. The order in which engines are compared is the same, and so are the orders.

--- a/src/libs/coordination/plan_workspace.cpp
+++ b/src/libs/coordination/plan_workspace.cpp
@@ -35,13 +35,17 @@
 {
     for (const state::hosted_model& model : this->profile.models)
         this->hosted[model.name] = &model;
-    for (const planned_engine& engine : this->engines)
+    for (planned_engine& engine : this->engines)
     {
         this->changing += !engine.loading.empty() || !engine.reserved.empty() ? 1 : 0;
         if (!engine.loading.empty() && !engine.holds_model(engine.loading))
             ++this->copies[engine.loading];
         for (const state::loaded_model& item : engine.models)
         {
+            // The key refers to the profile, since an unload removes the engine's item.
+            const state::hosted_model* const model = this->find_model(item.name);
+            if (model != nullptr)
+                this->holders[model->name].push_back(&engine);
             ++this->held[item.name];
             ++this->copies[item.name];
             for (const std::string& adapter : item.adapters)
@@ -121,6 +125,14 @@
     return found == this->hosted.end() ? nullptr : found->second;
 }
 
+const std::vector<planned_engine*>&
+plan_workspace::holders_of(std::string_view model) const
+{
+    static const std::vector<planned_engine*> none;
+    const auto found = this->holders.find(model);
+    return found == this->holders.end() ? none : found->second;
+}
+
 int plan_workspace::held_copies(const std::string& model) const
 {
     return count_in(this->held, model);
--- a/src/libs/coordination/plan_workspace.hpp
+++ b/src/libs/coordination/plan_workspace.hpp
@@ -46,6 +46,8 @@
     std::map<std::string, int> held = {};
     std::map<std::string, int> copies = {};
     std::map<std::string, std::map<std::string, int>> adapter_held = {};
+    /// Engines that had a model loaded at the start of the round.
+    std::map<std::string_view, std::vector<planned_engine*>> holders = {};
     /// Number of engines that are changing their models or are about to.
     int changing = 0;
     /// Models of the service by name.
@@ -64,6 +66,9 @@
     /// Demand on an engine: the sum of the demand per copy of its models.
     double engine_demand(const planned_engine& engine) const;
     const state::hosted_model* find_model(std::string_view name) const;
+    /// Returns the engines that may have the model loaded; an unload ordered in this
+    /// round does not remove its engine.
+    const std::vector<planned_engine*>& holders_of(std::string_view model) const;
     int held_copies(const std::string& model) const;
     int model_copies(const std::string& model) const;
     int adapter_copies(const std::string& model, const std::string& adapter) const;
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -114,12 +114,12 @@
             work.adapter_copies(name.model, name.adapter) > 0)
             continue;
         planned_engine* best = nullptr;
-        for (planned_engine& engine : work.engines)
+        for (planned_engine* const engine : work.holders_of(name.model))
         {
-            if (engine.is_busy || !engine.holds_model(name.model))
+            if (engine->is_busy || !engine->holds_model(name.model))
                 continue;
-            if (best == nullptr || engine.active < best->active)
-                best = &engine;
+            if (best == nullptr || engine->active < best->active)
+                best = engine;
         }
         if (best != nullptr && ensure_adapter_slot(work, *best))
         {
@@ -265,13 +265,13 @@
             continue;
         double min_holder_load = std::numeric_limits<double>::infinity();
         planned_engine* best = nullptr;
-        for (planned_engine& engine : work.engines)
+        for (planned_engine* const engine : work.holders_of(name.model))
         {
-            if (engine.holds_adapter(name.model, name.adapter))
-                min_holder_load = std::min(min_holder_load, engine.active);
-            else if (!engine.is_busy && engine.holds_model(name.model) &&
-                     (best == nullptr || engine.active < best->active))
-                best = &engine;
+            if (engine->holds_adapter(name.model, name.adapter))
+                min_holder_load = std::min(min_holder_load, engine->active);
+            else if (!engine->is_busy && engine->holds_model(name.model) &&
+                     (best == nullptr || engine->active < best->active))
+                best = engine;
         }
         const bool is_held = min_holder_load < std::numeric_limits<double>::infinity();
         if (!is_held || best == nullptr ||
@@ -289,18 +289,19 @@
 {
     for (const state::hosted_model& model : work.profile.models)
     {
+        const std::vector<planned_engine*>& holders = work.holders_of(model.name);
         for (const std::string& adapter : model.adapters)
         {
-            if (work.adapter_copies(model.name, adapter) > 0)
+            if (holders.empty() || work.adapter_copies(model.name, adapter) > 0)
                 continue;
             planned_engine* best = nullptr;
-            for (planned_engine& engine : work.engines)
+            for (planned_engine* const engine : holders)
             {
-                if (engine.is_busy || !engine.holds_model(model.name) ||
-                    engine.adapter_count() >= work.profile.adapter_slots)
+                if (engine->is_busy || !engine->holds_model(model.name) ||
+                    engine->adapter_count() >= work.profile.adapter_slots)
                     continue;
-                if (best == nullptr || engine.adapter_count() < best->adapter_count())
-                    best = &engine;
+                if (best == nullptr || engine->adapter_count() < best->adapter_count())
+                    best = engine;
             }
             if (best != nullptr)
             {
