Bound the whole of a query of a seed

Cause: the same as for fetches from a peer or the aggregator: the limit applied to each step. A gateway that starts without the store waited up to 10 s for one slow seed before it asked the next one.

Change: a query of a seed takes 1 s at most.

Measured: "the next seed is asked if one sends its members too slowly" failed before (10,004 ms with a limit of 5,000) and passes.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds reread_delay{2000};
 constexpr milliseconds members_read_period{20000};
 constexpr milliseconds retry_period{500};
+/// Time limits of a query of one seed, without progress and as a whole.
+constexpr milliseconds seed_timeout{500};
+constexpr milliseconds seed_total_timeout{1000};
 /// Longest time after the start that a gateway waits for its aggregator.
 constexpr milliseconds max_aggregator_wait{1500};
 constexpr std::int64_t max_capacity = std::numeric_limits<std::int64_t>::max();
@@ -394,7 +397,8 @@
 asio::awaitable<void> peer_gossip::ask_seeds()
 {
     transport::http_call_options options;
-    options.progress_timeout = milliseconds(500);
+    options.progress_timeout = seed_timeout;
+    options.total_timeout = seed_total_timeout;
     for (const std::string& seed : this->shared.settings.seeds)
     {
         if (seed == this->self.control)
--- a/tests/auto/platform/scripted_peer.cpp
+++ b/tests/auto/platform/scripted_peer.cpp
@@ -26,15 +26,19 @@
                 protocol::decode_gateway_heartbeat(datagram).origin.datagrams;
             this->send_heartbeat();
         });
-    test.store.put(
-        "keyed.gateways", member.node,
-        boost::json::serialize(boost::json::object{{"node", member.node},
-                                                   {"incarnation", member.incarnation},
-                                                   {"zone", member.zone},
-                                                   {"frontend", member.frontend},
-                                                   {"control", member.control},
-                                                   {"datagrams", member.datagrams},
-                                                   {"capacity", member.capacity}}));
+    test.store.put("keyed.gateways", member.node, this->member_json());
+}
+
+std::string scripted_peer::member_json() const
+{
+    const protocol::gateway_member& member = this->heartbeat.origin;
+    return boost::json::serialize(boost::json::object{{"node", member.node},
+                                                      {"incarnation", member.incarnation},
+                                                      {"zone", member.zone},
+                                                      {"frontend", member.frontend},
+                                                      {"control", member.control},
+                                                      {"datagrams", member.datagrams},
+                                                      {"capacity", member.capacity}});
 }
 
 void scripted_peer::send_heartbeat()
--- a/tests/auto/platform/scripted_peer.hpp
+++ b/tests/auto/platform/scripted_peer.hpp
@@ -22,6 +22,8 @@
 
     /// Whether the gateway of the fixture has sent a heartbeat to this peer.
     bool is_known() const { return !this->gateway_address.empty(); }
+    /// Returns this peer as gateways describe themselves in the store.
+    std::string member_json() const;
     /// Sends `heartbeat` with the next counter. Has no effect before `is_known()`.
     void send_heartbeat();
 
--- a/tests/auto/platform/tst_slow_sources.cpp
+++ b/tests/auto/platform/tst_slow_sources.cpp
@@ -7,7 +7,10 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
 
 // A gateway reads the configuration and the list of backend servers from the store, from
 // its aggregator, or from another gateway. Each of them may respond, and still be too
@@ -155,3 +158,25 @@
     boost::asio::co_spawn(test.loop, ask(), boost::asio::detached);
     CHECK(run_and_measure(test, [&is_current] { return !is_current; }) < max_drain_time);
 }
+
+// Guards against a gateway that starts without the store and stays alone for 10 s because
+// its first seed responds slowly.
+TEST_CASE("the next seed is asked if one sends its members too slowly")
+{
+    gateway_fixture test;
+    test.store.is_down = true;
+    const test::raw_backend slow_seed(test.loop, [](const transport::http_request&)
+                                      { return trickle(); });
+    std::string members;
+    scripted_peer peer(
+        test,
+        [&members](const transport::http_request&) -> raw_reply
+        { return {{response_text("200 OK", "", members)}}; },
+        1);
+    members = "[" + peer.member_json() + "]";
+    test.settings.seeds = {slow_seed.address, peer.control.address};
+    test.gateway = std::make_unique<app::gateway>(
+        test.loop, test.settings, test.settings_path, *test.adapter, test.counters);
+    test.gateway->start();
+    CHECK(run_and_measure(test, [&peer] { return peer.is_known(); }) < max_config_time);
+}
