--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -29,12 +29,13 @@
         "${missing[@]}" >/dev/null || fail "could not install: ${missing[*]}"
 }
 
-# build_tree DIRECTORY [CMAKE_OPTION...]: configures and builds all targets in DIRECTORY.
+# build_tree DIRECTORY [CMAKE_OPTION...]: configures and builds all targets in DIRECTORY. Warnings
+# are errors here, unlike in the build of an installation, whose compiler may have other warnings.
 build_tree() {
     local directory="$1"
     shift
     mkdir -p "$directory"
-    cmake -S "$root" -B "$directory" -G Ninja "$@" >"$directory/configure.log" 2>&1 ||
+    cmake -S "$root" -B "$directory" -G Ninja -DPOMELOROUTER_WERROR=ON "$@" >"$directory/configure.log" 2>&1 ||
         { tail -30 "$directory/configure.log" >&2; fail "cmake failed in $directory"; }
     cmake --build "$directory" --parallel "${POMELOROUTER_JOBS:-$(nproc)}" ||
         fail "the build in $directory failed"
--- a/src/libs/state/json_text.cpp
+++ b/src/libs/state/json_text.cpp
@@ -104,9 +104,11 @@
 std::string shorten(const boost::json::value& value)
 {
     std::string text = boost::json::serialize(value);
-    if (text.size() > max_shown_bytes)
-        text = text.substr(0, max_shown_bytes) + "... (" + std::to_string(text.size()) +
-               " bytes)";
+    const std::size_t size = text.size();
+    if (size <= max_shown_bytes)
+        return text;
+    text.resize(max_shown_bytes);
+    text.append("... (").append(std::to_string(size)).append(" bytes)");
     return text;
 }
 
