Log crashes of backend servers and the requests they left unanswered

Cause: the logs could not tell the hypotheses of the incident apart. A lost connection looked the same whether a process ended or one response broke off, no line named the parts of a prompt, and a resumed stream was logged as broken off before its call had brought anything.

Change: crash_detector tries the address of a lost call once; if it accepts no connection, the process has ended, and the unanswered calls are logged with their prompt parts (backend_crashed, unanswered_call). A call_failed line names the parts and whether the call had begun to answer.

Result: tst_platform has a table test of six ways in which a call is lost.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -92,6 +92,8 @@
       peers(this->shared, *this->store, this->client, own_member(this->settings)),
       placement(this->shared, *this->store, this->client, this->adapter.engines(),
                 this->peers),
+      crashes(this->loop.get_executor(), this->client, counters,
+              [](const coordination::backend_crash&) {}),
       relay(this->shared, this->adapter.requests(), this->client),
       directory(
           this->shared, this->adapter.directory(),
@@ -130,6 +132,9 @@
     this->placement.start();
     // Other gateways stop using a leaving backend server as soon as they hear of it.
     this->shared.on_backend_leaving = [this] { this->peers.send_heartbeat(); };
+    this->shared.on_call_lost = [this](const state::backend_entry& entry,
+                                       std::optional<coordination::unanswered_call> call)
+    { this->crashes.on_call_lost(entry, std::move(call)); };
     transport::spawn_restarting(this->shared.executor, "housekeeping",
                                 [this] { return this->housekeeping(); });
 }
@@ -217,6 +222,7 @@
         next_slow_housekeeping = now() + slow_housekeeping_period;
         this->client.drop_expired(now());
         this->shared.loads.forget_idle(now());
+        this->crashes.forget_old(now());
         this->shared.chooser.retain(this->shared.directory);
         this->settings_file.reload_if_changed();
     }
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -5,6 +5,7 @@
 #include "app/gateway/process/control_handler.hpp"
 #include "app/gateway/process/platform_adapter.hpp"
 #include "app/gateway/process/settings_watch.hpp"
+#include "app/gateway/serving/crash_detector.hpp"
 #include "app/gateway/serving/directory_handler.hpp"
 #include "app/gateway/serving/gateway_state.hpp"
 #include "app/gateway/serving/request_relay.hpp"
@@ -59,6 +60,7 @@
     backend_watcher backends;
     peer_gossip peers;
     placement_agent placement;
+    crash_detector crashes;
     request_relay relay;
     directory_handler directory;
     control_handler control;
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/admission_queue.hpp"
 #include "coordination/backend_choice.hpp"
+#include "coordination/backend_crash.hpp"
 #include "coordination/backend_directory.hpp"
 #include "coordination/backend_loads.hpp"
 #include "coordination/random_source.hpp"
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pomelorouter::app
@@ -50,6 +52,12 @@
     transport::async_event loads_changed;
     /// Called when the response of a backend server says that it is leaving.
     std::function<void()> on_backend_leaving = [] {};
+    /// Called when a call lost its connection. The second argument is empty if the
+    /// backend server had begun to answer.
+    std::function<void(const state::backend_entry&,
+                       std::optional<coordination::unanswered_call>)>
+        on_call_lost = [](const state::backend_entry&,
+                          const std::optional<coordination::unanswered_call>&) {};
     /// Gateways that share the engines, this one included.
     std::size_t gateways = 1;
     /// A planned stop has begun; requests are still accepted.
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -5,7 +5,6 @@
 #include "state/enum_table.hpp"
 #include "state/error.hpp"
 #include "state/log.hpp"
-#include "transport/http_error.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -322,6 +321,8 @@
     ++this->attempts;
     this->tried.insert(entry.id);
     this->last_backend = entry.id;
+    this->sent_at = now();
+    this->answer_begun = false;
     call_record record(this->shared, choice, this->demand.output_tokens);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
@@ -344,6 +345,7 @@
             this->last_problem = failure.what();
         if (!this->is_aborted())
             record.set_result(call_result::failed);
+        this->report_lost_call(entry, failure);
         if (failure.request_may_have_been_sent())
             end = this->stream_begun ? call_end::broken_off : call_end::failed;
     }
@@ -362,6 +364,8 @@
             .field("attempt", this->attempts)
             .field("end", to_string(end))
             .field("aborted", to_string(this->aborted->reason))
+            .field("answer_begun", this->answer_begun)
+            .field("parts", coordination::format_part_ids(this->shared_parts()))
             .field("problem", this->last_problem)
             .field("expected_ms", static_cast<std::int64_t>(choice.expected_ms))
             .field("elapsed_ms", since(this->started).count());
@@ -369,6 +373,31 @@
     co_return end;
 }
 
+std::vector<std::uint64_t> relayed_request::shared_parts() const
+{
+    std::vector<std::uint64_t> result;
+    for (std::size_t i = 0; i + 1 < this->demand.parts.size(); ++i)
+        result.push_back(this->demand.parts[i].id);
+    return result;
+}
+
+void relayed_request::report_lost_call(const state::backend_entry& entry,
+                                       const transport::http_error& failure)
+{
+    const bool is_lost = failure.code() == error_code::connection_lost &&
+                         !this->is_aborted() && !this->has_reserved_retry;
+    if (!is_lost)
+        return;
+    if (this->answer_begun)
+        this->shared.on_call_lost(entry, std::nullopt);
+    else
+    {
+        this->shared.on_call_lost(
+            entry, coordination::unanswered_call{this->metadata.attempt_id,
+                                                 this->shared_parts(), this->sent_at});
+    }
+}
+
 asio::awaitable<call_end> relayed_request::exchange_with(transport::http_call& backend,
                                                          const backend_choice& choice,
                                                          call_record& record)
@@ -487,6 +516,7 @@
         if (body.size() > max_buffered_bytes)
             co_return co_await this->relay_chunks(backend, std::move(body));
     }
+    this->answer_begun = true;
     if (this->is_aborted())
         co_return call_end::failed;
     transport::http_response response = backend.head();
@@ -518,7 +548,10 @@
             co_return call_end::broken_off;
         std::string complete = this->events.feed(*piece);
         if (!complete.empty())
+        {
             this->on_progress();
+            this->answer_begun = true;
+        }
         if (this->events.incomplete_event().size() > max_event_bytes)
         {
             throw transport::http_error(
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -6,6 +6,7 @@
 #include "protocol/refusal.hpp"
 #include "protocol/sse_event_splitter.hpp"
 #include "transport/http_client.hpp"
+#include "transport/http_error.hpp"
 #include "transport/http_server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pomelorouter::app
 {
@@ -121,6 +123,11 @@
     /// status.
     void apply_backend_notices(const state::backend_entry& entry,
                                const response_metadata& response);
+    /// Reports a call whose connection the backend server's side ended.
+    void report_lost_call(const state::backend_entry& entry,
+                          const transport::http_error& failure);
+    /// Ids of the prompt parts that other requests may share: all but the last.
+    std::vector<std::uint64_t> shared_parts() const;
     state::milliseconds
     first_byte_timeout(const coordination::backend_choice& choice) const;
     void log_end(std::string_view outcome, unsigned status);
@@ -146,6 +153,10 @@
     std::shared_ptr<abort_state> aborted = std::make_shared<abort_state>();
 
     int attempts = 0;
+    /// When the current call was sent.
+    state::time_point sent_at{};
+    /// The backend server has begun to answer the current call.
+    bool answer_begun = false;
     std::set<std::string> tried;
     /// Whether some backend server may have run the request.
     bool may_have_run = false;
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -191,6 +191,13 @@
 
 std::optional<transport::http_response>
 gateway_fixture::fetch(const transport::http_request& request)
+{
+    return this->fetch_from(this->gateway->own_settings().listen, request);
+}
+
+std::optional<transport::http_response>
+gateway_fixture::fetch_from(const std::string& address,
+                            const transport::http_request& request)
 {
     std::optional<transport::http_response> result;
     bool done = false;
@@ -200,8 +207,7 @@
         options.progress_timeout = state::milliseconds(15000);
         try
         {
-            result = co_await this->client.fetch(this->gateway->own_settings().listen,
-                                                 request, options);
+            result = co_await this->client.fetch(address, request, options);
         }
         catch (const state::error&)
         {
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -46,6 +46,9 @@
                                     const std::string& model = "") const;
     /// Returns the response, or nothing if the connection ended before it was complete.
     std::optional<transport::http_response> fetch(const transport::http_request& request);
+    /// The same with another gateway, which accepts callers at `address`.
+    std::optional<transport::http_response>
+    fetch_from(const std::string& address, const transport::http_request& request);
     /// Sends `bytes` on a new connection and returns all bytes received until it is
     /// closed or nothing has arrived for `quiet`.
     std::string exchange(const std::string& bytes, state::milliseconds quiet);
--- a/tests/auto/platform/raw_backend.cpp
+++ b/tests/auto/platform/raw_backend.cpp
@@ -32,14 +32,43 @@
 {
     for (;;)
     {
-        asio::ip::tcp::socket socket =
-            co_await this->acceptor.async_accept(asio::use_awaitable);
+        boost::system::error_code failure;
+        asio::ip::tcp::socket socket = co_await this->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
         ++this->connections;
         asio::co_spawn(this->loop, this->serve(std::move(socket)), asio::detached);
     }
 }
 
+void raw_backend::crash()
+{
+    ++this->crashes;
+    boost::system::error_code failure;
+    this->acceptor.close(failure);
+    for (asio::ip::tcp::socket* const socket : this->open_sockets)
+    {
+        socket->set_option(asio::socket_base::linger(true, 0), failure);
+        socket->close(failure);
+    }
+    this->open_sockets.clear();
+}
+
+void raw_backend::restart()
+{
+    transport::open_listener(this->acceptor, this->address);
+    asio::co_spawn(this->loop, this->accept(), asio::detached);
+}
+
 asio::awaitable<void> raw_backend::serve(asio::ip::tcp::socket socket)
+{
+    this->open_sockets.insert(&socket);
+    co_await this->answer_requests(socket);
+    this->open_sockets.erase(&socket);
+}
+
+asio::awaitable<void> raw_backend::answer_requests(asio::ip::tcp::socket& socket)
 {
     boost::beast::flat_buffer buffer;
     boost::system::error_code failure;
@@ -71,6 +100,11 @@
             ++this->closed;
             co_return;
         }
+        if (scripted_reply.end == reply_end::crash)
+        {
+            this->crash();
+            co_return;
+        }
         if (scripted_reply.end == reply_end::close)
             co_return;
         if (scripted_reply.end == reply_end::reset)
--- a/tests/auto/platform/raw_backend.hpp
+++ b/tests/auto/platform/raw_backend.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
     silent,
     /// Writes the last piece repeatedly until the other side closes.
     endless,
+    /// Ends as `raw_backend::crash()` does.
+    crash,
 };
 
 /// The raw bytes of a backend server's reply to one request.
@@ -46,16 +49,24 @@
 
     raw_backend(boost::asio::io_context& event_loop, script reply_function);
 
+    /// Resets all connections and accepts no new ones, like a process that ends.
+    void crash();
+    /// Accepts connections at the same address again.
+    void restart();
+    bool is_running() const { return this->acceptor.is_open(); }
+
     std::string address;
     std::vector<transport::http_request> requests;
     /// Connections that the other side has closed.
     int closed = 0;
     int connections = 0;
     std::uint64_t written_bytes = 0;
+    int crashes = 0;
 
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> answer_requests(boost::asio::ip::tcp::socket& socket);
     /// Returns whether the piece could be written.
     boost::asio::awaitable<bool> write(boost::asio::ip::tcp::socket& socket,
                                        const std::string& piece,
@@ -64,6 +75,7 @@
     boost::asio::io_context& loop;
     boost::asio::ip::tcp::acceptor acceptor;
     script reply;
+    std::set<boost::asio::ip::tcp::socket*> open_sockets;
 };
 
 /// Returns a complete response in the format of the platform's backend servers.
--- a/tests/auto/platform/tst_trouble.cpp
+++ b/tests/auto/platform/tst_trouble.cpp
@@ -469,3 +469,46 @@
     }
     CHECK(std::min(first.requests.size(), second.requests.size()) == 1);
 }
+
+// Guards against a broken response that is taken for the end of the engine's process, and
+// against a crash that is not noticed.
+TEST_CASE("a crash is distinguished from a response that is broken off")
+{
+    struct row
+    {
+        const char* name;
+        raw_reply first;
+        std::int64_t expected_crashes;
+    };
+    const std::vector<row> rows{
+        {"closed before the response", {{}, reply_end::close}, 0},
+        {"reset before the response", {{}, reply_end::reset}, 0},
+        {"reset after the header", {{stream_head("a1")}, reply_end::reset}, 0},
+        {"crash before the response", {{}, reply_end::crash}, 1},
+        {"crash after the header", {{stream_head("a1")}, reply_end::crash}, 1},
+        {"crash after an event",
+         {{stream_head("a1"), chunk(event(1))}, reply_end::crash},
+         1},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        gateway_fixture test;
+        int calls = 0;
+        const auto script = [&](const transport::http_request& request)
+        {
+            if (is_report_request(request))
+                return no_report;
+            if (++calls == 1)
+                return item.first;
+            return raw_reply{{stream_head("a1"), chunk(event(2)), "0\r\n\r\n"}};
+        };
+        test.add_backend("e1", "models", script, {"m1"});
+        test.add_backend("e2", "models", script, {"m1"});
+        test.put_config(1);
+        test.start();
+        CHECK(test.fetch(test.request("/stream/x", "a1", "m1")));
+        test.run_for(milliseconds(100));
+        CHECK(test.counters.value("backend_crashes_total") == item.expected_crashes);
+    }
+}
