--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -40,3 +40,20 @@
     cmake --build "$directory" --parallel "${POMELOROUTER_JOBS:-$(nproc)}" ||
         fail "the build in $directory failed"
 }
+
+# exclude_known_failures [PATTERN]: sets the array `exclude` to the options with which ctest skips
+# the tests in KNOWN-RED.txt and those that match PATTERN, and prints the former. Each entry of
+# KNOWN-RED.txt begins with a line "test: NAME", where NAME is the name of the test in ctest.
+exclude_known_failures() {
+    local patterns=("$@") names=()
+    if [ -f "$root/KNOWN-RED.txt" ]; then
+        mapfile -t names < <(sed -n 's/^test: *//p' "$root/KNOWN-RED.txt")
+    fi
+    local name
+    for name in "${names[@]}"; do
+        echo "skipped, listed in KNOWN-RED.txt: $name"
+        patterns+=("^$name\$")
+    done
+    exclude=()
+    [ ${#patterns[@]} -eq 0 ] || exclude=(-E "$(IFS='|'; echo "${patterns[*]}")")
+}
