Distinguish malformed responses from lost connections

Cause: any error of the response parser was classified as connection_lost, so crash_detector checked servers that had only sent malformed bytes with an extra connection. "an endless response is cut off at a bounded size with a typed error" (tst_platform) failed for it: the server saw two closed connections instead of one.

Change: parser errors other than an end within the message are wrong_answer. Callers get 502 for both, as before.

Result: the test failed on the commit before and passes now.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -54,8 +54,15 @@
 
 error_code classify(const boost::system::error_code& failure)
 {
-    return failure == beast::error::timeout ? error_code::timed_out
-                                            : error_code::connection_lost;
+    if (failure == beast::error::timeout)
+        return error_code::timed_out;
+    const bool is_parser_error =
+        failure.category() ==
+        beast::http::make_error_code(beast::http::error{}).category();
+    const bool has_ended = failure == beast::http::error::end_of_stream ||
+                           failure == beast::http::error::partial_message;
+    return is_parser_error && !has_ended ? error_code::wrong_answer
+                                         : error_code::connection_lost;
 }
 
 using keepalive_idle_option =
