--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/process/gateway.hpp"
 
+#include "app/gateway/serving/relayed_request.hpp"
 #include "state/error.hpp"
 #include "state/log.hpp"
 #include "transport/background_task.hpp"
@@ -7,6 +8,7 @@
 #include "transport/pause.hpp"
 
 #include <utility>
+#include <vector>
 
 namespace pomelorouter::app
 {
@@ -93,7 +95,11 @@
       placement(this->shared, *this->store, this->client, this->adapter.engines(),
                 this->peers),
       crashes(this->loop.get_executor(), this->client, counters,
-              [](const coordination::backend_crash&) {}),
+              [this](const coordination::backend_crash& crash)
+              { this->on_crash(crash); }),
+      quarantined_parts(counters.gauge("prompt_parts_quarantined",
+                                       "prompt parts that crash backend servers, whose "
+                                       "requests are refused")),
       relay(this->shared, this->adapter.requests(), this->client),
       directory(
           this->shared, this->adapter.directory(),
@@ -179,6 +185,7 @@
         if (backend->is_leaving_confirmed || is_forwarded)
             heartbeat.leaving.push_back({id, backend->entry.incarnation});
     }
+    heartbeat.suspects = this->shared.quarantine.reports(now());
     this->placement.fill(heartbeat);
 }
 
@@ -194,13 +201,56 @@
             .field("backend", process.id)
             .field("gateway", heartbeat.origin.node);
     }
-    if (has_new_leaving && this->peers.is_aggregator())
+    const bool has_new_suspects =
+        this->shared.quarantine.merge(now(), heartbeat.suspects);
+    if (has_new_suspects)
+        this->update_quarantine();
+    if ((has_new_leaving || has_new_suspects) && this->peers.is_aggregator())
         this->peers.send_heartbeat();
     this->placement.on_heartbeat(heartbeat);
     if (heartbeat.config_version > this->config.config_version())
         this->config.on_newer(heartbeat.origin.control, heartbeat.config_version);
 }
 
+void gateway::on_crash(const coordination::backend_crash& crash)
+{
+    if (this->shared.quarantine.on_crash(now(), crash))
+        this->peers.send_heartbeat();
+    this->update_quarantine();
+}
+
+void gateway::update_quarantine()
+{
+    const std::vector<coordination::quarantined_part> quarantined =
+        this->shared.quarantine.take_quarantined();
+    const std::vector<coordination::part_key> released =
+        this->shared.quarantine.take_released();
+    for (const coordination::part_key& key : released)
+    {
+        state::log_event(state::log_level::warning, "prompt_part_released")
+            .field("part", coordination::format_part_ids({key.part}))
+            .field("service", key.service);
+    }
+    for (const coordination::quarantined_part& part : quarantined)
+    {
+        state::log_event(state::log_level::warning, "prompt_part_quarantined")
+            .field("part", coordination::format_part_ids({part.key.part}))
+            .field("service", part.key.service)
+            .field("round", part.round)
+            .field("left_ms",
+                   std::chrono::duration_cast<milliseconds>(part.until - now()).count())
+            .field("reason", to_string(part));
+    }
+    if (quarantined.empty() && released.empty())
+        return;
+    this->quarantined_parts.set(
+        static_cast<std::int64_t>(this->shared.quarantine.quarantined_parts()));
+    this->peers.send_heartbeat();
+    for (relayed_request* const request : this->shared.requests)
+        request->on_quarantine();
+    this->shared.loads_changed.notify();
+}
+
 asio::awaitable<void> gateway::housekeeping()
 {
     state::time_point next_slow_housekeeping = now();
@@ -217,6 +267,9 @@
                 .field("cpu_ms", (state::process_cpu_time() - processor_time).count());
         }
         this->backends.tick();
+        this->shared.tries_quarantined = this->peers.rank() == 0;
+        this->shared.quarantine.tick(now());
+        this->update_quarantine();
         if (now() < next_slow_housekeeping)
             continue;
         next_slow_housekeeping = now() + slow_housekeeping_period;
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -46,6 +46,9 @@
     void fill(protocol::gateway_heartbeat& heartbeat);
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
     void on_config(const state::gateway_config& newest);
+    void on_crash(const coordination::backend_crash& crash);
+    /// Applies the decisions about prompt parts that crash backend servers.
+    void update_quarantine();
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> drain(std::function<void()> on_stopped);
 
@@ -61,6 +64,7 @@
     peer_gossip peers;
     placement_agent placement;
     crash_detector crashes;
+    state::counter& quarantined_parts;
     request_relay relay;
     directory_handler directory;
     control_handler control;
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -5,6 +5,7 @@
 #include "coordination/backend_crash.hpp"
 #include "coordination/backend_directory.hpp"
 #include "coordination/backend_loads.hpp"
+#include "coordination/prompt_quarantine.hpp"
 #include "coordination/random_source.hpp"
 #include "coordination/retry_budget.hpp"
 #include "coordination/route_table.hpp"
@@ -19,11 +20,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace pomelorouter::app
 {
 
+class relayed_request;
+
 /// State shared by the components of one gateway process. Accessed only from the event
 /// loop thread.
 struct gateway_state
@@ -45,6 +49,12 @@
     coordination::backend_chooser chooser;
     coordination::weight_demand demand;
     coordination::admission_queue queue;
+    coordination::prompt_quarantine quarantine;
+    /// Whether this gateway sends the single requests that show whether a part still
+    /// crashes backend servers after its quarantine.
+    bool tries_quarantined = false;
+    /// Requests in progress.
+    std::set<relayed_request*> requests;
     coordination::random_source random;
     /// Notified when the directory or the models of an engine have changed.
     transport::async_event backends_changed;
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -62,6 +62,9 @@
 constexpr std::size_t max_error_body_bytes = 64 * 1024;
 /// A larger event is treated as an endless response, and ends the call with an error.
 constexpr std::size_t max_event_bytes = 256 * 1024;
+/// A request is not sent again after this many calls that were lost before their answer
+/// began, since it may be what ends the backend servers.
+constexpr int max_unanswered_calls = 2;
 /// Minimum time left for a retry.
 constexpr milliseconds min_time_for_retry{60};
 
@@ -93,10 +96,12 @@
       progress_timer(gateway.executor)
 {
     this->aborted->request = this;
+    this->shared.requests.insert(this);
 }
 
 relayed_request::~relayed_request()
 {
+    this->shared.requests.erase(this);
     // Callbacks that are already queued must not access this request.
     this->aborted->call = nullptr;
     this->aborted->request = nullptr;
@@ -243,7 +248,7 @@
         return false;
     if (last == call_end::not_run)
         return true;
-    if (!this->route->may_retry())
+    if (!this->route->may_retry() || this->unanswered_calls >= max_unanswered_calls)
         return false;
     return last != call_end::broken_off || this->events.last_id().has_value();
 }
@@ -323,6 +328,7 @@
     this->last_backend = entry.id;
     this->sent_at = now();
     this->answer_begun = false;
+    this->shared.quarantine.on_sent(now(), this->demand.service, this->shared_parts());
     call_record record(this->shared, choice, this->demand.output_tokens);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
@@ -341,9 +347,9 @@
     }
     catch (const transport::http_error& failure)
     {
-        if (!this->has_reserved_retry)
+        if (!this->has_reserved_retry && !this->is_withdrawn)
             this->last_problem = failure.what();
-        if (!this->is_aborted())
+        if (!this->is_aborted() && !this->is_withdrawn)
             record.set_result(call_result::failed);
         this->report_lost_call(entry, failure);
         if (failure.request_may_have_been_sent())
@@ -373,31 +379,6 @@
     co_return end;
 }
 
-std::vector<std::uint64_t> relayed_request::shared_parts() const
-{
-    std::vector<std::uint64_t> result;
-    for (std::size_t i = 0; i + 1 < this->demand.parts.size(); ++i)
-        result.push_back(this->demand.parts[i].id);
-    return result;
-}
-
-void relayed_request::report_lost_call(const state::backend_entry& entry,
-                                       const transport::http_error& failure)
-{
-    const bool is_lost = failure.code() == error_code::connection_lost &&
-                         !this->is_aborted() && !this->has_reserved_retry;
-    if (!is_lost)
-        return;
-    if (this->answer_begun)
-        this->shared.on_call_lost(entry, std::nullopt);
-    else
-    {
-        this->shared.on_call_lost(
-            entry, coordination::unanswered_call{this->metadata.attempt_id,
-                                                 this->shared_parts(), this->sent_at});
-    }
-}
-
 asio::awaitable<call_end> relayed_request::exchange_with(transport::http_call& backend,
                                                          const backend_choice& choice,
                                                          call_record& record)
@@ -516,7 +497,7 @@
         if (body.size() > max_buffered_bytes)
             co_return co_await this->relay_chunks(backend, std::move(body));
     }
-    this->answer_begun = true;
+    this->on_answer_begun();
     if (this->is_aborted())
         co_return call_end::failed;
     transport::http_response response = backend.head();
@@ -550,7 +531,7 @@
         if (!complete.empty())
         {
             this->on_progress();
-            this->answer_begun = true;
+            this->on_answer_begun();
         }
         if (this->events.incomplete_event().size() > max_event_bytes)
         {
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -61,6 +61,9 @@
     relayed_request& operator=(const relayed_request&) = delete;
 
     boost::asio::awaitable<void> run();
+    /// Aborts the current call if a part of the prompt is quarantined now and the answer
+    /// has not begun.
+    void on_quarantine();
 
 private:
     /// State for callbacks that may run after the request was destroyed.
@@ -123,11 +126,14 @@
     /// status.
     void apply_backend_notices(const state::backend_entry& entry,
                                const response_metadata& response);
+    void on_answer_begun();
     /// Reports a call whose connection the backend server's side ended.
     void report_lost_call(const state::backend_entry& entry,
                           const transport::http_error& failure);
     /// Ids of the prompt parts that other requests may share: all but the last.
     std::vector<std::uint64_t> shared_parts() const;
+    /// Updates `quarantine`, and returns whether the request must not be sent.
+    bool is_quarantined();
     state::milliseconds
     first_byte_timeout(const coordination::backend_choice& choice) const;
     void log_end(std::string_view outcome, unsigned status);
@@ -160,6 +166,12 @@
     std::set<std::string> tried;
     /// Whether some backend server may have run the request.
     bool may_have_run = false;
+    /// Calls that were lost before their answer began.
+    int unanswered_calls = 0;
+    /// The part of the prompt because of which the request is not sent.
+    std::optional<coordination::quarantined_part> quarantine;
+    /// The current call was aborted because of a quarantine.
+    bool is_withdrawn = false;
     coordination::choice_failure last_failure = coordination::choice_failure::none;
     std::string last_backend;
     std::string last_problem;
--- a/src/app/gateway/serving/relayed_request_completion.cpp
+++ b/src/app/gateway/serving/relayed_request_completion.cpp
@@ -69,6 +69,11 @@
             co_return;
         }
     }
+    if (this->quarantine)
+    {
+        this->last_problem = to_string(*this->quarantine);
+        this->last_failure = choice_failure::quarantined;
+    }
     const run_state run = this->may_have_run ? run_state::unknown : run_state::not_run;
     if (reason == abort_reason::deadline_passed)
     {
@@ -91,8 +96,11 @@
         code = error_code::overloaded;
     if (this->last_failure == choice_failure::stopping)
         code = error_code::draining;
+    if (this->last_failure == choice_failure::quarantined)
+        code = error_code::prompt_quarantined;
     const bool was_refused = last == call_end::not_run && this->attempts > 0;
-    if (!was_refused && this->last_failure != choice_failure::overloaded)
+    if (!was_refused && !this->quarantine &&
+        this->last_failure != choice_failure::overloaded)
         this->last_problem = to_string(this->last_failure);
     co_await this->refuse(code, this->last_problem, run);
 }
@@ -136,6 +144,13 @@
         after = std::max(left, milliseconds(1));
         spread = 1.0 + 0.1 * this->shared.random.unit();
     }
+    if (this->last_failure == choice_failure::quarantined)
+    {
+        const auto left = std::chrono::duration_cast<milliseconds>(
+            this->quarantine->until - state::now());
+        after = std::max(left, long_retry_after);
+        spread = 1.0 + 0.1 * this->shared.random.unit();
+    }
     return std::chrono::duration_cast<milliseconds>(after * spread);
 }
 
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -31,6 +31,12 @@
 
 backend_choice relayed_request::choose_now()
 {
+    if (this->is_quarantined())
+    {
+        backend_choice none;
+        none.failure = choice_failure::quarantined;
+        return none;
+    }
     return this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
                                        this->demand, this->tried,
                                        this->shared.random.unit());
@@ -123,6 +129,8 @@
             choice.backend = nullptr;
             break;
         }
+        if (choice.failure == choice_failure::quarantined)
+            break;
         if (!this->can_finish_in_time(choice, ticket))
         {
             this->last_problem = choice.backend ? "the queues are too long" : "";
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<choice_failure>, 8> failure_names{{
+constexpr std::array<state::enum_name<choice_failure>, 9> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_backend, "no_backend"},
     {choice_failure::model_missing, "model_missing"},
@@ -19,6 +19,7 @@
     {choice_failure::all_tried, "all_tried"},
     {choice_failure::overloaded, "overloaded"},
     {choice_failure::paused, "paused"},
+    {choice_failure::quarantined, "quarantined"},
     {choice_failure::stopping, "stopping"},
 }};
 
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -48,6 +48,8 @@
     overloaded,
     /// All suitable backend servers have asked for a pause.
     paused,
+    /// A part of the prompt is quarantined, since it crashes backend servers.
+    quarantined,
     /// This process stopped before a backend server was chosen.
     stopping,
 };
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -30,6 +30,7 @@
 }};
 
 constexpr state::milliseconds longest_period{60000};
+constexpr int max_round = 1000000;
 
 template <typename Unsigned, typename Signed>
 Unsigned to_unsigned(Signed value)
@@ -88,6 +89,67 @@
     return result;
 }
 
+std::int32_t to_wire_ms(state::milliseconds value)
+{
+    constexpr state::milliseconds limit{std::chrono::hours(24)};
+    return static_cast<std::int32_t>(std::clamp(value, -limit, limit).count());
+}
+
+/// Limits a duration of another gateway, so that sums with it do not overflow.
+state::milliseconds from_wire_ms(std::int32_t value)
+{
+    return state::milliseconds(to_wire_ms(state::milliseconds(value)));
+}
+
+state::milliseconds age_from_wire(std::int32_t value)
+{
+    return std::max(from_wire_ms(value), state::milliseconds(0));
+}
+
+gen::SuspectPart to_wire(const suspect_part& suspect)
+{
+    gen::SuspectPart result;
+    result.__set_serviceName(suspect.service);
+    result.__set_part(static_cast<std::int64_t>(suspect.part));
+    result.__set_position(suspect.position);
+    for (const suspected_crash& crash : suspect.crashes)
+    {
+        gen::SuspectedCrash& item = result.crashes.emplace_back();
+        item.__set_process(crash.process);
+        item.__set_ageMs(to_wire_ms(crash.age));
+        item.__set_waitedMs(to_wire_ms(crash.waited));
+    }
+    if (suspect.cleared_ago)
+        result.__set_clearedAgoMs(to_wire_ms(*suspect.cleared_ago));
+    if (suspect.round == 0)
+        return result;
+    result.__set_round(suspect.round);
+    result.__set_remainingMs(to_wire_ms(suspect.remaining));
+    result.__set_released(suspect.is_released);
+    return result;
+}
+
+suspect_part from_wire(const gen::SuspectPart& suspect)
+{
+    suspect_part result;
+    result.service = suspect.serviceName;
+    result.part = to_unsigned<std::uint64_t>(suspect.part);
+    result.position = suspect.position;
+    for (const gen::SuspectedCrash& crash : suspect.crashes)
+    {
+        if (result.crashes.size() == max_suspected_crashes)
+            break;
+        result.crashes.push_back(
+            {crash.process, age_from_wire(crash.ageMs), age_from_wire(crash.waitedMs)});
+    }
+    if (suspect.__isset.clearedAgoMs)
+        result.cleared_ago = age_from_wire(suspect.clearedAgoMs);
+    result.round = suspect.__isset.round ? std::clamp(suspect.round, 0, max_round) : 0;
+    result.remaining = from_wire_ms(suspect.remainingMs);
+    result.is_released = suspect.__isset.released && suspect.released;
+    return result;
+}
+
 gen::GatewayHeartbeat to_wire(const gateway_heartbeat& heartbeat)
 {
     gen::GatewayHeartbeat result;
@@ -130,6 +192,12 @@
         item.__set_incarnation(process.incarnation);
     }
     result.__set_aggregator(heartbeat.is_aggregator);
+    if (!heartbeat.suspects.empty())
+    {
+        result.__isset.suspects = true;
+        for (const suspect_part& suspect : heartbeat.suspects)
+            result.suspects.push_back(to_wire(suspect));
+    }
     if (heartbeat.members.empty())
         return result;
     result.__isset.members = true;
@@ -190,6 +258,12 @@
     for (const gen::LeavingBackend& process : heartbeat.leaving)
         result.leaving.push_back({process.id, process.incarnation});
     result.is_aggregator = heartbeat.__isset.aggregator && heartbeat.aggregator;
+    for (const gen::SuspectPart& suspect : heartbeat.suspects)
+    {
+        if (result.suspects.size() == max_suspect_parts)
+            break;
+        result.suspects.push_back(from_wire(suspect));
+    }
     for (const gen::MemberNotice& notice : heartbeat.members)
         result.members.push_back({from_wire(notice.member), notice.alive});
     return result;
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -4,6 +4,7 @@
 #include "state/clock.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,6 +80,35 @@
     std::int64_t incarnation = 0;
 };
 
+/// A crash of a backend server's process that a prompt part is suspected of.
+struct suspected_crash
+{
+    std::string process;
+    state::milliseconds age{0};
+    /// Time between the sending of the last request with the part and the crash.
+    state::milliseconds waited{0};
+};
+
+/// What a gateway knows of a prompt part that may crash backend servers.
+struct suspect_part
+{
+    std::string service;
+    std::uint64_t part = 0;
+    int position = 0;
+    std::vector<suspected_crash> crashes;
+    /// Time since a backend server began to answer a request with the part.
+    std::optional<state::milliseconds> cleared_ago;
+    /// Number of the quarantine, 0 before the first, and the time until its end.
+    int round = 0;
+    state::milliseconds remaining{0};
+    /// The quarantine has ended because a request with the part was answered.
+    bool is_released = false;
+};
+
+/// Maximum number of suspect parts in a heartbeat, and of crashes of each.
+inline constexpr std::size_t max_suspect_parts = 48;
+inline constexpr std::size_t max_suspected_crashes = 16;
+
 /// State of another gateway, as reported by an aggregator.
 struct member_notice
 {
@@ -118,6 +148,7 @@
     std::vector<weight_rate_entry> rates;
     std::vector<engine_weights> weights;
     std::vector<leaving_process> leaving;
+    std::vector<suspect_part> suspects;
     /// Whether the sender aggregates the reports of its availability zone.
     bool is_aggregator = false;
     /// Sent by an aggregator: the gateways whose heartbeats the receiver does not get.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -2213,6 +2213,416 @@
 }
 
 
+SuspectedCrash::~SuspectedCrash() noexcept {
+}
+
+
+void SuspectedCrash::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void SuspectedCrash::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+
+void SuspectedCrash::__set_waitedMs(const int32_t val) {
+  this->waitedMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectedCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectedCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_process = false;
+  bool isset_ageMs = false;
+  bool isset_waitedMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          isset_process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitedMs);
+          isset_waitedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_process)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitedMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SuspectedCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectedCrash");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitedMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waitedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectedCrash &a, SuspectedCrash &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.ageMs, b.ageMs);
+  swap(a.waitedMs, b.waitedMs);
+}
+
+SuspectedCrash::SuspectedCrash(const SuspectedCrash& other56) {
+  process = other56.process;
+  ageMs = other56.ageMs;
+  waitedMs = other56.waitedMs;
+}
+SuspectedCrash& SuspectedCrash::operator=(const SuspectedCrash& other57) {
+  process = other57.process;
+  ageMs = other57.ageMs;
+  waitedMs = other57.waitedMs;
+  return *this;
+}
+void SuspectedCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectedCrash(";
+  out << "process=" << to_string(process);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "waitedMs=" << to_string(waitedMs);
+  out << ")";
+}
+
+
+SuspectPart::~SuspectPart() noexcept {
+}
+
+
+void SuspectPart::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void SuspectPart::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void SuspectPart::__set_position(const int32_t val) {
+  this->position = val;
+}
+
+void SuspectPart::__set_crashes(const std::vector<SuspectedCrash> & val) {
+  this->crashes = val;
+}
+
+void SuspectPart::__set_clearedAgoMs(const int32_t val) {
+  this->clearedAgoMs = val;
+__isset.clearedAgoMs = true;
+}
+
+void SuspectPart::__set_round(const int32_t val) {
+  this->round = val;
+__isset.round = true;
+}
+
+void SuspectPart::__set_remainingMs(const int32_t val) {
+  this->remainingMs = val;
+__isset.remainingMs = true;
+}
+
+void SuspectPart::__set_released(const bool val) {
+  this->released = val;
+__isset.released = true;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_serviceName = false;
+  bool isset_part = false;
+  bool isset_position = false;
+  bool isset_crashes = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->position);
+          isset_position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->crashes.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->crashes[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->clearedAgoMs);
+          this->__isset.clearedAgoMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remainingMs);
+          this->__isset.remainingMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->released);
+          this->__isset.released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_position)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_crashes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SuspectPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectPart");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<SuspectedCrash> ::const_iterator _iter63;
+    for (_iter63 = this->crashes.begin(); _iter63 != this->crashes.end(); ++_iter63)
+    {
+      xfer += (*_iter63).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.clearedAgoMs) {
+    xfer += oprot->writeFieldBegin("clearedAgoMs", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->clearedAgoMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.round) {
+    xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->round);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.remainingMs) {
+    xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->remainingMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.released) {
+    xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->released);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectPart &a, SuspectPart &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.part, b.part);
+  swap(a.position, b.position);
+  swap(a.crashes, b.crashes);
+  swap(a.clearedAgoMs, b.clearedAgoMs);
+  swap(a.round, b.round);
+  swap(a.remainingMs, b.remainingMs);
+  swap(a.released, b.released);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectPart::SuspectPart(const SuspectPart& other64) {
+  serviceName = other64.serviceName;
+  part = other64.part;
+  position = other64.position;
+  crashes = other64.crashes;
+  clearedAgoMs = other64.clearedAgoMs;
+  round = other64.round;
+  remainingMs = other64.remainingMs;
+  released = other64.released;
+  __isset = other64.__isset;
+}
+SuspectPart& SuspectPart::operator=(const SuspectPart& other65) {
+  serviceName = other65.serviceName;
+  part = other65.part;
+  position = other65.position;
+  crashes = other65.crashes;
+  clearedAgoMs = other65.clearedAgoMs;
+  round = other65.round;
+  remainingMs = other65.remainingMs;
+  released = other65.released;
+  __isset = other65.__isset;
+  return *this;
+}
+void SuspectPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectPart(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "clearedAgoMs="; (__isset.clearedAgoMs ? (out << to_string(clearedAgoMs)) : (out << "<null>"));
+  out << ", " << "round="; (__isset.round ? (out << to_string(round)) : (out << "<null>"));
+  out << ", " << "remainingMs="; (__isset.remainingMs ? (out << to_string(remainingMs)) : (out << "<null>"));
+  out << ", " << "released="; (__isset.released ? (out << to_string(released)) : (out << "<null>"));
+  out << ")";
+}
+
+
 GatewayHeartbeat::~GatewayHeartbeat() noexcept {
 }
 
@@ -2268,6 +2678,11 @@
   this->members = val;
 __isset.members = true;
 }
+
+void GatewayHeartbeat::__set_suspects(const std::vector<SuspectPart> & val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -2340,14 +2755,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->loads.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->loads.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->loads[_i60].read(iprot);
+              xfer += this->loads[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2360,14 +2775,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->rates.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->rates.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->rates[_i65].read(iprot);
+              xfer += this->rates[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2380,14 +2795,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->weights.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->weights.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->weights[_i70].read(iprot);
+              xfer += this->weights[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2400,14 +2815,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->leaving.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->leaving.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->leaving[_i75].read(iprot);
+              xfer += this->leaving[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2444,14 +2859,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->members.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->members.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->members[_i80].read(iprot);
+              xfer += this->members[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2460,6 +2875,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->suspects.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
+            {
+              xfer += this->suspects[_i95].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2512,10 +2947,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<BackendLoad> ::const_iterator _iter81;
-    for (_iter81 = this->loads.begin(); _iter81 != this->loads.end(); ++_iter81)
+    std::vector<BackendLoad> ::const_iterator _iter96;
+    for (_iter96 = this->loads.begin(); _iter96 != this->loads.end(); ++_iter96)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2524,10 +2959,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<WeightRate> ::const_iterator _iter82;
-    for (_iter82 = this->rates.begin(); _iter82 != this->rates.end(); ++_iter82)
+    std::vector<WeightRate> ::const_iterator _iter97;
+    for (_iter97 = this->rates.begin(); _iter97 != this->rates.end(); ++_iter97)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2536,10 +2971,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
-    std::vector<EngineWeights> ::const_iterator _iter83;
-    for (_iter83 = this->weights.begin(); _iter83 != this->weights.end(); ++_iter83)
+    std::vector<EngineWeights> ::const_iterator _iter98;
+    for (_iter98 = this->weights.begin(); _iter98 != this->weights.end(); ++_iter98)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2548,10 +2983,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingBackend> ::const_iterator _iter84;
-    for (_iter84 = this->leaving.begin(); _iter84 != this->leaving.end(); ++_iter84)
+    std::vector<LeavingBackend> ::const_iterator _iter99;
+    for (_iter99 = this->leaving.begin(); _iter99 != this->leaving.end(); ++_iter99)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2576,10 +3011,23 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MemberNotice> ::const_iterator _iter85;
-      for (_iter85 = this->members.begin(); _iter85 != this->members.end(); ++_iter85)
+      std::vector<MemberNotice> ::const_iterator _iter100;
+      for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
+      {
+        xfer += (*_iter100).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+      std::vector<SuspectPart> ::const_iterator _iter101;
+      for (_iter101 = this->suspects.begin(); _iter101 != this->suspects.end(); ++_iter101)
       {
-        xfer += (*_iter85).write(oprot);
+        xfer += (*_iter101).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2604,38 +3052,41 @@
   swap(a.periodMs, b.periodMs);
   swap(a.aggregator, b.aggregator);
   swap(a.members, b.members);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other86) {
-  origin = other86.origin;
-  counter = other86.counter;
-  configVersion = other86.configVersion;
-  lease = other86.lease;
-  loads = other86.loads;
-  rates = other86.rates;
-  weights = other86.weights;
-  leaving = other86.leaving;
-  scope = other86.scope;
-  periodMs = other86.periodMs;
-  aggregator = other86.aggregator;
-  members = other86.members;
-  __isset = other86.__isset;
-}
-GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other87) {
-  origin = other87.origin;
-  counter = other87.counter;
-  configVersion = other87.configVersion;
-  lease = other87.lease;
-  loads = other87.loads;
-  rates = other87.rates;
-  weights = other87.weights;
-  leaving = other87.leaving;
-  scope = other87.scope;
-  periodMs = other87.periodMs;
-  aggregator = other87.aggregator;
-  members = other87.members;
-  __isset = other87.__isset;
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other102) {
+  origin = other102.origin;
+  counter = other102.counter;
+  configVersion = other102.configVersion;
+  lease = other102.lease;
+  loads = other102.loads;
+  rates = other102.rates;
+  weights = other102.weights;
+  leaving = other102.leaving;
+  scope = other102.scope;
+  periodMs = other102.periodMs;
+  aggregator = other102.aggregator;
+  members = other102.members;
+  suspects = other102.suspects;
+  __isset = other102.__isset;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other103) {
+  origin = other103.origin;
+  counter = other103.counter;
+  configVersion = other103.configVersion;
+  lease = other103.lease;
+  loads = other103.loads;
+  rates = other103.rates;
+  weights = other103.weights;
+  leaving = other103.leaving;
+  scope = other103.scope;
+  periodMs = other103.periodMs;
+  aggregator = other103.aggregator;
+  members = other103.members;
+  suspects = other103.suspects;
+  __isset = other103.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -2653,6 +3104,7 @@
   out << ", " << "periodMs="; (__isset.periodMs ? (out << to_string(periodMs)) : (out << "<null>"));
   out << ", " << "aggregator="; (__isset.aggregator ? (out << to_string(aggregator)) : (out << "<null>"));
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2794,19 +3246,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other88) {
-  key = other88.key;
-  offset = other88.offset;
-  value = other88.value;
-  removal = other88.removal;
-  __isset = other88.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other104) {
+  key = other104.key;
+  offset = other104.offset;
+  value = other104.value;
+  removal = other104.removal;
+  __isset = other104.__isset;
 }
-BackendRecord& BackendRecord::operator=(const BackendRecord& other89) {
-  key = other89.key;
-  offset = other89.offset;
-  value = other89.value;
-  removal = other89.removal;
-  __isset = other89.__isset;
+BackendRecord& BackendRecord::operator=(const BackendRecord& other105) {
+  key = other105.key;
+  offset = other105.offset;
+  value = other105.value;
+  removal = other105.removal;
+  __isset = other105.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -2912,14 +3364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->records.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->records.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->records[_i94].read(iprot);
+              xfer += this->records[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2974,10 +3426,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter95;
-    for (_iter95 = this->records.begin(); _iter95 != this->records.end(); ++_iter95)
+    std::vector<BackendRecord> ::const_iterator _iter111;
+    for (_iter111 = this->records.begin(); _iter111 != this->records.end(); ++_iter111)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2997,19 +3449,19 @@
   swap(a.records, b.records);
 }
 
-BackendPage::BackendPage(const BackendPage& other96) {
-  nextOffset = other96.nextOffset;
-  whole = other96.whole;
-  listReachable = other96.listReachable;
-  settingsReachable = other96.settingsReachable;
-  records = other96.records;
+BackendPage::BackendPage(const BackendPage& other112) {
+  nextOffset = other112.nextOffset;
+  whole = other112.whole;
+  listReachable = other112.listReachable;
+  settingsReachable = other112.settingsReachable;
+  records = other112.records;
 }
-BackendPage& BackendPage::operator=(const BackendPage& other97) {
-  nextOffset = other97.nextOffset;
-  whole = other97.whole;
-  listReachable = other97.listReachable;
-  settingsReachable = other97.settingsReachable;
-  records = other97.records;
+BackendPage& BackendPage::operator=(const BackendPage& other113) {
+  nextOffset = other113.nextOffset;
+  whole = other113.whole;
+  listReachable = other113.listReachable;
+  settingsReachable = other113.settingsReachable;
+  records = other113.records;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -3139,17 +3591,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other98) {
-  heartbeat = other98.heartbeat;
-  settingsPull = other98.settingsPull;
-  settingsState = other98.settingsState;
-  __isset = other98.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other114) {
+  heartbeat = other114.heartbeat;
+  settingsPull = other114.settingsPull;
+  settingsState = other114.settingsState;
+  __isset = other114.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other99) {
-  heartbeat = other99.heartbeat;
-  settingsPull = other99.settingsPull;
-  settingsState = other99.settingsState;
-  __isset = other99.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other115) {
+  heartbeat = other115.heartbeat;
+  settingsPull = other115.settingsPull;
+  settingsState = other115.settingsState;
+  __isset = other115.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -3259,13 +3711,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other100) {
-  sender = other100.sender;
-  message = other100.message;
+Envelope::Envelope(const Envelope& other116) {
+  sender = other116.sender;
+  message = other116.message;
 }
-Envelope& Envelope::operator=(const Envelope& other101) {
-  sender = other101.sender;
-  message = other101.message;
+Envelope& Envelope::operator=(const Envelope& other117) {
+  sender = other117.sender;
+  message = other117.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -47,6 +47,10 @@
 
 class MemberNotice;
 
+class SuspectedCrash;
+
+class SuspectPart;
+
 class GatewayHeartbeat;
 
 class BackendRecord;
@@ -817,12 +821,157 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberNotice& obj);
 
+
+class SuspectedCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectedCrash(const SuspectedCrash&);
+  SuspectedCrash& operator=(const SuspectedCrash&);
+  SuspectedCrash() noexcept
+                 : process(),
+                   ageMs(0),
+                   waitedMs(0) {
+  }
+
+  virtual ~SuspectedCrash() noexcept;
+  std::string process;
+  int32_t ageMs;
+  int32_t waitedMs;
+
+  void __set_process(const std::string& val);
+
+  void __set_ageMs(const int32_t val);
+
+  void __set_waitedMs(const int32_t val);
+
+  bool operator == (const SuspectedCrash & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(waitedMs == rhs.waitedMs))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectedCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectedCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectedCrash &a, SuspectedCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectedCrash& obj);
+
+typedef struct _SuspectPart__isset {
+  _SuspectPart__isset() : clearedAgoMs(false), round(false), remainingMs(false), released(false) {}
+  bool clearedAgoMs :1;
+  bool round :1;
+  bool remainingMs :1;
+  bool released :1;
+} _SuspectPart__isset;
+
+class SuspectPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectPart(const SuspectPart&);
+  SuspectPart& operator=(const SuspectPart&);
+  SuspectPart() noexcept
+              : serviceName(),
+                part(0),
+                position(0),
+                clearedAgoMs(0),
+                round(0),
+                remainingMs(0),
+                released(0) {
+  }
+
+  virtual ~SuspectPart() noexcept;
+  std::string serviceName;
+  int64_t part;
+  int32_t position;
+  std::vector<SuspectedCrash>  crashes;
+  int32_t clearedAgoMs;
+  int32_t round;
+  int32_t remainingMs;
+  bool released;
+
+  _SuspectPart__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_part(const int64_t val);
+
+  void __set_position(const int32_t val);
+
+  void __set_crashes(const std::vector<SuspectedCrash> & val);
+
+  void __set_clearedAgoMs(const int32_t val);
+
+  void __set_round(const int32_t val);
+
+  void __set_remainingMs(const int32_t val);
+
+  void __set_released(const bool val);
+
+  bool operator == (const SuspectPart & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    if (!(position == rhs.position))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (__isset.clearedAgoMs != rhs.__isset.clearedAgoMs)
+      return false;
+    else if (__isset.clearedAgoMs && !(clearedAgoMs == rhs.clearedAgoMs))
+      return false;
+    if (__isset.round != rhs.__isset.round)
+      return false;
+    else if (__isset.round && !(round == rhs.round))
+      return false;
+    if (__isset.remainingMs != rhs.__isset.remainingMs)
+      return false;
+    else if (__isset.remainingMs && !(remainingMs == rhs.remainingMs))
+      return false;
+    if (__isset.released != rhs.__isset.released)
+      return false;
+    else if (__isset.released && !(released == rhs.released))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectPart &a, SuspectPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectPart& obj);
+
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
   bool members :1;
+  bool suspects :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -851,6 +1000,7 @@
   int32_t periodMs;
   bool aggregator;
   std::vector<MemberNotice>  members;
+  std::vector<SuspectPart>  suspects;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -878,6 +1028,8 @@
 
   void __set_members(const std::vector<MemberNotice> & val);
 
+  void __set_suspects(const std::vector<SuspectPart> & val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -912,6 +1064,10 @@
       return false;
     else if (__isset.members && !(members == rhs.members))
       return false;
+    if (__isset.suspects != rhs.__isset.suspects)
+      return false;
+    else if (__isset.suspects && !(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -108,6 +108,29 @@
   2: required bool alive
 }
 
+// A crash of a backend server's process that a prompt part is suspected of. Times are in
+// milliseconds.
+struct SuspectedCrash {
+  1: required string process
+  2: required i32 ageMs
+  // Time between the sending of the last request with the part and the crash.
+  3: required i32 waitedMs
+}
+
+// A prompt part that may crash backend servers.
+struct SuspectPart {
+  1: required string serviceName
+  2: required i64 part
+  3: required i32 position
+  4: required list<SuspectedCrash> crashes
+  // Time since a backend server began to answer a request with the part.
+  5: optional i32 clearedAgoMs
+  // Number of the quarantine, the time until its end, and whether a trial has ended it.
+  6: optional i32 round
+  7: optional i32 remainingMs
+  8: optional bool released
+}
+
 // Sent as a datagram several times a second.
 struct GatewayHeartbeat {
   1: required GatewayMember origin
@@ -127,6 +150,7 @@
   // Whether the sender aggregates the reports of its availability zone.
   11: optional bool aggregator
   12: optional list<MemberNotice> members
+  13: optional list<SuspectPart> suspects
 }
 
 struct BackendRecord {
--- a/src/libs/protocol/refusal.cpp
+++ b/src/libs/protocol/refusal.cpp
@@ -80,6 +80,7 @@
     case error_code::log_unavailable:
     case error_code::no_backend_server:
     case error_code::model_not_resident:
+    case error_code::prompt_quarantined:
     case error_code::deadline_unreachable:
     case error_code::draining:
     case error_code::settings_unknown:
--- a/src/libs/state/error.cpp
+++ b/src/libs/state/error.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::array<enum_name<error_code>, 35> error_names{{
+constexpr std::array<enum_name<error_code>, 36> error_names{{
     {error_code::invalid_argument, "invalid_argument"},
     {error_code::invalid_json, "invalid_json"},
     {error_code::unknown_key, "unknown_key"},
@@ -35,6 +35,7 @@
     {error_code::method_not_allowed, "method_not_allowed"},
     {error_code::no_backend_server, "no_backend_server"},
     {error_code::model_not_resident, "model_not_resident"},
+    {error_code::prompt_quarantined, "prompt_quarantined"},
     {error_code::overloaded, "overloaded"},
     {error_code::deadline_unreachable, "deadline_unreachable"},
     {error_code::draining, "draining"},
--- a/src/libs/state/error.hpp
+++ b/src/libs/state/error.hpp
@@ -34,6 +34,7 @@
     method_not_allowed,
     no_backend_server,
     model_not_resident,
+    prompt_quarantined,
     overloaded,
     deadline_unreachable,
     draining,
--- a/tests/auto/platform/tst_mutated_input.cpp
+++ b/tests/auto/platform/tst_mutated_input.cpp
@@ -17,6 +17,7 @@
 {
 
 using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using state::milliseconds;
 
 constexpr int mutations = 2000;
 constexpr std::uint32_t seed = 20261204;
@@ -84,6 +85,14 @@
     heartbeat.rates.push_back({"models", "m1", "a1", 2.5, 900.0, 800.0, 3});
     heartbeat.weights.push_back({"e1", 4, 11, {{"m1", 3, {"a1", "a2"}}}});
     heartbeat.leaving.push_back({"e2", 5});
+    heartbeat.suspects.push_back({"models",
+                                  0xbad,
+                                  1,
+                                  {{"e1@4", milliseconds(90), milliseconds(10)}},
+                                  milliseconds(7),
+                                  2,
+                                  milliseconds(9000),
+                                  false});
     return heartbeat;
 }
 
