Close connections after responses without an attempt id

Cause: refusals may come without an attempt id, so attempt_filter cannot tell whose they are, and takes a response with status 300 or more for the present request's.

Change: a connection is reused only if all responses on it carried an attempt id. What a faulty server repeats there then carries an earlier id, and is skipped.

Result: "a refusal that is repeated on a kept connection refuses no other request" failed for 503, 429, 421 and an error without an id before, and passes.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -407,6 +407,10 @@
     const unsigned code = head.result_int();
     this->answer_status = code;
     this->apply_backend_notices(entry, response);
+    // A faulty server that writes this response once more on the connection would seem to
+    // answer the next request there.
+    if (response.attempt_id.empty())
+        backend.forbid_reuse();
     if (response.not_run)
     {
         this->may_have_run = may_have_run_before;
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -251,13 +251,14 @@
     // A connection is not reused if bytes follow the response, since they belong to no
     // request, or if the request is not fully written, since the server would take the
     // rest of it for the next request.
-    const bool reusable = link.parser->get().keep_alive() && link.write_done &&
-                          !link.write_failure && link.buffer.size() == 0;
+    const bool can_reuse = this->reusable && link.parser->get().keep_alive() &&
+                           link.write_done && !link.write_failure &&
+                           link.buffer.size() == 0;
     const auto announced = link.parser->get().find("Keep-Alive");
     if (announced != link.parser->get().end())
         link.idle_timeout = parse_idle_timeout(announced->value());
     link.parser.reset();
-    if (reusable)
+    if (can_reuse)
         this->client.keep_idle(std::move(this->connection));
     else
         this->abort();
--- a/src/libs/transport/http_client.hpp
+++ b/src/libs/transport/http_client.hpp
@@ -70,6 +70,8 @@
     void abort();
     /// Whether the connection has carried an earlier request.
     bool is_reused() const { return this->reused; }
+    /// Closes the connection after the response, so that no other request is sent on it.
+    void forbid_reuse() { this->reusable = false; }
 
     /// Status and header of the response.
     const http_response& head() const;
@@ -101,6 +103,7 @@
     http_call_options options;
     http_response response_head;
     bool reused = false;
+    bool reusable = true;
 };
 
 /// HTTP client with a pool of idle connections per address. All calls must be made on the
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -191,6 +191,56 @@
     CHECK(backend.connections == 2);
 }
 
+// Guards against a refusal of an earlier request that is taken for one of the present
+// request, which the backend server runs.
+TEST_CASE("a refusal that is repeated on a kept connection refuses no other request")
+{
+    struct row
+    {
+        std::string name;
+        std::string refusal;
+    };
+    const std::string fields = "X-Pomelorouter-Not-Executed: 1\r\nContent-Length: 4\r\n";
+    const std::string with_id = fields + "X-Pomelorouter-Attempt-Id: a1\r\n";
+    const std::vector<row> rows{
+        {"503", "HTTP/1.1 503 Busy\r\n" + fields + "\r\nbusy"},
+        {"429", "HTTP/1.1 429 Slow\r\n" + fields + "\r\nbusy"},
+        {"421", "HTTP/1.1 421 Misdirected\r\n" + fields + "\r\nbusy"},
+        {"503 with the id of its request",
+         "HTTP/1.1 503 Busy\r\n" + with_id + "\r\nbusy"},
+        {"500 without an id", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        gateway_fixture test;
+        int runs = 0;
+        test::raw_backend* backend = nullptr;
+        backend =
+            &test.add_backend("s1", "plain",
+                              [&](const transport::http_request& request)
+                              {
+                                  if (attempt_of(request) == "a1")
+                                      return raw_reply{{item.refusal}};
+                                  ++runs;
+                                  const std::string own =
+                                      response_text("200 OK", "a2", "own");
+                                  // The faulty server writes the refusal again if the
+                                  // connection was kept.
+                                  const bool is_kept = backend->connections == 1;
+                                  return raw_reply{{is_kept ? item.refusal + own : own}};
+                              });
+        test.put_config(1);
+        test.start();
+        REQUIRE(test.fetch(test.request("/once/x", "a1")));
+        const auto second = test.fetch(test.request("/once/x", "a2"));
+        REQUIRE(second);
+        CHECK(runs == 1);
+        CHECK(second->result_int() == 200);
+        CHECK(second->body() == "own");
+    }
+}
+
 // Guards against a resumed stream with a missing, duplicate or truncated event.
 TEST_CASE(
     "an interrupted stream is resumed at another engine after its last complete event")
