Continue a stream only with events of a successful response

Cause: when a stream breaks off and is resumed, a response below 500 that is not a success was forwarded as a whole response, header included, although the stream had begun; a success of another type or without content ended the stream as if it were complete.

Change: once a stream has begun, only a signed 200 of type text/event-stream continues it. Anything else ends that call as broken off; the stream goes on elsewhere or ends without its final chunk.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -69,6 +69,7 @@
 constexpr milliseconds min_time_for_retry{60};
 
 constexpr unsigned first_server_error = 500;
+constexpr std::string_view event_stream_type = "text/event-stream";
 
 } // namespace
 
@@ -435,6 +436,13 @@
         this->error_answer = std::move(whole);
         co_return call_end::error_answer;
     }
+    if (this->stream_begun && !this->continues_stream(head, response))
+    {
+        this->last_problem = "response with status " + std::to_string(code) +
+                             " does not continue the stream";
+        record.set_result(call_result::failed);
+        co_return call_end::broken_off;
+    }
     if (code < 300 && !response.is_signed)
     {
         this->last_problem = "response without the signature of a backend server";
@@ -455,6 +463,14 @@
     co_return end;
 }
 
+bool relayed_request::continues_stream(const transport::http_response& head,
+                                       const response_metadata& response) const
+{
+    const std::string_view type = head[transport::field::content_type];
+    return head.result() == transport::status::ok && response.is_signed &&
+           type.substr(0, event_stream_type.size()) == event_stream_type;
+}
+
 void relayed_request::apply_backend_notices(const state::backend_entry& entry,
                                             const response_metadata& response)
 {
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -109,6 +109,9 @@
                                                   std::string first);
     boost::asio::awaitable<call_end> relay_events(transport::http_call& backend);
     boost::asio::awaitable<void> begin_stream(const transport::http_response& head);
+    /// Whether a response to a resumed call consists of the next events of the stream.
+    bool continues_stream(const transport::http_response& head,
+                          const response_metadata& response) const;
 
     boost::asio::awaitable<void> finish(call_end last);
     boost::asio::awaitable<void>
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -284,6 +284,67 @@
     CHECK_FALSE(test.fetch(test.request("/stream/x", "a1", "m1")));
 }
 
+// Guards against the text of an error, or the response of a resumed call, in the middle
+// of a caller's stream, and against such a stream that looks complete.
+TEST_CASE("a stream that has begun is not continued with anything but its events")
+{
+    struct row
+    {
+        std::string name;
+        std::string second;
+    };
+    const std::string json_head = "HTTP/1.1 200 OK\r\nX-Pomelorouter-Attempt-Id: a1\r\n"
+                                  "X-Pomelorouter-Server-Seal: seal\r\n"
+                                  "Content-Type: application/json\r\n";
+    const std::vector<row> rows{
+        {"not found", response_text("404 Not Found", "a1", "no such thing")},
+        {"bad request", response_text("400 Bad Request", "a1", "bad\n\n")},
+        {"redirection", response_text("302 Found", "a1", "elsewhere\n\n")},
+        {"server error", response_text("500 Error", "a1", "broken\n\n")},
+        {"unavailable", response_text("503 Busy", "a1", "busy\n\n")},
+        {"too many requests", response_text("429 Slow", "a1", "slow\n\n")},
+        {"refusal", response_text("503 Busy", "a1", "busy\n\n",
+                                  "X-Pomelorouter-Not-Executed: 1\r\n")},
+        {"no content", "HTTP/1.1 204 No Content\r\nX-Pomelorouter-Attempt-Id: a1\r\n"
+                       "X-Pomelorouter-Server-Seal: seal\r\n\r\n"},
+        {"success without a signature",
+         "HTTP/1.1 200 OK\r\nX-Pomelorouter-Attempt-Id: a1\r\n"
+         "Content-Length: 8\r\n\r\nid: 4\n\n\n"},
+        {"success of another type", json_head + "Content-Length: 5\r\n\r\n{}\n\n\n"},
+        {"no HTTP", "id: 4\ndata: x\n\n"},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        gateway_fixture test;
+        int calls = 0;
+        const auto script = [&](const transport::http_request& request)
+        {
+            if (request.target() != "/stream/x")
+                return raw_reply{{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}};
+            if (++calls == 1)
+            {
+                return raw_reply{{stream_head("a1"), chunk(events(1, 3))},
+                                 reply_end::reset};
+            }
+            return raw_reply{{item.second}, reply_end::close};
+        };
+        test.add_backend("e1", "models", script, {"m1"});
+        test.add_backend("e2", "models", script, {"m1"});
+        test.put_config(1);
+        test.start();
+        const std::string received =
+            test.exchange("POST /stream/x HTTP/1.1\r\nHost: shop.example\r\n"
+                          "X-Pomelorouter-Attempt-Id: a1\r\nX-Pomelorouter-Model: m1\r\n"
+                          "Content-Length: 0\r\n\r\n",
+                          state::milliseconds(1000));
+        CHECK(calls == 2);
+        const std::size_t body = received.find("\r\n\r\n");
+        REQUIRE(body != std::string::npos);
+        CHECK(received.substr(body + 4) == chunk(events(1, 3)));
+    }
+}
+
 // Guards against a caller that waits longer than the timeout of its route, and against a
 // response that wrongly claims the request was not run.
 TEST_CASE("a call without a response ends with 504 at the timeout of the route")
