Treat a stream that ends inside an event as broken off

Cause: an incomplete event at the end of a response was forwarded, and the stream ended as complete.

Change: a response that ends inside an event has been broken off: the stream is resumed after its last whole event, or ends without its final chunk.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -455,7 +455,7 @@
     const bool is_stream = this->route->is_stream() && code < 300;
     call_end end = call_end::failed;
     if (is_stream)
-        end = co_await this->relay_events(backend);
+        end = co_await this->relay_events(backend, record);
     else
         end = co_await this->relay_whole(backend);
     if (end == call_end::completed)
@@ -538,7 +538,8 @@
     co_return call_end::completed;
 }
 
-asio::awaitable<call_end> relayed_request::relay_events(transport::http_call& backend)
+asio::awaitable<call_end> relayed_request::relay_events(transport::http_call& backend,
+                                                        call_record& record)
 {
     const bool can_resume = this->route->may_retry();
     this->watch_progress(this->stall_limit());
@@ -567,10 +568,14 @@
             co_await this->begin_stream(backend.head());
         co_await this->exchange.write_piece(std::move(output));
     }
+    if (!this->events.incomplete_event().empty())
+    {
+        this->last_problem = "the stream ended inside an event";
+        record.set_result(call_result::failed);
+        co_return this->stream_begun ? call_end::broken_off : call_end::failed;
+    }
     if (!this->stream_begun)
         co_await this->begin_stream(backend.head());
-    if (can_resume && !this->events.incomplete_event().empty())
-        co_await this->exchange.write_piece(this->events.incomplete_event());
     co_await this->exchange.end_stream();
     co_return call_end::completed;
 }
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -107,7 +107,8 @@
     boost::asio::awaitable<call_end> relay_whole(transport::http_call& backend);
     boost::asio::awaitable<call_end> relay_chunks(transport::http_call& backend,
                                                   std::string first);
-    boost::asio::awaitable<call_end> relay_events(transport::http_call& backend);
+    boost::asio::awaitable<call_end> relay_events(transport::http_call& backend,
+                                                  call_record& record);
     boost::asio::awaitable<void> begin_stream(const transport::http_response& head);
     /// Whether a response to a resumed call consists of the next events of the stream.
     bool continues_stream(const transport::http_response& head,
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -345,6 +345,58 @@
     }
 }
 
+// Guards against a stream without a length that breaks off inside an event and is taken
+// for complete.
+TEST_CASE("a stream that ends inside an event has been broken off")
+{
+    const std::string unframed_head =
+        "HTTP/1.1 200 OK\r\nX-Pomelorouter-Attempt-Id: a1\r\n"
+        "X-Pomelorouter-Server-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
+    struct row
+    {
+        std::string name;
+        std::string first;
+        int attempts;
+        bool is_served;
+    };
+    const std::vector<row> rows{
+        {"unframed, resumed", unframed_head + events(1, 3) + "id: 4\nda", 2, true},
+        {"unframed, after an event's last line", unframed_head + events(1, 3) + "id: 4\n",
+         2, true},
+        {"unframed, before the first event", unframed_head + "id: 1\nda", 2, true},
+        {"unframed, not resumed", unframed_head + events(1, 3) + "id: 4\nda", 1, false},
+        {"chunked, resumed",
+         stream_head("a1") + chunk(events(1, 3) + "id: 4\nda") + "0\r\n\r\n", 2, true},
+        {"chunked, not resumed",
+         stream_head("a1") + chunk(events(1, 3) + "id: 4\nda") + "0\r\n\r\n", 1, false},
+        {"unframed and complete", unframed_head + events(1, 6), 1, true},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        gateway_fixture test;
+        int calls = 0;
+        const auto script = [&](const transport::http_request& request)
+        {
+            if (request.target() != "/stream/x")
+                return raw_reply{{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}};
+            if (++calls == 1)
+                return raw_reply{{item.first}, reply_end::close};
+            const std::string resumed_after(request["Last-Event-Id"]);
+            const int first = resumed_after.empty() ? 1 : std::stoi(resumed_after) + 1;
+            return raw_reply{{stream_head("a1"), chunk(events(first, 6)), "0\r\n\r\n"}};
+        };
+        test.add_backend("e1", "models", script, {"m1"});
+        test.add_backend("e2", "models", script, {"m1"});
+        test.put_config(1, 5000, item.attempts);
+        test.start();
+        const auto response = test.fetch(test.request("/stream/x", "a1", "m1"));
+        REQUIRE(response.has_value() == item.is_served);
+        if (item.is_served)
+            CHECK(response->body() == events(1, 6));
+    }
+}
+
 // Guards against a caller that waits longer than the timeout of its route, and against a
 // response that wrongly claims the request was not run.
 TEST_CASE("a call without a response ends with 504 at the timeout of the route")
