--- a/tests/auto/platform/tst_documents.cpp
+++ b/tests/auto/platform/tst_documents.cpp
@@ -77,6 +77,64 @@
                     state::error);
 }
 
+// Guards against entries of another writer that replace or block those of engines.
+TEST_CASE("an odd backend entry gives a typed error")
+{
+    const auto adapter = platform::make_adapter();
+    const auto& reader = adapter->documents();
+    const auto entry_with = [](const std::string& members)
+    {
+        return R"({"Service":"s","Address":"1.2.3.4:80","State":"ready")" +
+               (members.empty() ? "" : "," + members) + "}";
+    };
+    const auto entry_at = [](const std::string& address)
+    { return R"({"Service":"s","State":"ready","Address":")" + address + R"("})"; };
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    CHECK_NOTHROW(reader.read_backend("i1", entry_with("")));
+    struct row
+    {
+        std::string name;
+        std::string id;
+        std::string text;
+    };
+    const std::vector<row> rows{
+        {"deep nesting", "i1", entry_with(R"("Models":)" + deep)},
+        {"deep nesting in an unknown member", "i1", entry_with(R"("More":)" + deep)},
+        {"only nesting", "i1", deep},
+        {"huge start", "i1", entry_with(R"("born":1e300)")},
+        {"start beyond a double", "i1", entry_with(R"("born":1e999)")},
+        {"start beyond 64 bits", "i1", entry_with(R"("born":99999999999999999999)")},
+        {"start after the year 9999", "i1", entry_with(R"("born":9007199254740991)")},
+        {"negative start", "i1", entry_with(R"("born":-1)")},
+        {"text as start", "i1", entry_with(R"("born":"now")")},
+        {"huge slots", "i1", entry_with(R"("Slots":1e300)")},
+        {"slots beyond an int", "i1", entry_with(R"("Slots":4294967297)")},
+        {"negative slots", "i1", entry_with(R"("Slots":-1)")},
+        {"text as slots", "i1", entry_with(R"("Slots":"many")")},
+        {"huge remaining time", "i1", entry_with(R"("RemainingMs":1e300)")},
+        {"remaining time that overflows", "i1",
+         entry_with(R"("RemainingMs":9223372036854775000)")},
+        {"negative remaining time", "i1", entry_with(R"("RemainingMs":-1e9)")},
+        {"number as models", "i1", entry_with(R"("Models":5)")},
+        {"number as model", "i1", entry_with(R"("Models":[5])")},
+        {"huge model version", "i1",
+         entry_with(R"("Models":[{"Name":"m","Version":1e300}])")},
+        {"number as zone", "i1", entry_with(R"("Zone":5)")},
+        {"port out of range", "i1", entry_at("1.2.3.4:65536")},
+        {"huge port", "i1", entry_at("1.2.3.4:99999999999999999999")},
+        {"negative port", "i1", entry_at("1.2.3.4:-1")},
+        {"port 0", "i1", entry_at("1.2.3.4:0")},
+        {"no id", "", entry_with("")},
+        {"line break in the id", "i1\r\nX-More: 1", entry_with("")},
+        {"space in the id", "i 1", entry_with("")},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        CHECK_THROWS_AS(reader.read_backend(item.id, item.text), state::error);
+    }
+}
+
 TEST_CASE("an engine order is encoded and its response and report are decoded")
 {
     const auto adapter = platform::make_adapter();
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -335,6 +335,58 @@
     test.run_until(is_leaving);
 }
 
+// Guards against a gateway that stops following the list of backend servers, or ends,
+// because of an entry of another writer.
+TEST_CASE("entries of sound backend servers are followed beside odd ones")
+{
+    const std::string place =
+        R"({"Service":"plain","Address":"127.0.0.1:1","State":"ready")";
+    const std::vector<std::string> odd_entries{
+        std::string(100000, '['),
+        place + R"(,"born":1e300})",
+        place + R"(,"born":9007199254740991})",
+        place + R"(,"RemainingMs":9223372036854775000,"State":"draining"})",
+        place + R"(,"Slots":1e300})",
+        R"({"Service":"plain","Address":"127.0.0.1:65536","State":"ready"})",
+        R"({"Service":"plain","Address":"127.0.0.1:0","State":"ready"})",
+        std::string("\0\xff\r\n", 4),
+    };
+    gateway_fixture test;
+    auto& backend = test.add_backend("s1", "plain", ok);
+    test.put_config(1);
+    const auto put_odd_entries = [&]
+    {
+        for (const std::string& entry : odd_entries)
+        {
+            test.store.put("keyed.servers", "s1", entry);
+            test.store.put("keyed.servers", "odd", entry);
+            test.store.put("keyed.servers", "odd\r\nX: 1 &after=", entry);
+        }
+    };
+    const auto serves = [&test](const std::string& attempt)
+    {
+        const auto response = test.fetch(test.request("/once/x", attempt));
+        return response && response->result_int() == 200;
+    };
+    put_odd_entries();
+    test.put_entry("s1", "plain", backend.address);
+    test.start();
+    CHECK(serves("a1"));
+    put_odd_entries();
+    test.run_for(state::milliseconds(1000));
+    CHECK(serves("a2"));
+    // The process that starts next under the same id is followed.
+    test.put_entry("s1", "plain", backend.address, "ready", {}, 2);
+    test.run_until(
+        [&test]
+        {
+            const auto known = test.gateway->shared_state().directory.find("s1");
+            return known != nullptr && known->entry.incarnation == 2;
+        });
+    CHECK(serves("a3"));
+    CHECK(test.gateway->shared_state().directory.all().size() == 1);
+}
+
 // Guards against requests to a backend server that has announced in a response to one
 // gateway that it is leaving, while its entry still says ready.
 TEST_CASE("a leaving notice in a response is forwarded to the other gateways")
