Keep prompt quarantines in the platform's store

Cause: the quarantine lived in the memory of the gateways only.

Change: the strongest living gateway appends each quarantine to a topic of its own and removes it with its end; aggregators read the topic once at their start.

Result: "a prompt part stays quarantined when all gateways start again" passes, with no harmful request at an engine after the restart. Without the record the part is unknown to new gateways.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -97,6 +97,15 @@
       crashes(this->loop.get_executor(), this->client, counters,
               [this](const coordination::backend_crash& crash)
               { this->on_crash(crash); }),
+      saved_quarantines(
+          this->shared, *this->store,
+          [this] { return !this->peers.aggregator_control().empty(); },
+          [this] { return this->peers.awaits_aggregator(); },
+          [this](const std::vector<protocol::suspect_part>& parts)
+          {
+              this->shared.quarantine.merge(now(), parts);
+              this->update_quarantine(false);
+          }),
       quarantined_parts(counters.gauge("prompt_parts_quarantined",
                                        "prompt parts that crash backend servers, whose "
                                        "requests are refused")),
@@ -136,6 +145,7 @@
                       [this](const protocol::gateway_heartbeat& heartbeat)
                       { this->on_heartbeat(heartbeat); });
     this->placement.start();
+    this->saved_quarantines.start();
     // Other gateways stop using a leaving backend server as soon as they hear of it.
     this->shared.on_backend_leaving = [this] { this->peers.send_heartbeat(); };
     this->shared.on_call_lost = [this](const state::backend_entry& entry,
@@ -219,8 +229,9 @@
     this->update_quarantine();
 }
 
-void gateway::update_quarantine()
+void gateway::update_quarantine(bool may_save)
 {
+    const bool must_save = may_save && this->shared.is_strongest;
     const std::vector<coordination::quarantined_part> quarantined =
         this->shared.quarantine.take_quarantined();
     const std::vector<coordination::part_key> released =
@@ -230,6 +241,8 @@
         state::log_event(state::log_level::warning, "prompt_part_released")
             .field("part", coordination::format_part_ids({key.part}))
             .field("service", key.service);
+        if (must_save)
+            this->saved_quarantines.remove(key);
     }
     for (const coordination::quarantined_part& part : quarantined)
     {
@@ -240,6 +253,8 @@
             .field("left_ms",
                    std::chrono::duration_cast<milliseconds>(part.until - now()).count())
             .field("reason", to_string(part));
+        if (must_save)
+            this->saved_quarantines.save(part);
     }
     if (quarantined.empty() && released.empty())
         return;
@@ -267,7 +282,7 @@
                 .field("cpu_ms", (state::process_cpu_time() - processor_time).count());
         }
         this->backends.tick();
-        this->shared.tries_quarantined = this->peers.rank() == 0;
+        this->shared.is_strongest = this->peers.rank() == 0;
         this->shared.quarantine.tick(now());
         this->update_quarantine();
         if (now() < next_slow_housekeeping)
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -11,6 +11,7 @@
 #include "app/gateway/serving/request_relay.hpp"
 #include "app/gateway/store/backend_watcher.hpp"
 #include "app/gateway/store/config_watcher.hpp"
+#include "app/gateway/store/quarantine_store.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 
@@ -47,8 +48,9 @@
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
     void on_config(const state::gateway_config& newest);
     void on_crash(const coordination::backend_crash& crash);
-    /// Applies the decisions about prompt parts that crash backend servers.
-    void update_quarantine();
+    /// Applies the decisions about prompt parts that crash backend servers, and saves
+    /// them if this gateway does so for the others.
+    void update_quarantine(bool may_save = true);
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> drain(std::function<void()> on_stopped);
 
@@ -64,6 +66,7 @@
     peer_gossip peers;
     placement_agent placement;
     crash_detector crashes;
+    quarantine_store saved_quarantines;
     state::counter& quarantined_parts;
     request_relay relay;
     directory_handler directory;
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -50,9 +50,9 @@
     coordination::weight_demand demand;
     coordination::admission_queue queue;
     coordination::prompt_quarantine quarantine;
-    /// Whether this gateway sends the single requests that show whether a part still
-    /// crashes backend servers after its quarantine.
-    bool tries_quarantined = false;
+    /// Whether this is the strongest living gateway, which sends the requests that show
+    /// whether a quarantined part still crashes backend servers, and saves quarantines.
+    bool is_strongest = false;
     /// Requests in progress.
     std::set<relayed_request*> requests;
     coordination::random_source random;
--- a/src/app/gateway/serving/relayed_request_quarantine.cpp
+++ b/src/app/gateway/serving/relayed_request_quarantine.cpp
@@ -22,7 +22,7 @@
 {
     this->quarantine =
         this->shared.quarantine.find(now(), this->demand.service, this->shared_parts(),
-                                     this->shared.tries_quarantined);
+                                     this->shared.is_strongest);
     return this->quarantine.has_value();
 }
 
--- a/src/app/gateway/store/keyed_store.hpp
+++ b/src/app/gateway/store/keyed_store.hpp
@@ -19,9 +19,11 @@
     settings,
     /// Written by the backend servers.
     backend_servers,
-    /// Written by the gateways: the running gateways, and the placement lease.
+    /// Written by the gateways: the running gateways, the placement lease, and prompt
+    /// parts that crash backend servers.
     members,
     lease,
+    prompt_quarantine,
 };
 
 /// One record of a topic: the newest value of its key, or the key's removal.
--- a/src/libs/coordination/prompt_quarantine.cpp
+++ b/src/libs/coordination/prompt_quarantine.cpp
@@ -37,14 +37,6 @@
 constexpr std::size_t max_crashes_per_record = 16;
 constexpr std::size_t max_reports = protocol::max_suspect_parts;
 
-seconds quarantine_length(int round)
-{
-    seconds length = first_quarantine;
-    for (int i = 1; i < round && length < longest_quarantine; ++i)
-        length *= 2;
-    return std::min(length, longest_quarantine);
-}
-
 milliseconds age(time_point now, time_point time)
 {
     return std::chrono::duration_cast<milliseconds>(now - time);
@@ -57,6 +49,14 @@
     return std::tie(this->part, this->service) < std::tie(other.part, other.service);
 }
 
+seconds quarantine_length(int round)
+{
+    seconds length = first_quarantine;
+    for (int i = 1; i < round && length < longest_quarantine; ++i)
+        length *= 2;
+    return std::min(length, longest_quarantine);
+}
+
 std::string to_string(const quarantined_part& part)
 {
     std::string text = "prompt part " + format_part_ids({part.key.part}) +
--- a/src/libs/coordination/prompt_quarantine.hpp
+++ b/src/libs/coordination/prompt_quarantine.hpp
@@ -48,6 +48,9 @@
     std::vector<std::string> processes;
 };
 
+/// Returns the length of the quarantine with this number.
+state::seconds quarantine_length(int round);
+
 /// Says which part is quarantined and which processes crashed.
 std::string to_string(const quarantined_part& part);
 
--- a/tests/auto/platform/tst_crashing_prompts.cpp
+++ b/tests/auto/platform/tst_crashing_prompts.cpp
@@ -34,8 +34,11 @@
 class crashing_day
 {
 public:
-    crashing_day()
+    /// The store keeps `quarantines` of earlier gateways.
+    explicit crashing_day(const test::fake_store* quarantines = nullptr)
     {
+        if (quarantines != nullptr)
+            this->test.store.copy("keyed.quarantine", *quarantines);
         for (int index = 0; index < engines; ++index)
         {
             this->test.add_backend("e" + std::to_string(index), "models",
@@ -46,9 +49,14 @@
         this->born.resize(engines, 1);
         this->restart_at.resize(engines);
         this->test.put_config(1);
+        this->start_gateways();
+    }
+
+    void start_gateways()
+    {
         this->test.start();
         this->test.run_until([this]
-                             { return this->test.store.end("keyed.gateways") == 1; });
+                             { return this->test.store.end("keyed.gateways") >= 1; });
         state::gateway_settings settings = this->test.settings;
         settings.node_id = "gateway-2";
         settings.seeds = {this->test.gateway->own_settings().control_listen};
@@ -123,6 +131,9 @@
         return this->late(this->sound, delay);
     }
 
+    /// Harmful requests that reached engines.
+    int arrivals() const { return this->harmful_arrivals; }
+
     std::optional<transport::http_response> last_refusal;
     gateway_fixture test;
 
@@ -219,4 +230,17 @@
     CHECK(late.counted * 2 >= late.sent);
 }
 
+// Guards against engines that crash again because no gateway is left that knows the part.
+TEST_CASE("a prompt part stays quarantined when all gateways start again")
+{
+    crashing_day day;
+    day.play(milliseconds(2000));
+    day.test.run_until([&day] { return day.test.store.end("keyed.quarantine") >= 1; });
+    // One gateway saves it for all.
+    CHECK(day.test.store.end("keyed.quarantine") == 1);
+    crashing_day next(&day.test.store);
+    next.play(milliseconds(1000));
+    CHECK(next.arrivals() == 0);
+}
+
 TEST_SUITE_END();
