--- a/src/app/gateway/serving/relayed_request_quarantine.cpp
+++ b/src/app/gateway/serving/relayed_request_quarantine.cpp
@@ -20,9 +20,8 @@
 
 bool relayed_request::is_quarantined()
 {
-    this->quarantine =
-        this->shared.quarantine.find(now(), this->demand.service, this->shared_parts(),
-                                     this->shared.is_strongest);
+    this->quarantine = this->shared.quarantine.find(
+        now(), this->demand.service, this->shared_parts(), this->shared.is_strongest);
     return this->quarantine.has_value();
 }
 
