Keep the port of a stopped test backend

A second socket now keeps the port bound without listening, so that connections are still refused. The checks of the tests are unchanged.

--- a/tests/auto/platform/raw_backend.cpp
+++ b/tests/auto/platform/raw_backend.cpp
@@ -21,10 +21,32 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// Binds without accepting connections; both sockets of one backend may have the address.
+void bind_shared(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+{
+    using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    const auto endpoint = transport::parse_address(address);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.set_option(reuse_port(true));
+    acceptor.bind(endpoint);
+}
+
+} // namespace
+
 raw_backend::raw_backend(asio::io_context& event_loop, script reply_function)
-    : loop(event_loop), acceptor(event_loop), reply(std::move(reply_function))
+    : loop(event_loop),
+      reservation(event_loop),
+      acceptor(event_loop),
+      reply(std::move(reply_function))
 {
-    this->address = transport::open_listener(this->acceptor, "127.0.0.1:0");
+    bind_shared(this->reservation, "127.0.0.1:0");
+    this->address = transport::format_address(this->reservation.local_endpoint());
+    bind_shared(this->acceptor, this->address);
+    this->acceptor.listen();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
 }
 
@@ -57,7 +79,8 @@
 
 void raw_backend::restart()
 {
-    transport::open_listener(this->acceptor, this->address);
+    bind_shared(this->acceptor, this->address);
+    this->acceptor.listen();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
 }
 
--- a/tests/auto/platform/raw_backend.hpp
+++ b/tests/auto/platform/raw_backend.hpp
@@ -73,6 +73,8 @@
                                        state::milliseconds pause);
 
     boost::asio::io_context& loop;
+    /// Keeps the port while the backend server does not run.
+    boost::asio::ip::tcp::acceptor reservation;
     boost::asio::ip::tcp::acceptor acceptor;
     script reply;
     std::set<boost::asio::ip::tcp::socket*> open_sockets;
