--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -483,6 +483,13 @@
             .field("backend", entry.id)
             .field("pause_ms", response.pause->count());
     }
+    if (response.rate_limit || response.is_rate_limit_unreadable)
+    {
+        state::log_event(state::log_level::info, "backend_limit_named")
+            .field("request", this->metadata.attempt_id)
+            .field("backend", entry.id)
+            .field("per_s", response.rate_limit.value_or(-1.0));
+    }
     if (!response.is_leaving ||
         !this->shared.directory.on_leaving_answer(now(), entry.id, entry.incarnation))
         return;
--- a/src/app/gateway/serving/request_dialect.hpp
+++ b/src/app/gateway/serving/request_dialect.hpp
@@ -55,6 +55,10 @@
     bool is_leaving = false;
     /// An overloaded backend server asks for no further requests for this long.
     std::optional<state::milliseconds> pause;
+    /// Requests per second that the backend server accepts from all gateways together.
+    std::optional<double> rate_limit;
+    /// The response names a limit that is not a number or is negative.
+    bool is_rate_limit_unreadable = false;
 };
 
 /// Reads and writes the metadata of requests and responses. All functions are pure.
