--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -128,10 +128,13 @@
 {
     std::vector<coordination::gossip_peer> members;
     std::size_t alive = 0;
+    this->ready_peers.clear();
     for (protocol::gateway_member& member : this->table.known())
     {
         const bool is_alive = this->table.is_alive(now(), member.node);
         alive += is_alive ? 1 : 0;
+        if (is_alive && member.ready)
+            this->ready_peers.push_back(member.node);
         const bool is_aggregating = this->table.is_aggregating(now(), member.node);
         members.push_back({std::move(member), is_alive, is_aggregating});
     }
@@ -435,6 +438,14 @@
     return result;
 }
 
+std::vector<std::string> peer_gossip::ready_nodes() const
+{
+    std::vector<std::string> result = this->ready_peers;
+    if (this->self.ready)
+        result.push_back(this->self.node);
+    return result;
+}
+
 std::string peer_gossip::aggregator_control() const
 {
     const protocol::gateway_member* const member =
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -49,6 +49,8 @@
     /// Returns the gateways that accept callers' requests, including this one if it is
     /// ready.
     std::vector<gateway_address> ready_addresses() const;
+    /// Ids of the ready gateways, this one included if it is ready, as of the last tick.
+    std::vector<std::string> ready_nodes() const;
     const coordination::gateway_members& members() const { return this->table; }
     const protocol::gateway_member& own() const { return this->self; }
     /// Control address of the aggregator of this zone; empty if this gateway is the
@@ -89,6 +91,7 @@
     protocol::gateway_member self;
     coordination::gateway_members table;
     coordination::gossip_plan plan;
+    std::vector<std::string> ready_peers;
     /// Member notices that an aggregator sends to its own zone, and to the aggregators of
     /// the other zones.
     coordination::member_notice_queue own_zone_news;
--- a/src/app/gateway/process/control_handler.cpp
+++ b/src/app/gateway/process/control_handler.cpp
@@ -29,8 +29,13 @@
 
 control_handler::control_handler(gateway_state& gateway, const peer_gossip& gateway_peers,
                                  const config_watcher& config_state,
-                                 backend_watcher& backend_state)
-    : shared(gateway), peers(gateway_peers), config(config_state), backends(backend_state)
+                                 backend_watcher& backend_state,
+                                 permit_exchange& send_permits)
+    : shared(gateway),
+      peers(gateway_peers),
+      config(config_state),
+      backends(backend_state),
+      permits(send_permits)
 {
 }
 
@@ -52,13 +57,19 @@
         co_await exchange.respond(
             transport::binary_response(status::ok, std::move(page)));
     }
+    else if (path == "/gateway/permits")
+    {
+        co_await exchange.respond(transport::binary_response(
+            status::ok, this->permits.respond(exchange.request().body())));
+    }
     else if (path == "/metrics")
         co_await exchange.respond(
             transport::text_response(status::ok, this->shared.counters.render()));
     else
         throw state::error(
             state::error_code::not_found, std::string(path),
-            "expected /gateway/members, /gateway/config, /gateway/backends or /metrics");
+            "expected /gateway/members, /gateway/config, /gateway/backends, "
+            "/gateway/permits or /metrics");
 }
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/process/control_handler.hpp
+++ b/src/app/gateway/process/control_handler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/gateway/peers/peer_gossip.hpp"
+#include "app/gateway/peers/permit_exchange.hpp"
 #include "app/gateway/store/backend_watcher.hpp"
 #include "app/gateway/store/config_watcher.hpp"
 #include "transport/http_server.hpp"
@@ -9,12 +10,13 @@
 {
 
 /// Serves the control address for other gateways and operators: known gateways, the
-/// configuration, the list of backend servers and metrics.
+/// configuration, the list of backend servers, permits and metrics.
 class control_handler : public transport::http_handler
 {
 public:
     control_handler(gateway_state& gateway, const peer_gossip& gateway_peers,
-                    const config_watcher& config_state, backend_watcher& backend_state);
+                    const config_watcher& config_state, backend_watcher& backend_state,
+                    permit_exchange& permits);
 
     boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override;
 
@@ -23,6 +25,7 @@
     const peer_gossip& peers;
     const config_watcher& config;
     backend_watcher& backends;
+    permit_exchange& permits;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -7,6 +7,8 @@
 #include "transport/http_error.hpp"
 #include "transport/pause.hpp"
 
+#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -94,6 +96,7 @@
       peers(this->shared, *this->store, this->client, own_member(this->settings)),
       placement(this->shared, *this->store, this->client, this->adapter.engines(),
                 this->peers),
+      permits(this->shared, this->client, this->peers, counters),
       crashes(this->loop.get_executor(), this->client, counters,
               [this](const coordination::backend_crash& crash)
               { this->on_crash(crash); }),
@@ -114,7 +117,7 @@
           this->shared, this->adapter.directory(),
           [this] { return this->peers.ready_addresses(); },
           [this] { return this->is_ready(); }),
-      control(this->shared, this->peers, this->config, this->backends),
+      control(this->shared, this->peers, this->config, this->backends, this->permits),
       frontend_server(this->loop, {}, this->relay, this->shared.counters),
       readiness_server(this->loop, {}, this->directory, this->shared.counters),
       directory_server(this->loop, {}, this->directory, this->shared.counters),
@@ -148,6 +151,8 @@
     this->saved_quarantines.start();
     // Other gateways stop using a leaving backend server as soon as they hear of it.
     this->shared.on_backend_leaving = [this] { this->peers.send_heartbeat(); };
+    this->shared.on_limit_changed = [this] { this->peers.send_heartbeat(); };
+    this->shared.on_permits_wanted = [this] { this->permits.request_permits(); };
     this->shared.on_call_lost = [this](const state::backend_entry& entry,
                                        std::optional<coordination::unanswered_call> call)
     { this->crashes.on_call_lost(entry, std::move(call)); };
@@ -196,6 +201,7 @@
             heartbeat.leaving.push_back({id, backend->entry.incarnation});
     }
     heartbeat.suspects = this->shared.quarantine.reports(now());
+    heartbeat.limits = this->shared.limits.reports(now());
     this->placement.fill(heartbeat);
 }
 
@@ -215,13 +221,32 @@
         this->shared.quarantine.merge(now(), heartbeat.suspects);
     if (has_new_suspects)
         this->update_quarantine();
-    if ((has_new_leaving || has_new_suspects) && this->peers.is_aggregator())
+    const bool has_new_limits = this->merge_limits(heartbeat);
+    if ((has_new_leaving || has_new_suspects || has_new_limits) &&
+        this->peers.is_aggregator())
         this->peers.send_heartbeat();
     this->placement.on_heartbeat(heartbeat);
     if (heartbeat.config_version > this->config.config_version())
         this->config.on_newer(heartbeat.origin.control, heartbeat.config_version);
 }
 
+bool gateway::merge_limits(const protocol::gateway_heartbeat& heartbeat)
+{
+    const std::vector<std::string> changed =
+        this->shared.limits.merge(now(), heartbeat.limits);
+    for (const std::string& backend : changed)
+    {
+        const std::optional<double> limit = this->shared.limits.limit(backend);
+        state::log_event(state::log_level::info, "backend_limit_heard")
+            .field("backend", backend)
+            .field("per_s", limit ? std::to_string(*limit) : std::string("none"))
+            .field("gateway", heartbeat.origin.node);
+    }
+    if (!changed.empty())
+        this->shared.loads_changed.notify();
+    return !changed.empty();
+}
+
 void gateway::on_crash(const coordination::backend_crash& crash)
 {
     if (this->shared.quarantine.on_crash(now(), crash))
@@ -282,6 +307,7 @@
                 .field("cpu_ms", (state::process_cpu_time() - processor_time).count());
         }
         this->backends.tick();
+        this->permits.tick();
         this->shared.is_strongest = this->peers.rank() == 0;
         this->shared.quarantine.tick(now());
         this->update_quarantine();
@@ -290,12 +316,22 @@
         next_slow_housekeeping = now() + slow_housekeeping_period;
         this->client.drop_expired(now());
         this->shared.loads.forget_idle(now());
+        this->forget_old_limits();
         this->crashes.forget_old(now());
         this->shared.chooser.retain(this->shared.directory);
         this->settings_file.reload_if_changed();
     }
 }
 
+void gateway::forget_old_limits()
+{
+    std::set<std::string, std::less<>> listed;
+    for (const auto& [id, backend] : this->shared.directory.all())
+        listed.insert(coordination::backend_chooser::process_key(backend->entry));
+    this->shared.limits.forget_old(now(), [&listed](std::string_view backend)
+                                   { return listed.count(backend) > 0; });
+}
+
 asio::awaitable<void> gateway::drain(std::function<void()> on_stopped)
 {
     const state::time_point drain_start = now();
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/gateway/peers/peer_gossip.hpp"
+#include "app/gateway/peers/permit_exchange.hpp"
 #include "app/gateway/placement/placement_agent.hpp"
 #include "app/gateway/process/control_handler.hpp"
 #include "app/gateway/process/platform_adapter.hpp"
@@ -47,10 +48,14 @@
     void fill(protocol::gateway_heartbeat& heartbeat);
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
     void on_config(const state::gateway_config& newest);
+    /// Applies limits of backend servers that another gateway reports. Returns whether
+    /// any has changed.
+    bool merge_limits(const protocol::gateway_heartbeat& heartbeat);
     void on_crash(const coordination::backend_crash& crash);
     /// Applies the decisions about prompt parts that crash backend servers, and saves
     /// them if this gateway does so for the others.
     void update_quarantine(bool may_save = true);
+    void forget_old_limits();
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> drain(std::function<void()> on_stopped);
 
@@ -65,6 +70,7 @@
     backend_watcher backends;
     peer_gossip peers;
     placement_agent placement;
+    permit_exchange permits;
     crash_detector crashes;
     quarantine_store saved_quarantines;
     state::counter& quarantined_parts;
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "coordination/backend_choice.hpp"
 #include "coordination/backend_crash.hpp"
 #include "coordination/backend_directory.hpp"
+#include "coordination/backend_limits.hpp"
 #include "coordination/backend_loads.hpp"
 #include "coordination/prompt_quarantine.hpp"
 #include "coordination/random_source.hpp"
@@ -46,6 +47,7 @@
     std::shared_ptr<const coordination::route_table> routes;
     coordination::backend_directory directory;
     coordination::backend_loads loads;
+    coordination::backend_limits limits;
     coordination::backend_chooser chooser;
     coordination::weight_demand demand;
     coordination::admission_queue queue;
@@ -62,6 +64,10 @@
     transport::async_event loads_changed;
     /// Called when the response of a backend server says that it is leaving.
     std::function<void()> on_backend_leaving = [] {};
+    /// Called when a response changed the limit of a backend server.
+    std::function<void()> on_limit_changed = [] {};
+    /// Called when requests would use permits that this gateway lacks.
+    std::function<void()> on_permits_wanted = [] {};
     /// Called when a call lost its connection. The second argument is empty if the
     /// backend server had begun to answer.
     std::function<void(const state::backend_entry&,
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -221,7 +221,7 @@
         if (!choice.backend || this->is_aborted())
         {
             this->last_failure = choice.failure;
-            this->paused_until = choice.paused_until;
+            this->available_at = choice.available_at;
             break;
         }
         if (this->attempts > 0 && !std::exchange(this->has_reserved_retry, false) &&
@@ -306,8 +306,8 @@
         return;
     }
     const backend_choice other = this->shared.chooser.choose(
-        now(), this->shared.directory, this->shared.loads, this->demand, this->tried,
-        this->shared.random.unit());
+        now(), this->shared.directory, this->shared.loads, this->shared.limits,
+        this->demand, this->tried, this->shared.random.unit());
     const bool is_faster =
         other.backend && other.expected_ms * 2.0 < static_cast<double>(pause.count()) &&
         other.expected_ms < static_cast<double>(this->time_left().count());
@@ -330,6 +330,7 @@
     this->sent_at = now();
     this->answer_begun = false;
     this->shared.quarantine.on_sent(now(), this->demand.service, this->shared_parts());
+    this->shared.limits.on_sent(now(), coordination::backend_chooser::process_key(entry));
     call_record record(this->shared, choice, this->demand.output_tokens);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
@@ -483,13 +484,7 @@
             .field("backend", entry.id)
             .field("pause_ms", response.pause->count());
     }
-    if (response.rate_limit || response.is_rate_limit_unreadable)
-    {
-        state::log_event(state::log_level::info, "backend_limit_named")
-            .field("request", this->metadata.attempt_id)
-            .field("backend", entry.id)
-            .field("per_s", response.rate_limit.value_or(-1.0));
-    }
+    this->apply_rate_limit(entry, response);
     if (!response.is_leaving ||
         !this->shared.directory.on_leaving_answer(now(), entry.id, entry.incarnation))
         return;
@@ -501,6 +496,35 @@
     this->shared.on_backend_leaving();
 }
 
+void relayed_request::apply_rate_limit(const state::backend_entry& entry,
+                                       const response_metadata& response)
+{
+    if (response.is_rate_limit_unreadable)
+    {
+        state::log_event(state::log_level::warning, "backend_limit_unreadable")
+            .field("request", this->metadata.attempt_id)
+            .field("backend", entry.id);
+        return;
+    }
+    // A response without an id may be an earlier one that is repeated, and another
+    // process may answer at the address.
+    const bool is_from_other =
+        !response.backend_id.empty() && response.backend_id != entry.id;
+    if (response.attempt_id.empty() || is_from_other)
+        return;
+    if (!this->shared.limits.on_response(
+            now(), coordination::backend_chooser::process_key(entry),
+            response.rate_limit))
+        return;
+    state::log_event(state::log_level::info, "backend_limit_changed")
+        .field("request", this->metadata.attempt_id)
+        .field("backend", entry.id)
+        .field("per_s", response.rate_limit ? std::to_string(*response.rate_limit)
+                                            : std::string("none"));
+    this->shared.loads_changed.notify();
+    this->shared.on_limit_changed();
+}
+
 /// Reads and discards the rest of a response so that its connection can be reused. A
 /// failure does not change the result, which the header determines.
 asio::awaitable<void> relayed_request::discard_rest(transport::http_call& backend)
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -86,7 +86,9 @@
     /// Waits until an engine has the weights and capacity, or until the request can no
     /// longer be completed in time.
     boost::asio::awaitable<coordination::backend_choice> wait_in_queue();
+    /// Chooses a backend server, and requests permits that are missing.
     coordination::backend_choice choose_now();
+    coordination::backend_choice choose_backend();
     /// Whether the request may be sent now: it is next in the queue, and the queue of the
     /// chosen engine is short enough.
     bool may_be_sent(const coordination::backend_choice& choice,
@@ -130,6 +132,8 @@
     /// status.
     void apply_backend_notices(const state::backend_entry& entry,
                                const response_metadata& response);
+    void apply_rate_limit(const state::backend_entry& entry,
+                          const response_metadata& response);
     void on_answer_begun();
     /// Reports a call whose connection the backend server's side ended.
     void report_lost_call(const state::backend_entry& entry,
@@ -187,7 +191,7 @@
     /// Estimated queue time, from which a refusal computes its Retry-After.
     state::milliseconds queue_time{0};
     /// Earliest end of the pauses that backend servers asked for.
-    state::time_point paused_until{};
+    state::time_point available_at{};
     unsigned answer_status = 0;
 };
 
--- a/src/app/gateway/serving/relayed_request_completion.cpp
+++ b/src/app/gateway/serving/relayed_request_completion.cpp
@@ -92,7 +92,8 @@
     error_code code =
         is_missing ? error_code::model_not_resident : error_code::no_backend_server;
     if (this->last_failure == choice_failure::overloaded ||
-        this->last_failure == choice_failure::paused)
+        this->last_failure == choice_failure::paused ||
+        this->last_failure == choice_failure::limited)
         code = error_code::overloaded;
     if (this->last_failure == choice_failure::stopping)
         code = error_code::draining;
@@ -136,12 +137,13 @@
     }
     // Jitter spreads the retries of callers that were refused at the same time.
     double spread = 0.75 + 0.5 * this->shared.random.unit();
-    if (this->last_failure == choice_failure::paused)
+    const bool is_limited = this->last_failure == choice_failure::limited;
+    if (this->last_failure == choice_failure::paused || is_limited)
     {
         // No retry before the first backend server accepts requests again.
         const auto left =
-            std::chrono::duration_cast<milliseconds>(this->paused_until - state::now());
-        after = std::max(left, milliseconds(1));
+            std::chrono::duration_cast<milliseconds>(this->available_at - state::now());
+        after = std::max(left, is_limited ? short_retry_after : milliseconds(1));
         spread = 1.0 + 0.1 * this->shared.random.unit();
     }
     if (this->last_failure == choice_failure::quarantined)
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -37,8 +37,27 @@
         none.failure = choice_failure::quarantined;
         return none;
     }
+    backend_choice choice = this->choose_backend();
+    const std::vector<std::string> wanted = std::move(choice.without_permit);
+    if (wanted.empty())
+        return choice;
+    const bool is_urgent =
+        !choice.backend || choice.expected_ms - choice.idle_ms > max_queue_ms;
+    for (const std::string& backend : wanted)
+        this->shared.limits.on_wanted(backend, is_urgent);
+    this->shared.on_permits_wanted();
+    // This gateway may have issued the permit itself.
+    const bool has_permit =
+        std::any_of(wanted.begin(), wanted.end(),
+                    [this](const std::string& backend)
+                    { return this->shared.limits.may_send(now(), backend); });
+    return has_permit ? this->choose_backend() : choice;
+}
+
+backend_choice relayed_request::choose_backend()
+{
     return this->shared.chooser.choose(now(), this->shared.directory, this->shared.loads,
-                                       this->demand, this->tried,
+                                       this->shared.limits, this->demand, this->tried,
                                        this->shared.random.unit());
 }
 
@@ -46,11 +65,14 @@
 {
     backend_choice choice = this->choose_now();
     // A retry is not queued: its caller has already waited.
-    if (this->demand.model.empty() || this->attempts > 0)
+    if (this->attempts > 0)
+        co_return choice;
+    const bool is_limited = choice.failure == choice_failure::limited;
+    if (this->demand.model.empty() && !is_limited)
         co_return choice;
     const bool is_missing = choice.failure == choice_failure::model_missing ||
                             choice.failure == choice_failure::adapter_missing ||
-                            choice.failure == choice_failure::paused;
+                            choice.failure == choice_failure::paused || is_limited;
     const bool is_busy =
         choice.backend && choice.expected_ms - choice.idle_ms > max_queue_ms;
     const bool has_queue = this->shared.queue.size() > 0;
@@ -96,11 +118,13 @@
         return this->queue_time < this->time_left() - this->stream_time();
     }
     if (choice.failure == choice_failure::paused)
-        return choice.paused_until + this->stream_time() < this->deadline;
-    const milliseconds waited = since(this->started);
+        return choice.available_at + this->stream_time() < this->deadline;
     const auto longest = std::chrono::duration_cast<milliseconds>(
         (this->deadline - this->started) * max_weight_wait_fraction);
-    return waited < std::min(this->route->target_latency, longest);
+    const milliseconds limit = std::min(this->route->target_latency, longest);
+    if (choice.failure == choice_failure::limited)
+        return choice.available_at < this->started + limit;
+    return since(this->started) < limit;
 }
 
 asio::awaitable<backend_choice> relayed_request::wait_in_queue()
@@ -108,12 +132,15 @@
     const coordination::weight_name name{this->demand.service, this->demand.model,
                                          this->demand.adapter};
     backend_choice choice = this->choose_now();
+    const std::string& group =
+        this->demand.model.empty() ? this->demand.service : this->demand.model;
     const auto ticket = this->shared.queue.enter(
-        {this->demand.model, this->route->priority, this->started,
+        {group, this->route->priority, this->started,
          this->started + this->route->target_latency -
              milliseconds(static_cast<std::int64_t>(choice.idle_ms)),
          choice.idle_ms});
-    const bool is_missing = !choice.backend && choice.failure != choice_failure::paused;
+    const bool is_missing = choice.failure == choice_failure::model_missing ||
+                            choice.failure == choice_failure::adapter_missing;
     if (is_missing)
     {
         this->shared.demand.on_wait(name);
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<choice_failure>, 9> failure_names{{
+constexpr std::array<state::enum_name<choice_failure>, 10> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_backend, "no_backend"},
     {choice_failure::model_missing, "model_missing"},
@@ -19,6 +19,7 @@
     {choice_failure::all_tried, "all_tried"},
     {choice_failure::overloaded, "overloaded"},
     {choice_failure::paused, "paused"},
+    {choice_failure::limited, "limited"},
     {choice_failure::quarantined, "quarantined"},
     {choice_failure::stopping, "stopping"},
 }};
@@ -31,6 +32,12 @@
 constexpr double low_wait_weight = 0.3;
 constexpr double high_wait_weight = 2.0;
 
+/// Whether a backend server accepts the request later.
+bool is_temporary(choice_failure failure)
+{
+    return failure == choice_failure::paused || failure == choice_failure::limited;
+}
+
 /// Returns the cost of waiting `expected_ms` for the first byte.
 double wait_cost(double expected_ms, double target_ms)
 {
@@ -63,8 +70,9 @@
 
 backend_choice
 backend_chooser::choose(state::time_point now, const backend_directory& directory,
-                        const backend_loads& loads, const backend_demand& demand,
-                        const std::set<std::string>& tried, double draw) const
+                        const backend_loads& loads, const backend_limits& limits,
+                        const backend_demand& demand, const std::set<std::string>& tried,
+                        double draw) const
 {
     backend_choice best;
     best.failure = choice_failure::no_backend;
@@ -89,20 +97,28 @@
         }
         if (tried.count(id) > 0)
         {
-            if (best.failure != choice_failure::none &&
-                best.failure != choice_failure::paused)
+            if (best.failure != choice_failure::none && !is_temporary(best.failure))
                 best.failure = choice_failure::all_tried;
             continue;
         }
-        const state::time_point paused_until = loads.paused_until(process_key(entry));
-        if (now < paused_until)
+        const std::string key = process_key(entry);
+        const bool lacks_permit = !limits.may_send(now, key);
+        state::time_point available_at = loads.paused_until(key);
+        if (lacks_permit)
+        {
+            best.without_permit.push_back(key);
+            available_at = std::max(available_at, limits.next_permit(now, key));
+        }
+        if (lacks_permit || now < available_at)
         {
             if (best.failure == choice_failure::none)
                 continue;
-            const bool is_first = best.failure != choice_failure::paused;
-            best.paused_until =
-                is_first ? paused_until : std::min(best.paused_until, paused_until);
-            best.failure = choice_failure::paused;
+            best.available_at = is_temporary(best.failure)
+                                    ? std::min(best.available_at, available_at)
+                                    : available_at;
+            const bool is_limited =
+                lacks_permit || best.failure == choice_failure::limited;
+            best.failure = is_limited ? choice_failure::limited : choice_failure::paused;
             continue;
         }
         ++best.candidates;
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/backend_directory.hpp"
+#include "coordination/backend_limits.hpp"
 #include "coordination/backend_loads.hpp"
 #include "coordination/prompt_cache.hpp"
 #include "state/clock.hpp"
@@ -48,6 +49,9 @@
     overloaded,
     /// All suitable backend servers have asked for a pause.
     paused,
+    /// All suitable backend servers have asked for a pause or have a limit for which this
+    /// gateway has no permit.
+    limited,
     /// A part of the prompt is quarantined, since it crashes backend servers.
     quarantined,
     /// This process stopped before a backend server was chosen.
@@ -66,8 +70,11 @@
     double idle_ms = 0.0;
     std::uint32_t uncached_tokens = 0;
     std::size_t candidates = 0;
-    /// For `choice_failure::paused`: earliest end of the pauses.
-    state::time_point paused_until{};
+    /// For `choice_failure::paused` and `limited`: earliest time at which a backend
+    /// server may accept the request.
+    state::time_point available_at{};
+    /// Suitable backend servers, by id and incarnation, for which a permit is missing.
+    std::vector<std::string> without_permit;
 };
 
 /// Parameters of the latency estimates and of the cost function.
@@ -101,7 +108,8 @@
     /// `tried` holds the ids of backend servers that the request was already sent to.
     /// `draw` is a random number in [0, 1) that breaks ties.
     backend_choice choose(state::time_point now, const backend_directory& directory,
-                          const backend_loads& loads, const backend_demand& demand,
+                          const backend_loads& loads, const backend_limits& limits,
+                          const backend_demand& demand,
                           const std::set<std::string>& tried, double draw) const;
     /// Records that the request is sent to `backend`, which caches its prompt.
     void on_sent(const known_backend& backend, const backend_demand& demand,
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -150,6 +151,25 @@
     return result;
 }
 
+gen::BackendLimit to_wire(const backend_limit& limit)
+{
+    gen::BackendLimit result;
+    result.__set_backend(limit.backend);
+    if (limit.per_s)
+        result.__set_perSecond(*limit.per_s);
+    result.__set_ageMs(to_wire_ms(limit.age));
+    return result;
+}
+
+backend_limit from_wire(const gen::BackendLimit& limit)
+{
+    backend_limit result{limit.backend, std::nullopt, age_from_wire(limit.ageMs)};
+    if (limit.__isset.perSecond)
+        result.per_s =
+            std::isfinite(limit.perSecond) ? std::max(limit.perSecond, 0.0) : 0.0;
+    return result;
+}
+
 gen::GatewayHeartbeat to_wire(const gateway_heartbeat& heartbeat)
 {
     gen::GatewayHeartbeat result;
@@ -198,6 +218,12 @@
         for (const suspect_part& suspect : heartbeat.suspects)
             result.suspects.push_back(to_wire(suspect));
     }
+    if (!heartbeat.limits.empty())
+    {
+        result.__isset.limits = true;
+        for (const backend_limit& limit : heartbeat.limits)
+            result.limits.push_back(to_wire(limit));
+    }
     if (heartbeat.members.empty())
         return result;
     result.__isset.members = true;
@@ -264,6 +290,12 @@
             break;
         result.suspects.push_back(from_wire(suspect));
     }
+    for (const gen::BackendLimit& limit : heartbeat.limits)
+    {
+        if (result.limits.size() == max_reported_limits)
+            break;
+        result.limits.push_back(from_wire(limit));
+    }
     for (const gen::MemberNotice& notice : heartbeat.members)
         result.members.push_back({from_wire(notice.member), notice.alive});
     return result;
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -109,6 +109,20 @@
 inline constexpr std::size_t max_suspect_parts = 48;
 inline constexpr std::size_t max_suspected_crashes = 16;
 
+/// Limit of the requests per second that a process of a backend server accepts from all
+/// gateways together.
+struct backend_limit
+{
+    std::string backend;
+    /// Empty if the process names no limit any more.
+    std::optional<double> per_s;
+    /// Time since it said so.
+    state::milliseconds age{0};
+};
+
+/// Maximum number of limits in a heartbeat.
+inline constexpr std::size_t max_reported_limits = 64;
+
 /// State of another gateway, as reported by an aggregator.
 struct member_notice
 {
@@ -149,6 +163,7 @@
     std::vector<engine_weights> weights;
     std::vector<leaving_process> leaving;
     std::vector<suspect_part> suspects;
+    std::vector<backend_limit> limits;
     /// Whether the sender aggregates the reports of its availability zone.
     bool is_aggregator = false;
     /// Sent by an aggregator: the gateways whose heartbeats the receiver does not get.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -2623,6 +2623,146 @@
 }
 
 
+BackendLimit::~BackendLimit() noexcept {
+}
+
+
+void BackendLimit::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void BackendLimit::__set_perSecond(const double val) {
+  this->perSecond = val;
+__isset.perSecond = true;
+}
+
+void BackendLimit::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend = false;
+  bool isset_ageMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          isset_backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          this->__isset.perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t BackendLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendLimit");
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.perSecond) {
+    xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+    xfer += oprot->writeDouble(this->perSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendLimit &a, BackendLimit &b) {
+  using ::std::swap;
+  swap(a.backend, b.backend);
+  swap(a.perSecond, b.perSecond);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+BackendLimit::BackendLimit(const BackendLimit& other66) {
+  backend = other66.backend;
+  perSecond = other66.perSecond;
+  ageMs = other66.ageMs;
+  __isset = other66.__isset;
+}
+BackendLimit& BackendLimit::operator=(const BackendLimit& other67) {
+  backend = other67.backend;
+  perSecond = other67.perSecond;
+  ageMs = other67.ageMs;
+  __isset = other67.__isset;
+  return *this;
+}
+void BackendLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendLimit(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "perSecond="; (__isset.perSecond ? (out << to_string(perSecond)) : (out << "<null>"));
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 GatewayHeartbeat::~GatewayHeartbeat() noexcept {
 }
 
@@ -2683,6 +2823,11 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void GatewayHeartbeat::__set_limits(const std::vector<BackendLimit> & val) {
+  this->limits = val;
+__isset.limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -2755,14 +2900,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->loads.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->loads.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->loads[_i70].read(iprot);
+              xfer += this->loads[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2775,14 +2920,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->rates.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->rates.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->rates[_i75].read(iprot);
+              xfer += this->rates[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2795,14 +2940,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->weights.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->weights.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->weights[_i80].read(iprot);
+              xfer += this->weights[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2815,14 +2960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->leaving.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->leaving.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->leaving[_i85].read(iprot);
+              xfer += this->leaving[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2859,14 +3004,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->members.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->members.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->members[_i90].read(iprot);
+              xfer += this->members[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2879,14 +3024,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->suspects.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->suspects.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->suspects[_i95].read(iprot);
+              xfer += this->suspects[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2895,6 +3040,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->limits.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += this->limits[_i102].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2947,10 +3112,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<BackendLoad> ::const_iterator _iter96;
-    for (_iter96 = this->loads.begin(); _iter96 != this->loads.end(); ++_iter96)
+    std::vector<BackendLoad> ::const_iterator _iter103;
+    for (_iter103 = this->loads.begin(); _iter103 != this->loads.end(); ++_iter103)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2959,10 +3124,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<WeightRate> ::const_iterator _iter97;
-    for (_iter97 = this->rates.begin(); _iter97 != this->rates.end(); ++_iter97)
+    std::vector<WeightRate> ::const_iterator _iter104;
+    for (_iter104 = this->rates.begin(); _iter104 != this->rates.end(); ++_iter104)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2971,10 +3136,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
-    std::vector<EngineWeights> ::const_iterator _iter98;
-    for (_iter98 = this->weights.begin(); _iter98 != this->weights.end(); ++_iter98)
+    std::vector<EngineWeights> ::const_iterator _iter105;
+    for (_iter105 = this->weights.begin(); _iter105 != this->weights.end(); ++_iter105)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2983,10 +3148,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingBackend> ::const_iterator _iter99;
-    for (_iter99 = this->leaving.begin(); _iter99 != this->leaving.end(); ++_iter99)
+    std::vector<LeavingBackend> ::const_iterator _iter106;
+    for (_iter106 = this->leaving.begin(); _iter106 != this->leaving.end(); ++_iter106)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter106).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3011,10 +3176,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MemberNotice> ::const_iterator _iter100;
-      for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
+      std::vector<MemberNotice> ::const_iterator _iter107;
+      for (_iter107 = this->members.begin(); _iter107 != this->members.end(); ++_iter107)
       {
-        xfer += (*_iter100).write(oprot);
+        xfer += (*_iter107).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3024,10 +3189,23 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectPart> ::const_iterator _iter101;
-      for (_iter101 = this->suspects.begin(); _iter101 != this->suspects.end(); ++_iter101)
+      std::vector<SuspectPart> ::const_iterator _iter108;
+      for (_iter108 = this->suspects.begin(); _iter108 != this->suspects.end(); ++_iter108)
       {
-        xfer += (*_iter101).write(oprot);
+        xfer += (*_iter108).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 14);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+      std::vector<BackendLimit> ::const_iterator _iter109;
+      for (_iter109 = this->limits.begin(); _iter109 != this->limits.end(); ++_iter109)
+      {
+        xfer += (*_iter109).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3053,40 +3231,43 @@
   swap(a.aggregator, b.aggregator);
   swap(a.members, b.members);
   swap(a.suspects, b.suspects);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other102) {
-  origin = other102.origin;
-  counter = other102.counter;
-  configVersion = other102.configVersion;
-  lease = other102.lease;
-  loads = other102.loads;
-  rates = other102.rates;
-  weights = other102.weights;
-  leaving = other102.leaving;
-  scope = other102.scope;
-  periodMs = other102.periodMs;
-  aggregator = other102.aggregator;
-  members = other102.members;
-  suspects = other102.suspects;
-  __isset = other102.__isset;
-}
-GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other103) {
-  origin = other103.origin;
-  counter = other103.counter;
-  configVersion = other103.configVersion;
-  lease = other103.lease;
-  loads = other103.loads;
-  rates = other103.rates;
-  weights = other103.weights;
-  leaving = other103.leaving;
-  scope = other103.scope;
-  periodMs = other103.periodMs;
-  aggregator = other103.aggregator;
-  members = other103.members;
-  suspects = other103.suspects;
-  __isset = other103.__isset;
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other110) {
+  origin = other110.origin;
+  counter = other110.counter;
+  configVersion = other110.configVersion;
+  lease = other110.lease;
+  loads = other110.loads;
+  rates = other110.rates;
+  weights = other110.weights;
+  leaving = other110.leaving;
+  scope = other110.scope;
+  periodMs = other110.periodMs;
+  aggregator = other110.aggregator;
+  members = other110.members;
+  suspects = other110.suspects;
+  limits = other110.limits;
+  __isset = other110.__isset;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other111) {
+  origin = other111.origin;
+  counter = other111.counter;
+  configVersion = other111.configVersion;
+  lease = other111.lease;
+  loads = other111.loads;
+  rates = other111.rates;
+  weights = other111.weights;
+  leaving = other111.leaving;
+  scope = other111.scope;
+  periodMs = other111.periodMs;
+  aggregator = other111.aggregator;
+  members = other111.members;
+  suspects = other111.suspects;
+  limits = other111.limits;
+  __isset = other111.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -3105,6 +3286,283 @@
   out << ", " << "aggregator="; (__isset.aggregator ? (out << to_string(aggregator)) : (out << "<null>"));
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ")";
+}
+
+
+PermitRequest::~PermitRequest() noexcept {
+}
+
+
+void PermitRequest::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void PermitRequest::__set_perSecond(const double val) {
+  this->perSecond = val;
+}
+
+void PermitRequest::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void PermitRequest::__set_urgent(const bool val) {
+  this->urgent = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend = false;
+  bool isset_perSecond = false;
+  bool isset_count = false;
+  bool isset_urgent = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          isset_backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          isset_perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          isset_count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->urgent);
+          isset_urgent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_perSecond)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_count)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_urgent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PermitRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitRequest");
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->perSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("urgent", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->urgent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitRequest &a, PermitRequest &b) {
+  using ::std::swap;
+  swap(a.backend, b.backend);
+  swap(a.perSecond, b.perSecond);
+  swap(a.count, b.count);
+  swap(a.urgent, b.urgent);
+}
+
+PermitRequest::PermitRequest(const PermitRequest& other112) {
+  backend = other112.backend;
+  perSecond = other112.perSecond;
+  count = other112.count;
+  urgent = other112.urgent;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other113) {
+  backend = other113.backend;
+  perSecond = other113.perSecond;
+  count = other113.count;
+  urgent = other113.urgent;
+  return *this;
+}
+void PermitRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitRequest(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "perSecond=" << to_string(perSecond);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "urgent=" << to_string(urgent);
+  out << ")";
+}
+
+
+PermitGrant::~PermitGrant() noexcept {
+}
+
+
+void PermitGrant::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void PermitGrant::__set_waitMs(const int32_t val) {
+  this->waitMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_count = false;
+  bool isset_waitMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          isset_count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMs);
+          isset_waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_count)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PermitGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitGrant");
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitGrant &a, PermitGrant &b) {
+  using ::std::swap;
+  swap(a.count, b.count);
+  swap(a.waitMs, b.waitMs);
+}
+
+PermitGrant::PermitGrant(const PermitGrant& other114) noexcept {
+  count = other114.count;
+  waitMs = other114.waitMs;
+}
+PermitGrant& PermitGrant::operator=(const PermitGrant& other115) noexcept {
+  count = other115.count;
+  waitMs = other115.waitMs;
+  return *this;
+}
+void PermitGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitGrant(";
+  out << "count=" << to_string(count);
+  out << ", " << "waitMs=" << to_string(waitMs);
   out << ")";
 }
 
@@ -3246,19 +3704,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other104) {
-  key = other104.key;
-  offset = other104.offset;
-  value = other104.value;
-  removal = other104.removal;
-  __isset = other104.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other116) {
+  key = other116.key;
+  offset = other116.offset;
+  value = other116.value;
+  removal = other116.removal;
+  __isset = other116.__isset;
 }
-BackendRecord& BackendRecord::operator=(const BackendRecord& other105) {
-  key = other105.key;
-  offset = other105.offset;
-  value = other105.value;
-  removal = other105.removal;
-  __isset = other105.__isset;
+BackendRecord& BackendRecord::operator=(const BackendRecord& other117) {
+  key = other117.key;
+  offset = other117.offset;
+  value = other117.value;
+  removal = other117.removal;
+  __isset = other117.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -3364,14 +3822,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->records.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->records.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->records[_i110].read(iprot);
+              xfer += this->records[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3426,10 +3884,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter111;
-    for (_iter111 = this->records.begin(); _iter111 != this->records.end(); ++_iter111)
+    std::vector<BackendRecord> ::const_iterator _iter123;
+    for (_iter123 = this->records.begin(); _iter123 != this->records.end(); ++_iter123)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3449,19 +3907,19 @@
   swap(a.records, b.records);
 }
 
-BackendPage::BackendPage(const BackendPage& other112) {
-  nextOffset = other112.nextOffset;
-  whole = other112.whole;
-  listReachable = other112.listReachable;
-  settingsReachable = other112.settingsReachable;
-  records = other112.records;
+BackendPage::BackendPage(const BackendPage& other124) {
+  nextOffset = other124.nextOffset;
+  whole = other124.whole;
+  listReachable = other124.listReachable;
+  settingsReachable = other124.settingsReachable;
+  records = other124.records;
 }
-BackendPage& BackendPage::operator=(const BackendPage& other113) {
-  nextOffset = other113.nextOffset;
-  whole = other113.whole;
-  listReachable = other113.listReachable;
-  settingsReachable = other113.settingsReachable;
-  records = other113.records;
+BackendPage& BackendPage::operator=(const BackendPage& other125) {
+  nextOffset = other125.nextOffset;
+  whole = other125.whole;
+  listReachable = other125.listReachable;
+  settingsReachable = other125.settingsReachable;
+  records = other125.records;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -3591,17 +4049,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other114) {
-  heartbeat = other114.heartbeat;
-  settingsPull = other114.settingsPull;
-  settingsState = other114.settingsState;
-  __isset = other114.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other126) {
+  heartbeat = other126.heartbeat;
+  settingsPull = other126.settingsPull;
+  settingsState = other126.settingsState;
+  __isset = other126.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other115) {
-  heartbeat = other115.heartbeat;
-  settingsPull = other115.settingsPull;
-  settingsState = other115.settingsState;
-  __isset = other115.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other127) {
+  heartbeat = other127.heartbeat;
+  settingsPull = other127.settingsPull;
+  settingsState = other127.settingsState;
+  __isset = other127.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -3711,13 +4169,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other116) {
-  sender = other116.sender;
-  message = other116.message;
+Envelope::Envelope(const Envelope& other128) {
+  sender = other128.sender;
+  message = other128.message;
 }
-Envelope& Envelope::operator=(const Envelope& other117) {
-  sender = other117.sender;
-  message = other117.message;
+Envelope& Envelope::operator=(const Envelope& other129) {
+  sender = other129.sender;
+  message = other129.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -51,8 +51,14 @@
 
 class SuspectPart;
 
+class BackendLimit;
+
 class GatewayHeartbeat;
 
+class PermitRequest;
+
+class PermitGrant;
+
 class BackendRecord;
 
 class BackendPage;
@@ -965,13 +971,71 @@
 
 std::ostream& operator<<(std::ostream& out, const SuspectPart& obj);
 
+typedef struct _BackendLimit__isset {
+  _BackendLimit__isset() : perSecond(false) {}
+  bool perSecond :1;
+} _BackendLimit__isset;
+
+class BackendLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendLimit(const BackendLimit&);
+  BackendLimit& operator=(const BackendLimit&);
+  BackendLimit() noexcept
+               : backend(),
+                 perSecond(0),
+                 ageMs(0) {
+  }
+
+  virtual ~BackendLimit() noexcept;
+  std::string backend;
+  double perSecond;
+  int32_t ageMs;
+
+  _BackendLimit__isset __isset;
+
+  void __set_backend(const std::string& val);
+
+  void __set_perSecond(const double val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const BackendLimit & rhs) const
+  {
+    if (!(backend == rhs.backend))
+      return false;
+    if (__isset.perSecond != rhs.__isset.perSecond)
+      return false;
+    else if (__isset.perSecond && !(perSecond == rhs.perSecond))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendLimit &a, BackendLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
+
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
   bool members :1;
   bool suspects :1;
+  bool limits :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1001,6 +1065,7 @@
   bool aggregator;
   std::vector<MemberNotice>  members;
   std::vector<SuspectPart>  suspects;
+  std::vector<BackendLimit>  limits;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -1030,6 +1095,8 @@
 
   void __set_suspects(const std::vector<SuspectPart> & val);
 
+  void __set_limits(const std::vector<BackendLimit> & val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -1068,6 +1135,10 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
@@ -1086,6 +1157,104 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj);
 
+
+class PermitRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitRequest(const PermitRequest&);
+  PermitRequest& operator=(const PermitRequest&);
+  PermitRequest() noexcept
+                : backend(),
+                  perSecond(0),
+                  count(0),
+                  urgent(0) {
+  }
+
+  virtual ~PermitRequest() noexcept;
+  std::string backend;
+  double perSecond;
+  int32_t count;
+  bool urgent;
+
+  void __set_backend(const std::string& val);
+
+  void __set_perSecond(const double val);
+
+  void __set_count(const int32_t val);
+
+  void __set_urgent(const bool val);
+
+  bool operator == (const PermitRequest & rhs) const
+  {
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(perSecond == rhs.perSecond))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(urgent == rhs.urgent))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitRequest &a, PermitRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj);
+
+
+class PermitGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitGrant(const PermitGrant&) noexcept;
+  PermitGrant& operator=(const PermitGrant&) noexcept;
+  PermitGrant() noexcept
+              : count(0),
+                waitMs(0) {
+  }
+
+  virtual ~PermitGrant() noexcept;
+  int32_t count;
+  int32_t waitMs;
+
+  void __set_count(const int32_t val);
+
+  void __set_waitMs(const int32_t val);
+
+  bool operator == (const PermitGrant & rhs) const
+  {
+    if (!(count == rhs.count))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitGrant &a, PermitGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitGrant& obj);
+
 typedef struct _BackendRecord__isset {
   _BackendRecord__isset() : value(false) {}
   bool value :1;
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -131,6 +131,16 @@
   8: optional bool released
 }
 
+// Limit of the requests per second that a process of a backend server accepts from all gateways
+// together.
+struct BackendLimit {
+  1: required string backend
+  // Absent if the process names no limit any more.
+  2: optional double perSecond
+  // Time since it said so, in milliseconds.
+  3: required i32 ageMs
+}
+
 // Sent as a datagram several times a second.
 struct GatewayHeartbeat {
   1: required GatewayMember origin
@@ -151,6 +161,23 @@
   11: optional bool aggregator
   12: optional list<MemberNotice> members
   13: optional list<SuspectPart> suspects
+  14: optional list<BackendLimit> limits
+}
+
+// Requests permits to send requests to a backend server with a limit, from the gateway that issues
+// them.
+struct PermitRequest {
+  1: required string backend
+  2: required double perSecond
+  3: required i32 count
+  // Whether requests wait that no other backend server can serve.
+  4: required bool urgent
+}
+
+struct PermitGrant {
+  1: required i32 count
+  // Time until the next permits should be requested, in milliseconds.
+  2: required i32 waitMs
 }
 
 struct BackendRecord {
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -1,10 +1,14 @@
 #include "protocol/backend_page.hpp"
 #include "protocol/gateway_heartbeat.hpp"
+#include "protocol/send_permit.hpp"
 #include "protocol/sse_event_splitter.hpp"
 #include "state/error.hpp"
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+#include <vector>
+
 namespace
 {
 
@@ -25,6 +29,8 @@
     heartbeat.rates = {{"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2}};
     heartbeat.weights = {{"e1", 3, 8, {{"m1", 2, {"a1", "a2"}}}}};
     heartbeat.leaving = {{"e4", 6}};
+    heartbeat.limits = {{"e1@3", 0.5, state::milliseconds(120)},
+                        {"e2@1", std::nullopt, state::milliseconds(0)}};
     return heartbeat;
 }
 
@@ -53,6 +59,41 @@
     REQUIRE(copy.weights.size() == 1);
     CHECK(copy.weights[0].models[0].adapters.size() == 2);
     CHECK(copy.leaving[0].incarnation == 6);
+    REQUIRE(copy.limits.size() == 2);
+    CHECK(copy.limits[0].per_s == 0.5);
+    CHECK(copy.limits[0].age == state::milliseconds(120));
+    CHECK(!copy.limits[1].per_s);
+}
+
+TEST_CASE("a permit request and its grant are decoded, odd values give a typed error")
+{
+    const auto request = protocol::decode_permit_request(
+        protocol::encode_permit_request({"e1@3", 0.5, 2, true}));
+    CHECK(request.backend == "e1@3");
+    CHECK(request.per_s == 0.5);
+    CHECK(request.count == 2);
+    CHECK(request.is_urgent);
+    const auto grant = protocol::decode_permit_grant(
+        protocol::encode_permit_grant({2, state::milliseconds(70)}));
+    CHECK(grant.count == 2);
+    CHECK(grant.wait == state::milliseconds(70));
+    const std::vector<protocol::permit_request> odd_requests{
+        {"", 1.0, 1, false},
+        {"e1@3", -1.0, 1, false},
+        {"e1@3", std::nan(""), 1, false},
+        {"e1@3", 1.0, 0, false},
+        {"e1@3", 1.0, 1000000, false},
+    };
+    for (const protocol::permit_request& odd : odd_requests)
+    {
+        CHECK_THROWS_AS(
+            protocol::decode_permit_request(protocol::encode_permit_request(odd)),
+            state::error);
+    }
+    CHECK_THROWS_AS(protocol::decode_permit_grant("nonsense"), state::error);
+    CHECK_THROWS_AS(protocol::decode_permit_grant(
+                        protocol::encode_permit_grant({1, state::milliseconds(-5)})),
+                    state::error);
 }
 
 TEST_CASE("malformed datagrams are rejected with a typed error")
