Load models elsewhere whose only engine is limited

Cause: the planner counts a limited engine as a full copy of its models, so callers of a model that only this engine has would be refused for as long as the limit holds. An engine whose limit is below half of the requests for its models now gets no orders, and its copies of requested models that no other usable engine has count as missing. Limits younger than a second are ignored. Without this, the new case of tst_weight_planner finds no load of the model on another engine, and orders to the limited one.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds reservation_time{6000};
 constexpr milliseconds engine_list_stable_time{2500};
 constexpr milliseconds state_log_period{1000};
+/// Models are not loaded elsewhere because of a limit that is younger than this.
+constexpr milliseconds min_limit_time{1000};
 /// Keeps a heartbeat within the size of a datagram. Other gateways learn of further
 /// engines from the list of backend servers.
 constexpr std::size_t max_announced_engines = 150;
@@ -359,6 +361,8 @@
         const auto load = this->shared.loads.summary(
             now(), coordination::backend_chooser::process_key(entry));
         engine.active = load.active + load.peer_active;
+        engine.limit_per_s = this->shared.limits.lasting_limit(
+            now(), coordination::backend_chooser::process_key(entry), min_limit_time);
         engine.is_busy =
             !control.is_known || control.has_order || now() < control.pause_until;
         engine.loading = control.loading;
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -27,6 +27,9 @@
 /// A copy of one model replaces a copy of another if the demand per copy of the former is
 /// at least this multiple of what the demand per copy of the latter would become.
 constexpr double min_move_ratio = 1.5;
+/// An engine counts as limited if its limit is below this share of the requests for its
+/// models.
+constexpr double min_useful_limit_share = 0.5;
 /// Maximum share of the engines that change their models at the same time.
 constexpr double max_changing_share = 0.6;
 /// Models without waiting requests are not restored while this many engines are changing
@@ -90,6 +93,7 @@
                      const std::map<std::string, int>& initial_copies, int store_loads,
                      bool is_settled) const
 {
+    set_limited_aside(engines, service, demand);
     plan_workspace work{profile, engines, service, demand, initial_copies, store_loads};
     work.count_copies();
     work.estimate_demand();
@@ -106,6 +110,51 @@
     return std::move(work.orders);
 }
 
+/// Excludes limited engines from orders, and ignores their copies of models with demand
+/// that no other engine has, so that these are loaded elsewhere.
+void weight_planner::set_limited_aside(std::vector<planned_engine>& engines,
+                                       const std::string& service,
+                                       const weight_demand::rates& demand)
+{
+    if (std::none_of(engines.begin(), engines.end(),
+                     [](const planned_engine& engine)
+                     { return engine.limit_per_s.has_value(); }))
+        return;
+    std::map<std::string_view, double> model_rates;
+    for (const auto& [name, rate] : demand)
+    {
+        if (name.service == service)
+            model_rates[name.model] += rate.per_s;
+    }
+    std::map<std::string, int> copies;
+    for (const planned_engine& engine : engines)
+    {
+        for (const state::loaded_model& model : engine.models)
+            ++copies[model.name];
+    }
+    std::map<std::string, int> usable_copies = copies;
+    std::vector<planned_engine*> limited;
+    for (planned_engine& engine : engines)
+    {
+        double requests_per_s = 0.0;
+        for (const state::loaded_model& model : engine.models)
+            requests_per_s += model_rates[model.name] / copies[model.name];
+        if (!engine.limit_per_s ||
+            *engine.limit_per_s >= min_useful_limit_share * requests_per_s)
+            continue;
+        engine.is_busy = true;
+        limited.push_back(&engine);
+        for (const state::loaded_model& model : engine.models)
+            --usable_copies[model.name];
+    }
+    for (planned_engine* const engine : limited)
+    {
+        std::erase_if(
+            engine->models, [&](const state::loaded_model& model)
+            { return usable_copies[model.name] == 0 && model_rates[model.name] > 0.0; });
+    }
+}
+
 void weight_planner::place_waiting_adapters(plan_workspace& work) const
 {
     for (const auto& [name, rate] : work.demand)
--- a/src/libs/coordination/weight_planner.hpp
+++ b/src/libs/coordination/weight_planner.hpp
@@ -6,6 +6,7 @@
 #include "state/gateway_config.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
     std::set<std::string, std::less<>> cached;
     /// Requests in flight at the engine from all gateways.
     double active = 0.0;
+    /// Requests per second that the engine accepts from all gateways together.
+    std::optional<double> limit_per_s;
     /// An order is in progress or about to be sent.
     bool is_busy = false;
     /// Model that the order in progress loads; may be empty.
@@ -83,6 +86,9 @@
                                     int store_loads, bool is_settled) const;
 
 private:
+    static void set_limited_aside(std::vector<planned_engine>& engines,
+                                  const std::string& service,
+                                  const weight_demand::rates& demand);
     void place_waiting_adapters(internal::plan_workspace& work) const;
     void load_reserved_models(internal::plan_workspace& work) const;
     void place_missing_models(internal::plan_workspace& work, bool only_waiting) const;
--- a/tests/auto/coordination/tst_weight_planner.cpp
+++ b/tests/auto/coordination/tst_weight_planner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -344,3 +345,41 @@
     REQUIRE(first_load != orders.end());
     CHECK(first_load->model == lost.back());
 }
+
+// Guards against callers that are refused for as long as the only engine with their model
+// is limited.
+TEST_CASE("a model whose only engine is limited is loaded on another one")
+{
+    const state::engine_profile profile = test_engine_profile();
+    std::vector<planned_engine> engines(3);
+    engines[0].id = "e0";
+    engines[0].models = {{"m3", 1, {}}, {"m4", 1, {}}, {"m5", 1, {}}};
+    engines[1].id = "e1";
+    engines[1].models = {{"m5", 1, {}}};
+    engines[2].id = "e2";
+    engines[2].models = {{"m5", 1, {}}};
+    const weight_demand::rates demand{{{"models", "m3", ""}, {4.0, 400.0, 400.0, 0}},
+                                      {{"models", "m5", ""}, {6.0, 600.0, 600.0, 0}}};
+    const auto loads_of = [&](std::optional<double> limit, const std::string& model)
+    {
+        engines[0].limit_per_s = limit;
+        const coordination::weight_planner planner;
+        int loads = 0;
+        for (const planned_order& order :
+             planner.plan(profile, engines, "models", demand, {}, 4, true))
+        {
+            // The limited engine gets no orders.
+            CHECK((limit != 1.0 || order.engine != "e0"));
+            // Further copies may be ordered for other reasons.
+            const bool is_missing = order.reason == "no engine has the model loaded";
+            loads += is_missing && order.model == model ? 1 : 0;
+        }
+        return loads;
+    };
+    CHECK(loads_of(std::nullopt, "m3") == 0);
+    CHECK(loads_of(1.0, "m3") == 1);
+    // A model without requests stays where it is.
+    CHECK(loads_of(1.0, "m4") == 0);
+    // A limit that is above the requests for the models.
+    CHECK(loads_of(5.0, "m3") == 0);
+}
