--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -104,6 +104,14 @@
         throw boost::system::system_error(
             make_error_code(boost::system::errc::connection_reset));
     }
+    co_await this->respond(exchange, std::move(response));
+}
+
+boost::asio::awaitable<void> fake_store::respond(transport::http_exchange& exchange,
+                                                 transport::http_response response) const
+{
+    if (this->era > 0)
+        response.set("Store-Era", std::to_string(this->era));
     co_await exchange.respond(std::move(response));
 }
 
@@ -121,21 +129,23 @@
 boost::asio::awaitable<void> fake_store::read(transport::http_exchange& exchange)
 {
     const auto& request = exchange.request();
-    const topic_records& topic = this->topics[topic_of(request)];
+    const std::string name = topic_of(request);
     const std::uint64_t from =
         number(transport::target_query(request.target(), "Source"));
     const auto limit =
         std::chrono::steady_clock::now() +
         state::milliseconds(number(transport::target_query(request.target(), "WaitMs")));
-    while (topic.first + topic.records.size() <= from &&
+    const std::uint64_t first_era = this->era;
+    while (this->end(name) <= from && this->era == first_era &&
            std::chrono::steady_clock::now() < limit)
     {
         boost::asio::steady_timer timer(this->loop, state::milliseconds(2));
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
-    const std::uint64_t end = topic.first + topic.records.size();
+    const topic_records& topic = this->topics[name];
+    const std::uint64_t end = this->end(name);
     transport::http_response response;
-    if (from < topic.first)
+    if (from < topic.first || from > end)
         response = offsets(status::gone, topic.first, end);
     else
     {
@@ -149,7 +159,7 @@
         }
         response = transport::text_response(status::ok, std::move(body));
     }
-    co_await exchange.respond(std::move(response));
+    co_await this->respond(exchange, std::move(response));
 }
 
 transport::http_response fake_store::newest(const std::string& name)
@@ -187,6 +197,7 @@
     topic_records& topic = this->topics[name];
     const std::uint64_t offset = topic.first + topic.records.size();
     topic.records.push_back({key, value});
+    this->appended[name].push_back(value);
     if (value.empty())
         topic.newest.erase(key);
     else
@@ -198,6 +209,12 @@
     this->topics[topic] = other.topics.at(topic);
 }
 
+void fake_store::return_to_copy()
+{
+    this->topics = this->saved_topics;
+    ++this->era;
+}
+
 void fake_store::compact(const std::string& name)
 {
     topic_records& topic = this->topics[name];
--- a/tests/auto/platform/fake_store.hpp
+++ b/tests/auto/platform/fake_store.hpp
@@ -28,6 +28,9 @@
     /// Drops all records of the log, but keeps the newest of each key.
     void compact(const std::string& topic);
     std::uint64_t end(const std::string& topic) const;
+    /// Copies all topics, and returns to the last copy in a new era.
+    void save_copy() { this->saved_topics = this->topics; }
+    void return_to_copy();
 
     /// Answers every call with 503.
     bool is_down = false;
@@ -37,6 +40,10 @@
     bool is_trickling = false;
     /// Carries out appends without responding.
     bool drops_append_responses = false;
+    /// Named in all responses; 0 names none.
+    std::uint64_t era = 0;
+    /// Values of all records that were appended to a topic, lost ones included.
+    std::map<std::string, std::vector<std::string>> appended;
     int calls = 0;
     std::map<std::string, int> topic_calls;
 
@@ -53,6 +60,8 @@
         std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
     };
 
+    boost::asio::awaitable<void> respond(transport::http_exchange& exchange,
+                                         transport::http_response response) const;
     boost::asio::awaitable<void> trickle(transport::http_exchange& exchange);
     boost::asio::awaitable<void> read(transport::http_exchange& exchange);
     transport::http_response newest(const std::string& topic);
@@ -60,6 +69,7 @@
 
     boost::asio::io_context& loop;
     std::map<std::string, topic_records> topics;
+    std::map<std::string, topic_records> saved_topics;
 };
 
 } // namespace pomelorouter::test
