Track the era of the platform's store

Logs could not tell answers from before and after the store's return from an older copy. Each response names the era (Store-Era); the gateway keeps the newest one, logs each change (store_era_changed), and names it in heartbeats. A response of an earlier era is an error, and so is one to a call that was prepared in an earlier era, since its position or condition is invalid. What was kept from before is not yet discarded.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -141,6 +141,8 @@
         .field("version", POMELOROUTER_VERSION)
         .field("zone", this->settings.zone)
         .field("listen", this->settings.listen);
+    this->store->set_era_callback([this](std::uint64_t before)
+                                  { this->on_store_era(before); });
     this->config.start();
     this->backends.start();
     this->peers.start([this](protocol::gateway_heartbeat& heartbeat)
@@ -184,6 +186,13 @@
     this->peers.send_heartbeat();
 }
 
+void gateway::on_store_era(std::uint64_t before)
+{
+    state::log_event(state::log_level::warning, "store_era_changed")
+        .field("era", this->store->era())
+        .field("before", before);
+}
+
 void gateway::fill(protocol::gateway_heartbeat& heartbeat)
 {
     this->peers.set_ready(this->is_ready());
@@ -202,11 +211,13 @@
     }
     heartbeat.suspects = this->shared.quarantine.reports(now());
     heartbeat.limits = this->shared.limits.reports(now());
+    heartbeat.store_era = this->store->era();
     this->placement.fill(heartbeat);
 }
 
 void gateway::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
 {
+    this->store->on_era(heartbeat.store_era);
     bool has_new_leaving = false;
     for (const protocol::leaving_process& process : heartbeat.leaving)
     {
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -48,6 +48,8 @@
     void fill(protocol::gateway_heartbeat& heartbeat);
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
     void on_config(const state::gateway_config& newest);
+    /// Begins a new era of the store; `before` is 0 if none was known.
+    void on_store_era(std::uint64_t before);
     /// Applies limits of backend servers that another gateway reports. Returns whether
     /// any has changed.
     bool merge_limits(const protocol::gateway_heartbeat& heartbeat);
--- a/src/app/gateway/store/keyed_store.hpp
+++ b/src/app/gateway/store/keyed_store.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "state/clock.hpp"
+#include "state/error.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pomelorouter::app
@@ -52,12 +55,34 @@
     std::uint64_t end = 0;
 };
 
-/// The platform's store: topics of keyed records.
+/// The store has returned from an older copy since the call was prepared. Positions and
+/// conditions from before are invalid, and an append may have been lost or not.
+class store_returned : public state::error
+{
+public:
+    store_returned(const std::string& place, std::uint64_t named_era);
+};
+
+/// The platform's store: topics of keyed records. The store counts its returns from an
+/// older copy as eras; 0 means that no era is known.
 class keyed_store
 {
 public:
+    using era_callback = std::function<void(std::uint64_t before)>;
+
     virtual ~keyed_store() = default;
 
+    /// The newest era that a response or another gateway named.
+    std::uint64_t era() const { return this->newest_era; }
+    /// Processes an era that was named, 0 if none was. Returns false if it is older than
+    /// the newest one.
+    bool on_era(std::uint64_t named);
+    /// Sets the function that is called when the era has increased.
+    void set_era_callback(era_callback on_changed)
+    {
+        this->era_changed = std::move(on_changed);
+    }
+
     /// Reads the records from offset `from` on, and waits up to `wait` for the first.
     /// Throws `transport::log_truncated` if they have expired, or `state::error`.
     virtual boost::asio::awaitable<keyed_page>
@@ -70,6 +95,10 @@
     virtual boost::asio::awaitable<append_result>
     append(store_topic topic, std::string key, std::string value,
            std::optional<std::uint64_t> expected_end) = 0;
+
+private:
+    std::uint64_t newest_era = 0;
+    era_callback era_changed = [](std::uint64_t) {};
 };
 
 } // namespace pomelorouter::app
--- a/src/libs/protocol/backend_page.cpp
+++ b/src/libs/protocol/backend_page.cpp
@@ -31,6 +31,8 @@
             item.__set_value(*record.value);
         item.__set_removal(record.is_removal);
     }
+    if (page.store_era > 0)
+        wire.__set_storeEra(static_cast<std::int64_t>(page.store_era));
     return internal::encode_compact(wire);
 }
 
@@ -43,6 +45,8 @@
     page.is_full_list = wire.whole;
     page.list_reachable = wire.listReachable;
     page.settings_reachable = wire.settingsReachable;
+    if (wire.__isset.storeEra)
+        page.store_era = static_cast<std::uint64_t>(wire.storeEra);
     for (const gen::BackendRecord& item : wire.records)
     {
         backend_page_record& record = page.records.emplace_back();
--- a/src/libs/protocol/backend_page.hpp
+++ b/src/libs/protocol/backend_page.hpp
@@ -31,6 +31,8 @@
     bool list_reachable = false;
     bool settings_reachable = false;
     std::vector<backend_page_record> records;
+    /// Era of the store to which the offsets belong; 0 if it is not known.
+    std::uint64_t store_era = 0;
 };
 
 /// Encodes a page as a version byte and a Thrift compact struct.
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -212,6 +212,8 @@
         item.__set_incarnation(process.incarnation);
     }
     result.__set_aggregator(heartbeat.is_aggregator);
+    if (heartbeat.store_era > 0)
+        result.__set_storeEra(static_cast<std::int64_t>(heartbeat.store_era));
     if (!heartbeat.suspects.empty())
     {
         result.__isset.suspects = true;
@@ -290,6 +292,8 @@
             break;
         result.suspects.push_back(from_wire(suspect));
     }
+    if (heartbeat.__isset.storeEra)
+        result.store_era = to_unsigned<std::uint64_t>(heartbeat.storeEra);
     for (const gen::BackendLimit& limit : heartbeat.limits)
     {
         if (result.limits.size() == max_reported_limits)
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -164,6 +164,9 @@
     std::vector<leaving_process> leaving;
     std::vector<suspect_part> suspects;
     std::vector<backend_limit> limits;
+    /// Newest era of the store that the sender knows, to which `lease` belongs; 0 if it
+    /// knows none.
+    std::uint64_t store_era = 0;
     /// Whether the sender aggregates the reports of its availability zone.
     bool is_aggregator = false;
     /// Sent by an aggregator: the gateways whose heartbeats the receiver does not get.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -2828,6 +2828,11 @@
   this->limits = val;
 __isset.limits = true;
 }
+
+void GatewayHeartbeat::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+__isset.storeEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -3060,6 +3065,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3211,6 +3224,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeEra) {
+    xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->storeEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3232,6 +3250,7 @@
   swap(a.members, b.members);
   swap(a.suspects, b.suspects);
   swap(a.limits, b.limits);
+  swap(a.storeEra, b.storeEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -3250,6 +3269,7 @@
   members = other110.members;
   suspects = other110.suspects;
   limits = other110.limits;
+  storeEra = other110.storeEra;
   __isset = other110.__isset;
 }
 GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other111) {
@@ -3267,6 +3287,7 @@
   members = other111.members;
   suspects = other111.suspects;
   limits = other111.limits;
+  storeEra = other111.storeEra;
   __isset = other111.__isset;
   return *this;
 }
@@ -3287,6 +3308,7 @@
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3753,6 +3775,11 @@
 void BackendPage::__set_records(const std::vector<BackendRecord> & val) {
   this->records = val;
 }
+
+void BackendPage::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+__isset.storeEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendPage& obj)
 {
   obj.printTo(out);
@@ -3838,6 +3865,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3893,6 +3928,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeEra) {
+    xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->storeEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3905,6 +3945,8 @@
   swap(a.listReachable, b.listReachable);
   swap(a.settingsReachable, b.settingsReachable);
   swap(a.records, b.records);
+  swap(a.storeEra, b.storeEra);
+  swap(a.__isset, b.__isset);
 }
 
 BackendPage::BackendPage(const BackendPage& other124) {
@@ -3913,6 +3955,8 @@
   listReachable = other124.listReachable;
   settingsReachable = other124.settingsReachable;
   records = other124.records;
+  storeEra = other124.storeEra;
+  __isset = other124.__isset;
 }
 BackendPage& BackendPage::operator=(const BackendPage& other125) {
   nextOffset = other125.nextOffset;
@@ -3920,6 +3964,8 @@
   listReachable = other125.listReachable;
   settingsReachable = other125.settingsReachable;
   records = other125.records;
+  storeEra = other125.storeEra;
+  __isset = other125.__isset;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -3930,6 +3976,7 @@
   out << ", " << "listReachable=" << to_string(listReachable);
   out << ", " << "settingsReachable=" << to_string(settingsReachable);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -1029,13 +1029,14 @@
 std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
 
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
   bool members :1;
   bool suspects :1;
   bool limits :1;
+  bool storeEra :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1048,7 +1049,8 @@
                      configVersion(0),
                      scope(0),
                      periodMs(0),
-                     aggregator(0) {
+                     aggregator(0),
+                     storeEra(0) {
   }
 
   virtual ~GatewayHeartbeat() noexcept;
@@ -1066,6 +1068,7 @@
   std::vector<MemberNotice>  members;
   std::vector<SuspectPart>  suspects;
   std::vector<BackendLimit>  limits;
+  int64_t storeEra;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -1097,6 +1100,8 @@
 
   void __set_limits(const std::vector<BackendLimit> & val);
 
+  void __set_storeEra(const int64_t val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -1139,6 +1144,10 @@
       return false;
     else if (__isset.limits && !(limits == rhs.limits))
       return false;
+    if (__isset.storeEra != rhs.__isset.storeEra)
+      return false;
+    else if (__isset.storeEra && !(storeEra == rhs.storeEra))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
@@ -1318,6 +1327,10 @@
 
 std::ostream& operator<<(std::ostream& out, const BackendRecord& obj);
 
+typedef struct _BackendPage__isset {
+  _BackendPage__isset() : storeEra(false) {}
+  bool storeEra :1;
+} _BackendPage__isset;
 
 class BackendPage : public virtual ::apache::thrift::TBase {
  public:
@@ -1328,7 +1341,8 @@
               : nextOffset(0),
                 whole(0),
                 listReachable(0),
-                settingsReachable(0) {
+                settingsReachable(0),
+                storeEra(0) {
   }
 
   virtual ~BackendPage() noexcept;
@@ -1337,6 +1351,9 @@
   bool listReachable;
   bool settingsReachable;
   std::vector<BackendRecord>  records;
+  int64_t storeEra;
+
+  _BackendPage__isset __isset;
 
   void __set_nextOffset(const int64_t val);
 
@@ -1348,6 +1365,8 @@
 
   void __set_records(const std::vector<BackendRecord> & val);
 
+  void __set_storeEra(const int64_t val);
+
   bool operator == (const BackendPage & rhs) const
   {
     if (!(nextOffset == rhs.nextOffset))
@@ -1360,6 +1379,10 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.storeEra != rhs.__isset.storeEra)
+      return false;
+    else if (__isset.storeEra && !(storeEra == rhs.storeEra))
+      return false;
     return true;
   }
   bool operator != (const BackendPage &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -162,6 +162,8 @@
   12: optional list<MemberNotice> members
   13: optional list<SuspectPart> suspects
   14: optional list<BackendLimit> limits
+  // Newest era of the platform's store that the sender knows; `lease` is from it.
+  15: optional i64 storeEra
 }
 
 // Requests permits to send requests to a backend server with a limit, from the gateway that issues
@@ -198,6 +200,8 @@
   3: required bool listReachable
   4: required bool settingsReachable
   5: required list<BackendRecord> records
+  // Era of the platform's store to which the offsets belong.
+  6: optional i64 storeEra
 }
 
 union PeerMessage {
