Give the test of ended backend servers time for the second read

The case passed on the code without a fix, since the complete list is read 0.8 s after the store refused the old position, after the requests of the test. It now waits 3 s.

--- a/tests/auto/platform/tst_restored_store.cpp
+++ b/tests/auto/platform/tst_restored_store.cpp
@@ -176,7 +176,7 @@
     test.run_until([&test]
                    { return !test.gateway->shared_state().directory.find("s1"); });
     test.store.return_to_copy();
-    test.run_for(milliseconds(1500));
+    test.run_for(milliseconds(3000));
     const std::size_t before = ended.requests.size();
     for (int count = 0; count < 10; ++count)
         test.fetch(test.request("/again/x", "a" + std::to_string(count)));
