Read the configuration again after the store's return

A change that the operator had confirmed did not come into force: a gateway went on reading at its position of before, which the topic had reached again with other records. `a configuration that is written after the store's return is applied` got version 4 instead of 5. The position is now dropped with the era, also where the gateway hears of the return from another one. An older version still never replaces a newer one.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -191,6 +191,11 @@
     state::log_event(state::log_level::warning, "store_era_changed")
         .field("era", this->store->era())
         .field("before", before);
+    // The first era that is named shows no return.
+    if (before == 0)
+        return;
+    this->config.on_store_returned();
+    this->peers.send_heartbeat();
 }
 
 void gateway::fill(protocol::gateway_heartbeat& heartbeat)
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -93,6 +93,11 @@
         this->position.reset();
         co_return true;
     }
+    catch (const store_returned&)
+    {
+        this->position.reset();
+        co_return true;
+    }
     catch (const state::error& failure)
     {
         this->on_contact(false, failure.what());
--- a/src/app/gateway/store/config_watcher.hpp
+++ b/src/app/gateway/store/config_watcher.hpp
@@ -31,6 +31,9 @@
     /// Fetches a newer configuration in the background. `peer` is the control address of
     /// a gateway that has `announced_version`.
     void on_newer(std::string peer, std::int64_t announced_version);
+    /// Reads the newest configuration again, since the store has returned from an older
+    /// copy.
+    void on_store_returned() { this->position.reset(); }
     /// The newest configuration document, unchanged; empty if none is known.
     const std::string& config_document() const { return this->document; }
     std::int64_t config_version() const { return this->version; }
