Read the list of backend servers again after the store's return

Callers reached a server that was leaving: its notice had an offset that was in use before, below the position of the gateway, and was skipped. The same holds between gateways, where offsets of two eras were compared. The complete list is now read again in a new era, pages between gateways name the era, and an offset of another era gets the full list.

--- a/src/app/gateway/process/control_handler.cpp
+++ b/src/app/gateway/process/control_handler.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-/// Parses an offset; empty text gives none. Throws `state::error` (`out_of_range`) if the
-/// text is not a number.
-std::optional<std::uint64_t> read_offset(std::string_view text)
+/// Parses a query argument; empty text gives none. Throws `state::error` (`out_of_range`)
+/// if the text is not a number.
+std::optional<std::uint64_t> read_number(std::string_view text, const char* name)
 {
     if (text.empty())
         return std::nullopt;
@@ -20,8 +20,8 @@
     const auto [end, failure] =
         std::from_chars(text.data(), text.data() + text.size(), value);
     if (failure != std::errc() || end != text.data() + text.size())
-        throw state::error(state::error_code::out_of_range, "from",
-                           "expected an offset (a decimal number)");
+        throw state::error(state::error_code::out_of_range, name,
+                           "expected a decimal number");
     return value;
 }
 
@@ -51,9 +51,12 @@
             transport::json_response(status::ok, this->config.config_document()));
     else if (path == "/gateway/backends")
     {
+        const std::string_view target = exchange.request().target();
         const std::optional<std::uint64_t> from =
-            read_offset(transport::target_query(exchange.request().target(), "from"));
-        std::string page = co_await this->backends.wait_for_page(from);
+            read_number(transport::target_query(target, "from"), "from");
+        const std::optional<std::uint64_t> era =
+            read_number(transport::target_query(target, "era"), "era");
+        std::string page = co_await this->backends.wait_for_page(from, era.value_or(0));
         co_await exchange.respond(
             transport::binary_response(status::ok, std::move(page)));
     }
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -195,6 +195,7 @@
     if (before == 0)
         return;
     this->config.on_store_returned();
+    this->backends.on_store_returned();
     this->peers.send_heartbeat();
 }
 
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -102,7 +102,10 @@
     options.total_timeout = aggregator_total_timeout;
     std::string target = "/gateway/backends";
     if (this->feed.next())
-        target += "?from=" + std::to_string(*this->feed.next());
+    {
+        target += "?from=" + std::to_string(*this->feed.next()) +
+                  "&era=" + std::to_string(this->store.era());
+    }
     std::string problem;
     try
     {
@@ -115,6 +118,11 @@
         }
         const protocol::backend_page page =
             protocol::decode_backend_page(response.body());
+        if (!this->store.on_era(page.store_era))
+        {
+            throw state::error(state::error_code::log_unavailable, address + target,
+                               "expected a page of the store's present era");
+        }
         if (page.list_reachable)
         {
             std::vector<feed_record> records = this->feed.complete(page);
@@ -128,7 +136,8 @@
                 this->apply_all(page.next, records);
             else
                 this->apply(records);
-            this->feed.set_next(std::max(page.next, this->feed.next().value_or(0)));
+            if (!page.is_full_list)
+                this->feed.set_next(std::max(page.next, this->feed.next().value_or(0)));
             this->on_read("aggregator");
             if (page.settings_reachable)
                 this->follows_until = now() + aggregator_validity;
@@ -148,12 +157,18 @@
 }
 
 asio::awaitable<std::string>
-backend_watcher::wait_for_page(std::optional<std::uint64_t> from)
+backend_watcher::wait_for_page(std::optional<std::uint64_t> from, std::uint64_t era)
 {
-    const bool has_new_records = this->feed.next() && (!from || this->feed.next() > from);
+    const bool has_new_records =
+        this->feed.next() &&
+        (!from || this->feed.next() > from || era != this->store.era());
     if (!has_new_records)
         co_await this->feed_read.wait(max_response_wait);
+    // The offset of another era does not tell what the receiver has.
+    if (era != this->store.era())
+        from.reset();
     protocol::backend_page page = this->feed.page(from);
+    page.store_era = this->store.era();
     // The last read may have succeeded long ago if the present one takes long.
     page.list_reachable = this->reachable && this->feed.next().has_value() &&
                           state::since(this->last_read) < list_validity;
@@ -191,6 +206,10 @@
         this->feed.set_next(std::nullopt);
         co_return true;
     }
+    catch (const store_returned&)
+    {
+        co_return true;
+    }
     catch (const state::error& failure)
     {
         this->on_contact(false, failure.what());
@@ -269,6 +288,11 @@
     this->feed_read.notify();
 }
 
+void backend_watcher::on_store_returned()
+{
+    this->feed.set_next(std::nullopt);
+}
+
 void backend_watcher::tick()
 {
     for (const std::string& id : this->shared.directory.tick(now()))
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -39,13 +39,16 @@
     void start();
     /// Removes the backend servers that have not returned in time.
     void tick();
+    /// Reads the complete list again, since the store has returned from an older copy.
+    void on_store_returned();
     /// Whether the list was read at least once.
     bool is_known() const { return this->is_list_known; }
     /// Whether this gateway receives changes from an aggregator that reaches the store.
     bool follows_aggregator() const;
-    /// Returns an encoded page with the records from offset `from` on. Waits for new
-    /// records up to a time limit.
-    boost::asio::awaitable<std::string> wait_for_page(std::optional<std::uint64_t> from);
+    /// Returns an encoded page with the records from offset `from` of the store's era
+    /// `era` on. Waits for new records up to a time limit.
+    boost::asio::awaitable<std::string> wait_for_page(std::optional<std::uint64_t> from,
+                                                      std::uint64_t era);
 
 private:
     boost::asio::awaitable<void> watch();
