Do not take an older copy of the list for the state of backend servers

The complete list after the store's return is some seconds old. Servers that it lacked were dropped at once (503 instead of 200 in `a backend server that the older copy lacks is used until it writes again`), and servers that had ended were used again (`a backend server that has ended is not used again because of an older copy`). Known processes now keep their state, missing ones have the time to write again that they have after an outage, and processes that had ended come back only with a record of their own.

--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -270,7 +270,10 @@
     state::log_event(state::log_level::info, "backends_read")
         .field("count", static_cast<std::uint64_t>(entries.size()));
     this->feed.replace_all(next, records);
-    this->shared.directory.replace_all(now(), std::move(entries));
+    if (std::exchange(this->is_list_restored, false))
+        this->shared.directory.restore_all(now(), std::move(entries));
+    else
+        this->shared.directory.replace_all(now(), std::move(entries));
     this->shared.backends_changed.notify();
 }
 
@@ -291,6 +294,8 @@
 void backend_watcher::on_store_returned()
 {
     this->feed.set_next(std::nullopt);
+    this->is_list_restored = true;
+    this->shared.directory.on_store_returned(now());
 }
 
 void backend_watcher::tick()
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -72,6 +72,8 @@
     transport::async_event feed_read;
     bool reachable = true;
     bool is_list_known = false;
+    /// The next complete list is the first one since the store's return.
+    bool is_list_restored = false;
     state::time_point last_read{};
     state::time_point follows_until{};
     /// No request is sent to the aggregator before this time.
--- a/src/libs/coordination/backend_directory.cpp
+++ b/src/libs/coordination/backend_directory.cpp
@@ -21,6 +21,10 @@
     {directory_change::gone, "gone"},
 }};
 
+/// Processes that have ended are remembered for this long, which is longer than the store
+/// may fall back.
+constexpr state::milliseconds ended_lifetime{60000};
+
 } // namespace
 
 std::string_view to_string(directory_change change)
@@ -81,10 +85,19 @@
         this->removed.emplace(std::string(id), now);
         return directory_change::none;
     }
-    this->backends.erase(this->backends.find(id));
+    this->erase(now, id);
     return directory_change::gone;
 }
 
+void backend_directory::erase(state::time_point now, std::string_view id)
+{
+    const auto found = this->backends.find(id);
+    if (found == this->backends.end())
+        return;
+    this->ended[std::string(id)] = {found->second->entry.incarnation, now};
+    this->backends.erase(found);
+}
+
 void backend_directory::replace_all(state::time_point now,
                                     std::vector<state::backend_entry> entries)
 {
@@ -94,10 +107,36 @@
         named.insert(entry.id);
         this->apply(now, std::move(entry));
     }
+    this->remove_missing(now, named);
+}
+
+void backend_directory::restore_all(state::time_point now,
+                                    std::vector<state::backend_entry> entries)
+{
+    std::set<std::string, std::less<>> named;
+    for (state::backend_entry& entry : entries)
+    {
+        named.insert(entry.id);
+        const known_backend_ptr known = this->find(entry.id);
+        const bool is_known = known && known->entry.incarnation >= entry.incarnation;
+        const auto found = this->ended.find(entry.id);
+        const bool has_ended =
+            found != this->ended.end() && found->second.incarnation >= entry.incarnation;
+        if (is_known && entry.phase != state::backend_phase::draining)
+            this->removed.erase(entry.id);
+        else if (is_known || !has_ended)
+            this->apply(now, std::move(entry));
+    }
+    this->remove_missing(now, named);
+}
+
+void backend_directory::remove_missing(state::time_point now,
+                                       const std::set<std::string, std::less<>>& listed)
+{
     std::vector<std::string> missing;
     for (const auto& [id, backend] : this->backends)
     {
-        if (named.count(id) == 0)
+        if (listed.count(id) == 0)
             missing.push_back(id);
     }
     for (const std::string& id : missing)
@@ -165,10 +204,12 @@
         return gone;
     for (const auto& [id, when] : this->removed)
     {
-        this->backends.erase(id);
+        this->erase(now, id);
         gone.push_back(id);
     }
     this->removed.clear();
+    std::erase_if(this->ended, [now](const auto& item)
+                  { return now - item.second.removed_at > ended_lifetime; });
     return gone;
 }
 
--- a/src/libs/coordination/backend_directory.hpp
+++ b/src/libs/coordination/backend_directory.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,13 @@
     directory_change remove(state::time_point now, std::string_view id);
     /// Applies a complete list; entries that are missing from it count as removed.
     void replace_all(state::time_point now, std::vector<state::backend_entry> entries);
+    /// Applies the first complete list after the store has returned from an older copy.
+    /// Known processes keep their state, and processes that have ended before are not
+    /// added: their next record shows whether they still run.
+    void restore_all(state::time_point now, std::vector<state::backend_entry> entries);
+    /// Records that the store has returned from an older copy: backend servers write
+    /// their missing entries again.
+    void on_store_returned(state::time_point now) { this->reachable_since = now; }
     /// Records whether the store answered.
     void on_store_contact(state::time_point now, bool is_reachable);
     /// Removes a backend server after another process answered at its address.
@@ -106,12 +114,22 @@
 
 private:
     bool is_store_stable(state::time_point now) const;
+    void erase(state::time_point now, std::string_view id);
+    void remove_missing(state::time_point now,
+                        const std::set<std::string, std::less<>>& listed);
     bool mark_leaving(state::time_point now, std::string_view id);
 
     directory_timing timing;
     std::map<std::string, known_backend_ptr, std::less<>> backends;
     /// Entries removed while the store was unreachable or had just become reachable.
     std::map<std::string, state::time_point, std::less<>> removed;
+    /// A process whose entry was removed.
+    struct ended_process
+    {
+        std::int64_t incarnation = 0;
+        state::time_point removed_at{};
+    };
+    std::map<std::string, ended_process, std::less<>> ended;
     bool reachable = true;
     state::time_point reachable_since{};
 };
