Begin the epochs of the placement lease anew with each era of the store

The epoch was counted from the newest record, so a lost one was given out again; and gateways that remembered a higher end of the topic ignored the restored one, took its holder for silent and claimed as well.

An epoch now begins with the era, so that none is used twice whatever was lost. A new era discards the end of the topic, and a record of an earlier one names no holder: who could issue orders until now claims at once, others wait as for a silent holder and separate their orders. Records have a key for each era, so that a late append of an earlier one hides nothing. An append that was refused no longer counts as a renewal when the topic is read afterwards; such an append can now meet a record of the same holder.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -59,6 +59,13 @@
 constexpr milliseconds lease_read_step{300};
 constexpr const char* lease_key = "placement";
 
+/// A record that was appended in an earlier era, perhaps late, does not replace one of
+/// the present era.
+std::string lease_key_of(std::uint64_t era)
+{
+    return era == 0 ? lease_key : lease_key + ("/" + std::to_string(era));
+}
+
 coordination::store_lease_timing lease_timing(const state::gateway_settings& settings)
 {
     coordination::store_lease_timing timing;
@@ -121,8 +128,12 @@
 
 void placement_agent::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
 {
-    this->lease.on_peer_report(state::boot_time(), heartbeat.lease.holder,
-                               heartbeat.lease.epoch, heartbeat.lease.end_offset);
+    // A sender that knows no era is of an earlier version.
+    if (heartbeat.store_era == 0 || heartbeat.store_era == this->store.era())
+    {
+        this->lease.on_peer_report(state::boot_time(), heartbeat.lease.holder,
+                                   heartbeat.lease.epoch, heartbeat.lease.end_offset);
+    }
     bool directory_changed = false;
     if (heartbeat.lease.epoch >= this->lease.epoch())
     {
@@ -157,13 +168,7 @@
         const auto age = now() - this->started;
         const bool may_hold = this->shared.routes != nullptr &&
                               !this->shared.is_stopping && age >= startup_discovery_time;
-        // A weaker gateway usually hears of a lease holder before its delay ends, and
-        // then does not have to read the lease topic.
-        const bool is_turn =
-            this->lease.end_offset() > 0 ||
-            age >= startup_discovery_time +
-                       lease_read_step * static_cast<int>(this->peers.rank());
-        if (this->lease.needs_read() && is_turn)
+        if (this->lease.needs_read() && this->is_turn_to_read())
             co_await this->read_lease();
         coordination::lease_append append;
         if (this->lease.next_append(state::boot_time(), this->peers.rank(), may_hold,
@@ -184,16 +189,39 @@
     }
 }
 
+/// A weaker gateway usually hears of a lease holder before its delay ends, and then does
+/// not have to read the lease topic.
+bool placement_agent::is_turn_to_read() const
+{
+    if (this->lease.end_offset() > 0 || this->lease.continues(state::boot_time()))
+        return true;
+    const auto delay = lease_read_step * static_cast<int>(this->peers.rank());
+    return now() - this->started >= startup_discovery_time + delay &&
+           now() - this->era_begun >= delay;
+}
+
+void placement_agent::on_store_era()
+{
+    this->era_begun = now();
+    this->lease.on_era(state::boot_time(), this->store.era());
+}
+
 asio::awaitable<void> placement_agent::read_lease()
 {
     try
     {
         const keyed_page page = co_await this->store.newest(store_topic::lease);
         coordination::lease_record newest;
+        const std::string key = lease_key_of(this->store.era());
         for (const keyed_record& record : page.records)
         {
-            if (record.key == lease_key)
-                newest = decode_lease_record(record.value);
+            if (record.is_removal)
+                continue;
+            const coordination::lease_record item = decode_lease_record(record.value);
+            if (record.key == key || item.epoch > newest.epoch)
+                newest = item;
+            if (record.key == key)
+                break;
         }
         this->lease.on_read(state::boot_time(), newest, page.next);
     }
@@ -211,8 +239,8 @@
     try
     {
         const append_result result = co_await this->store.append(
-            store_topic::lease, lease_key, encode_lease_record(append.record),
-            append.expected_end);
+            store_topic::lease, lease_key_of(this->store.era()),
+            encode_lease_record(append.record), append.expected_end);
         this->lease.on_append_response(state::boot_time(), append, result.is_appended,
                                        result.end);
         if (result.is_appended)
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -32,6 +32,8 @@
     /// Adds the lease and the announced models of engines to a heartbeat.
     void fill(protocol::gateway_heartbeat& heartbeat);
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
+    /// Begins a new era of the store.
+    void on_store_era();
 
 private:
     /// State of one engine process as the lease holder knows it.
@@ -58,6 +60,8 @@
     };
 
     boost::asio::awaitable<void> lease_loop();
+    /// Whether this gateway should read the lease topic now.
+    bool is_turn_to_read() const;
     boost::asio::awaitable<void> read_lease();
     boost::asio::awaitable<void> append_lease(coordination::lease_append append);
     boost::asio::awaitable<void> plan_loop();
@@ -107,6 +111,7 @@
     state::counter& plan_count;
     state::counter& plan_us;
     state::time_point started{};
+    state::time_point era_begun{};
     /// The last announcement of the lease holder, which an aggregator forwards to its
     /// zone.
     std::vector<protocol::engine_weights> forwarded_weights;
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -191,6 +191,7 @@
     state::log_event(state::log_level::warning, "store_era_changed")
         .field("era", this->store->era())
         .field("before", before);
+    this->placement.on_store_era();
     // The first era that is named shows no return.
     if (before == 0)
         return;
--- a/src/libs/coordination/store_lease.cpp
+++ b/src/libs/coordination/store_lease.cpp
@@ -1,5 +1,6 @@
 #include "coordination/store_lease.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pomelorouter::coordination
@@ -10,6 +11,14 @@
 
 /// Delay between the claims of candidates of consecutive rank.
 constexpr state::milliseconds rank_step{300};
+/// Epochs of one era differ in the lower bits only.
+constexpr unsigned era_shift = 32;
+
+/// Returns a number below all epochs of an era and above those of earlier ones.
+std::uint64_t base_of(std::uint64_t era)
+{
+    return era << era_shift;
+}
 
 } // namespace
 
@@ -34,21 +43,52 @@
                         std::uint64_t new_end)
 {
     const bool is_own = record.holder == this->node &&
-                        record.incarnation == this->incarnation && !record.is_release;
+                        record.incarnation == this->incarnation && !record.is_release &&
+                        !this->is_outdated(record);
     // The append got no response but succeeded; the renewal counts from its send time.
     if (is_own && this->sending_at > this->renewed_at)
         this->renewed_at = this->sending_at;
     if (is_own && record.epoch > this->newest.epoch)
     {
-        const bool had_holder = this->end > 0 && this->newest.holder != this->node;
-        this->order_from = had_holder ? now + this->timing.separation : now;
+        this->order_from =
+            this->may_follow_other(now) ? now + this->timing.separation : now;
     }
+    if (!this->is_outdated(record))
+        this->continues_until = {};
     this->is_holding = is_own;
     this->newest = record;
     this->end = new_end;
     this->end_known_at = now;
 }
 
+void store_lease::on_era(state::time_point now, std::uint64_t new_era)
+{
+    if (new_era <= this->era)
+        return;
+    // A holder that could issue orders until now follows nobody in the new era.
+    this->continues_until = this->may_issue_orders(now) ? now + this->timing.order_window
+                                                        : state::time_point{};
+    this->era = new_era;
+    this->end = 0;
+    this->end_known_at = {};
+    this->is_holding = false;
+    this->read_needed = true;
+}
+
+bool store_lease::is_outdated(const lease_record& record) const
+{
+    return record.epoch <= base_of(this->era) && this->era > 0;
+}
+
+bool store_lease::may_follow_other(state::time_point now) const
+{
+    if (this->continues(now))
+        return false;
+    if (this->is_outdated(this->newest))
+        return true;
+    return this->end > 0 && this->newest.holder != this->node;
+}
+
 void store_lease::on_peer_report(state::time_point now, const std::string& heard_holder,
                                  std::uint64_t heard_epoch, std::uint64_t heard_end)
 {
@@ -79,11 +119,15 @@
     }
     if (!may_hold)
         return false;
-    ++append.record.epoch;
+    append.record.epoch = std::max(this->newest.epoch, base_of(this->era)) + 1;
+    if (this->continues(now))
+        return true;
     const auto stagger = rank_step * static_cast<int>(rank);
     // The last holder was an earlier process of this instance, which has ended.
-    const bool was_own = this->newest.holder == this->node;
-    const bool is_free = this->end == 0 || this->newest.is_release || was_own;
+    const bool is_outdated_record = this->is_outdated(this->newest);
+    const bool was_own = this->newest.holder == this->node && !is_outdated_record;
+    const bool is_free =
+        this->end == 0 || was_own || (this->newest.is_release && !is_outdated_record);
     const auto silence = this->timing.order_window + this->timing.margin;
     state::milliseconds wait = stagger;
     if (was_own)
@@ -107,17 +151,20 @@
         // succeeded.
         this->is_holding = false;
         this->read_needed = true;
+        // This append renewed nothing.
+        this->sending_at = this->renewed_at;
         return;
     }
     const bool is_claim = append.record.epoch > this->newest.epoch;
-    const bool had_holder = this->end > 0 && this->newest.holder != this->node;
+    const bool follows_other = this->may_follow_other(now);
     this->newest = append.record;
     this->end = new_end;
     this->end_known_at = now;
     this->is_holding = !append.record.is_release;
     this->renewed_at = this->sending_at;
     if (is_claim)
-        this->order_from = had_holder ? now + this->timing.separation : now;
+        this->order_from = follows_other ? now + this->timing.separation : now;
+    this->continues_until = {};
 }
 
 void store_lease::on_append_unknown(state::time_point now)
--- a/src/libs/coordination/store_lease.hpp
+++ b/src/libs/coordination/store_lease.hpp
@@ -48,6 +48,10 @@
 /// only if the topic ends at the expected offset, so at most one process appends after a
 /// given record. Times must come from a clock that keeps running while the instance is
 /// suspended.
+///
+/// The store may return from an older copy and lose the newest records, which begins a
+/// new era. Epochs begin with the era, so that none is used again, and a record of an
+/// earlier era does not tell who held the lease last.
 class store_lease
 {
 public:
@@ -61,6 +65,8 @@
     /// `epoch`.
     void on_peer_report(state::time_point now, const std::string& holder,
                         std::uint64_t epoch, std::uint64_t end);
+    /// Begins a new era of the store. What was known of the topic is discarded.
+    void on_era(state::time_point now, std::uint64_t new_era);
     /// Sets `append` and returns true if an append is due. `rank` delays the candidates
     /// one after another; 0 claims first. `may_hold` is false for a process that is
     /// stopping or not ready.
@@ -81,6 +87,9 @@
     void on_fenced();
     /// Whether the topic must be read before the next append.
     bool needs_read() const { return this->read_needed; }
+    /// Whether this process held the lease when the present era began and has not claimed
+    /// it again yet.
+    bool continues(state::time_point now) const { return now < this->continues_until; }
 
     /// Whether this process may issue orders at `now`.
     bool may_issue_orders(state::time_point now) const;
@@ -91,11 +100,16 @@
 
 private:
     void adopt(state::time_point now, const lease_record& record, std::uint64_t new_end);
+    /// Whether the newest record is from an earlier era, so that later ones may be lost.
+    bool is_outdated(const lease_record& record) const;
+    /// Whether another process may have issued orders a short time ago.
+    bool may_follow_other(state::time_point now) const;
 
     std::string node;
     std::uint64_t incarnation;
     store_lease_timing timing;
     lease_record newest;
+    std::uint64_t era = 0;
     std::uint64_t end = 0;
     /// Time at which this process learnt that the topic ends at `end`.
     state::time_point end_known_at{};
@@ -109,6 +123,7 @@
     /// Orders may be issued from this time on; later than the claim if another node held
     /// the lease before.
     state::time_point order_from{};
+    state::time_point continues_until{};
 };
 
 } // namespace pomelorouter::coordination
--- a/tests/auto/coordination/tst_store_lease.cpp
+++ b/tests/auto/coordination/tst_store_lease.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -21,20 +23,34 @@
 using state::milliseconds;
 using state::time_point;
 
-/// Simulated lease topic of the store.
+/// Simulated lease topic of the store. Records of each era have a key of their own.
 struct lease_topic
 {
-    lease_record newest;
+    std::map<std::uint64_t, lease_record> records;
     std::uint64_t end = 0;
+    /// Number of returns from an older copy, from 1 on; 0 names no era.
+    std::uint64_t era = 0;
 
-    bool append(const lease_append& append)
+    bool append(const lease_append& append, std::uint64_t sender_era = 0)
     {
         if (append.expected_end != this->end)
             return false;
-        this->newest = append.record;
+        this->records[sender_era] = append.record;
         ++this->end;
         return true;
     }
+
+    lease_record newest() const
+    {
+        return this->records.empty() ? lease_record{} : this->records.rbegin()->second;
+    }
+
+    void return_to(const lease_topic& copy)
+    {
+        this->records = copy.records;
+        this->end = copy.end;
+        ++this->era;
+    }
 };
 
 struct order
@@ -49,6 +65,7 @@
 {
     time_point when{};
     lease_append append;
+    std::uint64_t sender_era = 0;
 };
 
 struct faults
@@ -57,6 +74,9 @@
     double late_share = 0.0;
     double suspend_share = 0.0;
     double down_share = 0.0;
+    /// For a store that names its era.
+    double return_share = 0.0;
+    double restart_share = 0.0;
 };
 
 /// Gateways that compete for the lease in virtual time, in steps of 50 ms.
@@ -67,11 +87,14 @@
                      const store_lease_timing& times)
         : random(seed), fault(wanted_faults)
     {
+        this->topic.era = this->fault.return_share > 0.0 ? 1 : 0;
         for (int node = 0; node < nodes; ++node)
         {
-            this->leases.push_back(
-                std::make_unique<store_lease>("n" + std::to_string(node), 1, times));
+            this->leases.emplace_back();
+            this->eras.push_back(0);
+            this->start(node, times);
         }
+        this->timing = times;
     }
 
     void run(state::seconds duration)
@@ -80,8 +103,13 @@
         for (; this->now < last; this->now += step)
         {
             this->execute_late_appends();
+            this->copy_or_return();
             for (int node = 0; node < nodes; ++node)
+            {
+                if (this->random.unit() < this->fault.restart_share)
+                    this->start(node, this->timing);
                 this->run_node(node);
+            }
         }
     }
 
@@ -91,6 +119,56 @@
 private:
     static constexpr int nodes = 4;
     static constexpr milliseconds step{50};
+    static constexpr std::size_t max_copies = 200;
+    static constexpr double heartbeat_share = 0.3;
+
+    void start(int node, const store_lease_timing& times)
+    {
+        const auto index = static_cast<std::size_t>(node);
+        this->leases[index] = std::make_unique<store_lease>(
+            "n" + std::to_string(node), ++this->last_incarnation, times);
+        this->eras[index] = 0;
+    }
+
+    void copy_or_return()
+    {
+        if (this->topic.era == 0)
+            return;
+        this->copies.push_back(this->topic);
+        if (this->copies.size() > max_copies)
+            this->copies.pop_front();
+        if (this->random.unit() >= this->fault.return_share)
+            return;
+        const std::size_t age = this->random.below(this->copies.size());
+        this->topic.return_to(this->copies[age]);
+        this->copies.clear();
+    }
+
+    /// Returns whether the era that the store names is known. If not, the call ends with
+    /// an error.
+    bool contact(std::size_t index)
+    {
+        const bool is_known = this->eras[index] == this->topic.era;
+        if (!is_known)
+            this->leases[index]->on_era(this->now, this->topic.era);
+        const bool is_first = std::exchange(this->eras[index], this->topic.era) == 0;
+        return is_known || is_first;
+    }
+
+    /// Processes the heartbeat of another node.
+    void hear(std::size_t index)
+    {
+        const std::size_t other = this->random.below(nodes);
+        if (other == index || this->now < this->suspended_until[other] ||
+            this->eras[other] < this->eras[index])
+            return;
+        store_lease& lease = *this->leases[index];
+        lease.on_era(this->now, this->eras[other]);
+        this->eras[index] = this->eras[other];
+        const store_lease& sender = *this->leases[other];
+        lease.on_peer_report(this->now, sender.holder(), sender.epoch(),
+                             sender.end_offset());
+    }
 
     void run_node(int node)
     {
@@ -104,19 +182,24 @@
         }
         store_lease& lease = *this->leases[static_cast<std::size_t>(node)];
         const bool is_down = this->random.unit() < this->fault.down_share;
-        if (lease.needs_read() && !is_down)
-            lease.on_read(this->now, this->topic.newest, this->topic.end);
+        const auto index = static_cast<std::size_t>(node);
+        if (this->topic.era > 0 && this->random.unit() < heartbeat_share)
+            this->hear(index);
+        if (lease.needs_read() && !is_down && this->contact(index))
+            lease.on_read(this->now, this->topic.newest(), this->topic.end);
         lease_append append;
         if (lease.next_append(this->now, static_cast<std::size_t>(node), true, append))
-            this->send(lease, append, is_down);
+            this->send(index, append, is_down);
         // The clock of the lease keeps running while the node is suspended, so the check
         // right before the order detects the suspension.
         if (lease.may_issue_orders(this->now))
             this->orders.push_back({this->now, node, lease.epoch()});
     }
 
-    void send(store_lease& lease, const lease_append& append, bool is_down)
+    void send(std::size_t index, const lease_append& append, bool is_down)
     {
+        store_lease& lease = *this->leases[index];
+        const std::uint64_t era = this->eras[index];
         lease.on_sending(this->now);
         const double draw = this->random.unit();
         if (is_down)
@@ -126,18 +209,21 @@
         else if (draw < this->fault.late_share)
         {
             this->late.push_back(
-                {this->now + milliseconds(this->random.below(4000)), append});
+                {this->now + milliseconds(this->random.below(4000)), append, era});
             lease.on_append_unknown(this->now);
         }
         else if (draw < this->fault.late_share + this->fault.lost_share)
         {
-            this->topic.append(append);
+            this->topic.append(append, era);
             lease.on_append_unknown(this->now);
         }
         else
         {
-            const bool is_appended = this->topic.append(append);
-            lease.on_append_response(this->now, append, is_appended, this->topic.end);
+            const bool is_appended = this->topic.append(append, era);
+            if (this->contact(index))
+                lease.on_append_response(this->now, append, is_appended, this->topic.end);
+            else
+                lease.on_append_unknown(this->now);
         }
     }
 
@@ -150,7 +236,7 @@
                 ++item;
                 continue;
             }
-            this->topic.append(item->append);
+            this->topic.append(item->append, item->sender_era);
             item = this->late.erase(item);
         }
     }
@@ -159,6 +245,10 @@
     faults fault;
     time_point now{state::seconds(1000)};
     std::vector<std::unique_ptr<store_lease>> leases;
+    std::vector<std::uint64_t> eras;
+    std::uint64_t last_incarnation = 0;
+    store_lease_timing timing;
+    std::deque<lease_topic> copies;
     std::array<time_point, nodes> suspended_until{};
     std::deque<late_append> late;
 };
@@ -171,7 +261,7 @@
 {
     struct row
     {
-        const char* name;
+        std::string name;
         faults fault;
     };
     const std::vector<row> rows{
@@ -180,6 +270,8 @@
         {"appends delayed", {0.0, 0.2, 0.0, 0.0}},
         {"suspended", {0.0, 0.0, 0.005, 0.0}},
         {"all", {0.1, 0.1, 0.005, 0.2}},
+        {"the store returns from an older copy", {0.0, 0.0, 0.0, 0.0, 0.002, 0.0}},
+        {"all, with returns", {0.1, 0.1, 0.002, 0.1, 0.001, 0.0}},
     };
     const store_lease_timing times;
     for (const row& item : rows)
