Keep the separation of orders when a new lease holder starts again

An instance that starts again continues the lease of its earlier process at once. The record of the lease now says whether its holder may issue orders; an absent field, of an earlier version, means that it may.

--- a/src/app/gateway/placement/lease_record_json.cpp
+++ b/src/app/gateway/placement/lease_record_json.cpp
@@ -13,7 +13,8 @@
     return boost::json::serialize(boost::json::object{{"holder", record.holder},
                                                       {"incarnation", record.incarnation},
                                                       {"epoch", record.epoch},
-                                                      {"release", record.is_release}});
+                                                      {"release", record.is_release},
+                                                      {"may_order", record.may_order}});
 }
 
 coordination::lease_record decode_lease_record(const std::string& text)
@@ -25,6 +26,7 @@
     record.incarnation = reader.get_uint64("incarnation");
     record.epoch = reader.get_uint64("epoch");
     record.is_release = reader.get_bool("release", false);
+    record.may_order = reader.get_bool("may_order", true);
     return record;
 }
 
--- a/src/libs/coordination/store_lease.cpp
+++ b/src/libs/coordination/store_lease.cpp
@@ -86,7 +86,9 @@
         return false;
     if (this->is_outdated(this->newest))
         return true;
-    return this->end > 0 && this->newest.holder != this->node;
+    // An earlier process of this instance may have ended before it could issue orders.
+    return this->end > 0 &&
+           (this->newest.holder != this->node || !this->newest.may_order);
 }
 
 void store_lease::on_peer_report(state::time_point now, const std::string& heard_holder,
@@ -112,6 +114,8 @@
         return false;
     append.expected_end = this->end;
     append.record = {this->node, this->incarnation, this->newest.epoch, false};
+    append.record.may_order =
+        this->is_holding ? now >= this->order_from : !this->may_follow_other(now);
     if (this->is_holding)
     {
         append.record.is_release = !may_hold;
--- a/tests/auto/coordination/tst_store_lease.cpp
+++ b/tests/auto/coordination/tst_store_lease.cpp
@@ -271,7 +271,8 @@
         {"suspended", {0.0, 0.0, 0.005, 0.0}},
         {"all", {0.1, 0.1, 0.005, 0.2}},
         {"the store returns from an older copy", {0.0, 0.0, 0.0, 0.0, 0.002, 0.0}},
-        {"all, with returns", {0.1, 0.1, 0.002, 0.1, 0.001, 0.0}},
+        {"returns and restarts", {0.0, 0.0, 0.0, 0.0, 0.002, 0.002}},
+        {"all, with returns and restarts", {0.1, 0.1, 0.002, 0.1, 0.001, 0.001}},
     };
     const store_lease_timing times;
     for (const row& item : rows)
