Announce gateways again after the store's return

A gateway that had announced itself since the copy was missing in the store for good, so that gateways that start could not find it there (`a gateway announces itself again after the store's return`: no record). Each gateway now appends its record again, at a random time within 10 ms for each gateway of the fleet.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds reread_delay{2000};
 constexpr milliseconds members_read_period{20000};
 constexpr milliseconds retry_period{500};
+/// Mean interval between the announcements of all gateways after the store's return.
+constexpr milliseconds announce_step{10};
 /// Time limits of a query of one seed, without progress and as a whole.
 constexpr milliseconds seed_timeout{500};
 constexpr milliseconds seed_total_timeout{1000};
@@ -363,6 +365,26 @@
     }
 }
 
+void peer_gossip::on_store_returned()
+{
+    this->announced = false;
+    transport::spawn_task(this->shared.executor, "announce_again",
+                          this->announce_again());
+}
+
+/// The delay spreads the appends of many gateways. If the append fails, the discovery
+/// loop repeats it.
+asio::awaitable<void> peer_gossip::announce_again()
+{
+    const double longest_ms = static_cast<double>(announce_step.count()) *
+                              static_cast<double>(this->shared.gateways);
+    co_await transport::pause(
+        this->shared.executor,
+        milliseconds(static_cast<std::int64_t>(longest_ms * this->shared.random.unit())));
+    if (!this->announced)
+        this->announced = co_await this->announce();
+}
+
 asio::awaitable<bool> peer_gossip::read_members()
 {
     try
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -33,6 +33,9 @@
 
     /// Binds the socket and starts to send and receive.
     void start(fill_callback fill, heartbeat_callback on_heartbeat);
+    /// Announces this gateway again, since the store has returned from an older copy that
+    /// may lack it.
+    void on_store_returned();
     void set_ready(bool ready) { this->self.ready = ready; }
     /// Sets the bound addresses, which heartbeats announce.
     void set_addresses(std::string frontend, std::string control);
@@ -81,6 +84,7 @@
     boost::asio::awaitable<void> discovery_loop();
     boost::asio::awaitable<bool> read_members();
     boost::asio::awaitable<bool> announce();
+    boost::asio::awaitable<void> announce_again();
     boost::asio::awaitable<void> ask_seeds();
     void on_datagram(std::string_view datagram);
     void add_member(const std::string& document);
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -197,6 +197,7 @@
         return;
     this->config.on_store_returned();
     this->backends.on_store_returned();
+    this->peers.on_store_returned();
     this->peers.send_heartbeat();
 }
 
