Save prompt quarantines again after the store's return

A quarantine that was saved since the copy was lost, and one that had ended was back; both matter when all gateways start again. The strongest gateway now saves those that hold and removes those that have ended. `a quarantine is saved again after the store's return` found no record before.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -198,9 +198,21 @@
     this->config.on_store_returned();
     this->backends.on_store_returned();
     this->peers.on_store_returned();
+    this->save_quarantines_again();
     this->peers.send_heartbeat();
 }
 
+void gateway::save_quarantines_again()
+{
+    if (!this->shared.is_strongest)
+        return;
+    for (const coordination::quarantined_part& part :
+         this->shared.quarantine.quarantined())
+        this->saved_quarantines.save(part);
+    for (const coordination::part_key& key : this->shared.quarantine.released())
+        this->saved_quarantines.remove(key);
+}
+
 void gateway::fill(protocol::gateway_heartbeat& heartbeat)
 {
     this->peers.set_ready(this->is_ready());
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -58,6 +58,8 @@
     /// them if this gateway does so for the others.
     void update_quarantine(bool may_save = true);
     void forget_old_limits();
+    /// Restores the saved quarantines after the store has returned from an older copy.
+    void save_quarantines_again();
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> drain(std::function<void()> on_stopped);
 
--- a/src/libs/coordination/prompt_quarantine.cpp
+++ b/src/libs/coordination/prompt_quarantine.cpp
@@ -434,4 +434,26 @@
         [](const record_map::value_type& item) { return item.second.is_quarantined(); }));
 }
 
+std::vector<quarantined_part> prompt_quarantine::quarantined() const
+{
+    std::vector<quarantined_part> result;
+    for (const auto& [key, item] : this->records)
+    {
+        if (item.is_quarantined())
+            result.push_back(describe(key, item));
+    }
+    return result;
+}
+
+std::vector<part_key> prompt_quarantine::released() const
+{
+    std::vector<part_key> result;
+    for (const auto& [key, item] : this->records)
+    {
+        if (item.is_released)
+            result.push_back(key);
+    }
+    return result;
+}
+
 } // namespace pomelorouter::coordination
--- a/src/libs/coordination/prompt_quarantine.hpp
+++ b/src/libs/coordination/prompt_quarantine.hpp
@@ -98,6 +98,9 @@
     std::vector<quarantined_part> take_quarantined();
     std::vector<part_key> take_released();
     std::size_t quarantined_parts() const;
+    /// Return all parts that are quarantined, and those whose quarantine has ended.
+    std::vector<quarantined_part> quarantined() const;
+    std::vector<part_key> released() const;
 
 private:
     struct record
--- a/tests/auto/platform/tst_crashing_prompts.cpp
+++ b/tests/auto/platform/tst_crashing_prompts.cpp
@@ -243,4 +243,19 @@
     CHECK(next.arrivals() == 0);
 }
 
+// Guards against a quarantine that is lost when the store returns from an older copy.
+TEST_CASE("a quarantine is saved again after the store's return")
+{
+    crashing_day day;
+    day.test.store.era = 1;
+    day.test.run_for(milliseconds(1500));
+    day.test.store.save_copy();
+    day.play(milliseconds(2000));
+    day.test.run_until([&day] { return day.test.store.end("keyed.quarantine") >= 1; });
+    day.test.store.return_to_copy();
+    CHECK(day.test.store.end("keyed.quarantine") == 0);
+    day.test.run_for(milliseconds(4000));
+    CHECK(day.test.store.end("keyed.quarantine") == 1);
+}
+
 TEST_SUITE_END();
