Answer unfinished requests at the end of a planned stop

With 4 s of grace a request that no server answers got none until the process ended, and with 3 s one that came after 2.2 s still went to a server.

A request that arrives during a planned stop is now refused with 503 if the time until the exit is shorter than the target latency and, for a stream, its expected duration. At the end of the grace period each unfinished request gets a final answer: 503 if no server can have run it, 502 otherwise; a stream that has begun ends without its last chunk, as before.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -30,6 +30,8 @@
 /// Requests still in progress this long before the end of the grace period are aborted.
 constexpr milliseconds abort_margin{350};
 constexpr milliseconds stop_poll{50};
+/// Time for the answers to aborted requests to be written.
+constexpr milliseconds abort_answer_time{200};
 /// The event loop is reported as late if a timer fires this long after its time.
 constexpr milliseconds max_timer_delay{250};
 /// For this long, an aggregator forwards the notice that a backend server is leaving.
@@ -167,6 +169,7 @@
     if (this->shared.is_stopping)
         return;
     this->shared.is_stopping = true;
+    this->shared.exit_at = now() + this->settings.grace_period - abort_margin;
     state::log_event(state::log_level::info, "gateway_stopping")
         .field("in_flight",
                static_cast<std::uint64_t>(this->frontend_server.requests_in_flight()));
@@ -365,16 +368,27 @@
 
 asio::awaitable<void> gateway::drain(std::function<void()> on_stopped)
 {
-    const state::time_point drain_start = now();
+    const state::time_point drain_end = this->shared.exit_at;
     this->peers.send_heartbeat();
     this->frontend_server.announce_close();
     co_await transport::pause(this->shared.executor, drain_notice_time);
     this->shared.refuses_new_requests = true;
     this->frontend_server.stop_accepting();
-    const state::time_point drain_end =
-        drain_start + this->settings.grace_period - abort_margin;
-    while (now() < drain_end && (this->frontend_server.requests_in_flight() > 0 ||
-                                 this->frontend_server.has_unread_requests()))
+    const auto has_work = [this]
+    {
+        return this->frontend_server.requests_in_flight() > 0 ||
+               this->frontend_server.has_unread_requests();
+    };
+    while (now() < drain_end && has_work())
+        co_await transport::pause(this->shared.executor, stop_poll);
+    // A copy, since requests that end remove themselves.
+    const std::set<relayed_request*> unfinished = this->shared.requests;
+    for (relayed_request* const request : unfinished)
+    {
+        if (this->shared.requests.count(request) > 0)
+            request->on_exit();
+    }
+    while (now() < drain_end + abort_answer_time && has_work())
         co_await transport::pause(this->shared.executor, stop_poll);
     state::log_event(state::log_level::info, "gateway_leaving")
         .field("broken_off",
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -78,6 +78,8 @@
     std::size_t gateways = 1;
     /// A planned stop has begun; requests are still accepted.
     bool is_stopping = false;
+    /// When the grace period of a planned stop ends.
+    state::time_point exit_at{};
     /// New requests are refused, so that those in progress can end in time.
     bool refuses_new_requests = false;
 
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -26,10 +26,11 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<abort_reason>, 3> abort_names{{
+constexpr std::array<state::enum_name<abort_reason>, 4> abort_names{{
     {abort_reason::none, "none"},
     {abort_reason::client_closed, "client_closed"},
     {abort_reason::deadline_passed, "deadline_passed"},
+    {abort_reason::stopping, "stopping"},
 }};
 
 constexpr std::array<state::enum_name<call_end>, 5> end_names{{
@@ -173,6 +174,7 @@
     this->demand.output_tokens = this->metadata.output_tokens;
     this->demand.parts = this->metadata.parts;
     this->demand.target_ms = static_cast<double>(this->route->target_latency.count());
+    this->check_time_before_exit();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
     if (!this->demand.model.empty())
@@ -184,6 +186,18 @@
     }
 }
 
+void relayed_request::check_time_before_exit() const
+{
+    if (!this->shared.is_stopping)
+        return;
+    const milliseconds needed =
+        this->route->target_latency +
+        (this->demand.model.empty() ? milliseconds(0) : this->stream_time());
+    if (this->started + needed > this->shared.exit_at)
+        throw state::error(error_code::draining, "gateway",
+                           "the gateway exits before the request could be complete");
+}
+
 void relayed_request::watch()
 {
     this->exchange.on_client_closed([target = this->aborted]
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -28,6 +28,8 @@
     none,
     client_closed,
     deadline_passed,
+    /// The grace period of a planned stop ends.
+    stopping,
 };
 
 std::string_view to_string(abort_reason reason);
@@ -64,6 +66,8 @@
     /// Aborts the current call if a part of the prompt is quarantined now and the answer
     /// has not begun.
     void on_quarantine();
+    /// Ends the request with a final answer, since the process is about to exit.
+    void on_exit() { abort(*this->aborted, abort_reason::stopping); }
 
 private:
     /// State for callbacks that may run after the request was destroyed.
@@ -76,6 +80,8 @@
     };
 
     void prepare();
+    /// Throws `state::error` (`draining`) if a planned stop leaves too little time.
+    void check_time_before_exit() const;
     void watch();
     static void abort(abort_state& target, abort_reason reason);
     bool is_aborted() const { return this->aborted->reason != abort_reason::none; }
--- a/src/app/gateway/serving/relayed_request_completion.cpp
+++ b/src/app/gateway/serving/relayed_request_completion.cpp
@@ -75,6 +75,13 @@
         this->last_failure = choice_failure::quarantined;
     }
     const run_state run = this->may_have_run ? run_state::unknown : run_state::not_run;
+    if (reason == abort_reason::stopping)
+    {
+        co_await this->refuse(this->may_have_run ? error_code::connection_lost
+                                                 : error_code::draining,
+                              "the gateway exits", run);
+        co_return;
+    }
     if (reason == abort_reason::deadline_passed)
     {
         co_await this->refuse(this->may_have_run ? error_code::timed_out
