Test that a response which ends inside its header is no success

Reported by another operator: clients got a 200 with an empty or short body when an engine stopped inside the header of its answer. Here it does not happen: headers with a length, without one and of a stream, ended at each byte by a close or a reset, give 5xx.

--- a/src/libs/coordination/store_lease.hpp
+++ b/src/libs/coordination/store_lease.hpp
@@ -16,7 +16,8 @@
     std::uint64_t epoch = 0;
     /// Whether the holder releases the lease.
     bool is_release = false;
-    /// Whether the holder may issue orders, so that those of an earlier one are long past.
+    /// Whether the holder may issue orders, so that those of an earlier one are long
+    /// past.
     bool may_order = true;
 };
 
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -34,6 +34,58 @@
 
 } // namespace
 
+// Guards against a success that the caller takes for complete, from a backend server that
+// stopped inside the header of its response.
+TEST_CASE("a response that ends inside its header is no success")
+{
+    const std::string whole = response_text("200 OK", "a1", "done", "X-More: 7\r\n");
+    const std::string unframed = "HTTP/1.1 200 OK\r\nX-Pomelorouter-Attempt-Id: a1\r\n"
+                                 "X-Pomelorouter-Server-Seal: seal\r\n\r\n";
+    std::string reply;
+    reply_end end = reply_end::close;
+    int streams = 0;
+    gateway_fixture test;
+    test.add_backend("s1", "plain",
+                     [&](const transport::http_request&) {
+                         return raw_reply{{reply}, end};
+                     });
+    test.add_backend("e1", "models",
+                     [&](const transport::http_request& request)
+                     {
+                         if (request.target() != "/stream/x")
+                             return raw_reply{
+                                 {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}};
+                         ++streams;
+                         return raw_reply{{reply}, end};
+                     },
+                     {"m1"});
+    test.put_config(1);
+    test.start();
+    int sent = 0;
+    for (const std::string& head : {whole, unframed, stream_head("a1")})
+    {
+        const std::size_t head_size = head.find("\r\n\r\n") + 4;
+        for (std::size_t size = 0; size < head_size; ++size)
+        {
+            for (const reply_end ending : {reply_end::close, reply_end::reset})
+            {
+                CAPTURE(size);
+                CAPTURE(head);
+                reply = head.substr(0, size);
+                end = ending;
+                const auto plain = test.fetch(test.request("/once/x", "a1"));
+                REQUIRE(plain);
+                CHECK(plain->result_int() >= 500);
+                const auto stream = test.fetch(test.request("/stream/x", "a1", "m1"));
+                REQUIRE(stream);
+                CHECK(stream->result_int() >= 500);
+                ++sent;
+            }
+        }
+    }
+    CHECK(streams >= sent);
+}
+
 // Guards against a gateway that changes requests or responses while forwarding them.
 TEST_CASE(
     "a request and its response are forwarded without hop-by-hop and reserved fields")
