--- a/tests/auto/coordination/tst_prompt_quarantine.cpp
+++ b/tests/auto/coordination/tst_prompt_quarantine.cpp
@@ -412,3 +412,25 @@
         CHECK(sound.refused_sound == 0);
     }
 }
+
+// Guards against harmful requests that are too rare for one gateway to see three of their
+// crashes, the first of which lost two engines.
+TEST_CASE("crashes of a rare part that several gateways see are counted together")
+{
+    const parts prompt{system_part, harmful_part};
+    prompt_quarantine first;
+    prompt_quarantine second;
+    first.on_crash(at(0), crash_of("e1@1", 0, prompt));
+    first.on_crash(at(430), crash_of("e2@1", 430, prompt));
+    second.on_crash(at(810), crash_of("e3@1", 810, prompt));
+    for (prompt_quarantine* const gateway : {&first, &second})
+        gateway->on_answer(at(815), service, {system_part});
+    CHECK(second.merge(at(820), first.reports(at(820))));
+    first.merge(at(820), second.reports(at(820)));
+    for (prompt_quarantine* const gateway : {&first, &second})
+    {
+        gateway->tick(at(900));
+        CHECK(is_refused(*gateway, 900, prompt));
+        CHECK_FALSE(is_refused(*gateway, 900, {system_part}));
+    }
+}
