Let gateways request permits at once when a limit rises

A gateway that was refused a permit waits for its turn, up to 5 s at a low limit, and kept that turn when the backend server named a higher one: after a rise from 1 to 10 a second the engine got 7 requests in 3 s (`a limit that rises or falls is kept as it was last named`, 10 or more wanted). A higher limit now ends the wait at the gateway and the order of turns at the issuer.

--- a/src/libs/coordination/backend_limits.cpp
+++ b/src/libs/coordination/backend_limits.cpp
@@ -63,6 +63,12 @@
 {
     if (per_s && !item.per_s)
         item.begun = now;
+    // The turn that this gateway was given belongs to the lower limit.
+    if (per_s && item.per_s && *per_s > *item.per_s)
+    {
+        item.next_request = now;
+        item.next_casual_request = now;
+    }
     item.per_s = per_s;
     item.changed = now;
 }
--- a/src/libs/coordination/permit_issuer.cpp
+++ b/src/libs/coordination/permit_issuer.cpp
@@ -86,6 +86,9 @@
     if (is_new)
         target.updated = now;
     const double per_s = std::max(request.per_s, min_rate_per_s);
+    if (per_s > target.per_s)
+        target.next_turn = now;
+    target.per_s = per_s;
     const double elapsed_s = std::chrono::duration<double>(now - target.updated).count();
     target.tokens =
         std::min(target.tokens + elapsed_s * per_s, std::max(min_burst, per_s * burst_s));
--- a/src/libs/coordination/permit_issuer.hpp
+++ b/src/libs/coordination/permit_issuer.hpp
@@ -41,6 +41,7 @@
     struct bucket
     {
         double tokens = 0.0;
+        double per_s = 0.0;
         state::time_point updated{};
         /// When the last urgent request was refused.
         state::time_point urgent_refused{};
--- a/tests/auto/platform/tst_server_limit.cpp
+++ b/tests/auto/platform/tst_server_limit.cpp
@@ -68,6 +68,9 @@
         this->engines[0].arrivals.clear();
     }
 
+    /// Lets the second engine break off each stream after its first event.
+    void break_off_streams() { this->engines[1].breaks_off = true; }
+
     /// Starts the first engine again under its id.
     void restart_first_engine()
     {
@@ -103,7 +106,11 @@
         const state::time_point sent_at = state::now();
         const auto response =
             this->test.fetch_from(target.own_settings().listen, request);
-        REQUIRE(response);
+        if (!response)
+        {
+            ++this->broken_off;
+            return;
+        }
         this->longest = std::max(this->longest, state::since(sent_at));
         if (response->result_int() == 200)
         {
@@ -142,6 +149,7 @@
     int sent = 0;
     int served = 0;
     int refused = 0;
+    int broken_off = 0;
     milliseconds longest{0};
     gateway_fixture test;
 
@@ -149,6 +157,7 @@
     struct engine
     {
         std::string limit;
+        bool breaks_off = false;
         std::vector<state::time_point> arrivals;
     };
 
@@ -172,6 +181,8 @@
             test::stream_head(std::string(request["X-Pomelorouter-Attempt-Id"]));
         if (!target.limit.empty())
             head.insert(head.size() - 2, "Server-Limit: " + target.limit + "\r\n");
+        if (target.breaks_off)
+            return {{head, chunk(event(1))}, test::reply_end::close};
         return {{head, chunk(event(1)), "0\r\n\r\n"}};
     }
 
@@ -234,6 +245,32 @@
     CHECK(day.most_in_window() <= allowed_at_one_per_s);
     // The other engine serves what the limited one may not get.
     CHECK(day.refused == 0);
+    CHECK(day.broken_off == 0);
+}
+
+// Guards against streams that are resumed at a backend server beyond its limit.
+TEST_CASE("resumed streams count towards the limit of a backend server")
+{
+    limited_day day(2);
+    day.break_off_streams();
+    day.set_limit("1");
+    day.play(contact_time + window);
+    CHECK(day.most_in_window() <= allowed_at_one_per_s);
+    CHECK(day.arrivals() > 0);
+}
+
+// Guards against gateways that keep to a limit that the backend server has changed.
+TEST_CASE("a limit that rises or falls is kept as it was last named")
+{
+    limited_day day(1);
+    day.set_limit("1");
+    day.play(contact_time);
+    day.set_limit("10");
+    day.play(contact_time);
+    CHECK(day.arrivals() >= 10);
+    day.set_limit("1");
+    day.play(contact_time + window);
+    CHECK(day.most_in_window() <= allowed_at_one_per_s);
 }
 
 // Guards against callers that are held up, or not told when to come back, because the
@@ -246,6 +283,7 @@
     CHECK(day.most_in_window() <= allowed_at_one_per_s);
     CHECK(day.arrivals() >= 5);
     CHECK(day.longest < milliseconds(1500));
+    CHECK(day.broken_off == 0);
 }
 
 // Guards against a backend server that stays limited after its need has ended.
