Move the connection of the HTTP client to files of its own

Change: http_connection has a header and a source; errors of a call are made in one place. No change of behaviour. Result: tst_transport and tst_platform pass.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -1,22 +1,17 @@
 #include "transport/http_client.hpp"
 
 #include "transport/address.hpp"
+#include "transport/http_connection.hpp"
 #include "transport/http_error.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <netinet/tcp.h>
 #include <utility>
 
 namespace pomelorouter::transport
@@ -31,9 +26,6 @@
 
 constexpr std::size_t read_chunk_bytes = 16 * 1024;
 constexpr std::size_t max_head_bytes = 16 * 1024;
-/// Limit of the bytes of a response that are received and not yet parsed. Bounds a header
-/// field, a chunk extension or a trailer that does not end.
-constexpr std::size_t max_buffer_bytes = 64 * 1024;
 /// Limits of the interim responses and responses to other requests that a call skips
 /// before its own response: their number and the total size of their bodies.
 constexpr int max_skipped_responses = 8;
@@ -42,102 +34,25 @@
 /// An idle connection is reused only up to this long before the server's announced idle
 /// timeout, since the server may be closing it after that.
 constexpr state::milliseconds idle_timeout_margin{700};
-/// Idle timeout that is assumed for servers that announce none.
-constexpr state::milliseconds default_idle_timeout{120000};
-/// The kernel drops a connection whose sent bytes stay unacknowledged for this long.
-constexpr int tcp_user_timeout_ms = 2000;
-/// TCP keep-alive probes of a connection on which nothing arrives.
-constexpr int keepalive_idle_s = 1;
-constexpr int keepalive_interval_s = 1;
-constexpr int keepalive_probes = 2;
 constexpr int ms_per_s = 1000;
 
-error_code classify(const boost::system::error_code& failure)
-{
-    if (failure == beast::error::timeout)
-        return error_code::timed_out;
-    const bool is_parser_error =
-        failure.category() ==
-        beast::http::make_error_code(beast::http::error{}).category();
-    const bool has_ended = failure == beast::http::error::end_of_stream ||
-                           failure == beast::http::error::partial_message;
-    return is_parser_error && !has_ended ? error_code::wrong_answer
-                                         : error_code::connection_lost;
-}
-
-using keepalive_idle_option =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-using keepalive_interval_option =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using keepalive_probes_option =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-using user_timeout_option =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
-/// Makes the kernel detect a broken network path. Failures are ignored, since the
-/// timeouts of the calls still apply.
-void configure_socket(asio::ip::tcp::socket& socket)
-{
-    boost::system::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(keepalive_idle_option(keepalive_idle_s), ignored);
-    socket.set_option(keepalive_interval_option(keepalive_interval_s), ignored);
-    socket.set_option(keepalive_probes_option(keepalive_probes), ignored);
-    socket.set_option(user_timeout_option(tcp_user_timeout_ms), ignored);
-}
-
 /// Parses `timeout=N` of a Keep-Alive header field; N is in whole seconds.
 state::milliseconds parse_idle_timeout(std::string_view value)
 {
     constexpr std::string_view name = "timeout=";
     const std::size_t position = value.find(name);
     if (position == std::string_view::npos)
-        return default_idle_timeout;
+        return internal::default_idle_timeout;
     int seconds = 0;
     const char* const begin = value.data() + position + name.size();
     const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
     if (parsed.ec != std::errc() || seconds < 0)
-        return default_idle_timeout;
+        return internal::default_idle_timeout;
     return state::milliseconds(seconds * ms_per_s);
 }
 
 } // namespace
 
-namespace internal
-{
-
-class http_connection
-{
-public:
-    http_connection(const asio::any_io_executor& executor, std::string peer)
-        : stream(executor), buffer(max_buffer_bytes), address(std::move(peer))
-    {
-    }
-
-    /// Whether the server has closed the connection or sent bytes without a request.
-    bool is_stale()
-    {
-        std::array<char, 1> byte{};
-        boost::system::error_code failure;
-        this->stream.socket().non_blocking(true, failure);
-        this->stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek,
-                                      failure);
-        return failure != asio::error::would_block;
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    std::string address;
-    std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
-    bool write_done = false;
-    boost::system::error_code write_failure;
-    state::milliseconds idle_timeout = default_idle_timeout;
-    state::time_point idle_since{};
-};
-
-} // namespace internal
-
 http_call::http_call(http_client& owner,
                      std::shared_ptr<internal::http_connection> call_connection,
                      const http_call_options& call_options)
@@ -207,7 +122,7 @@
         link.stream, link.buffer, *link.parser,
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
-        throw http_error(classify(failure), link.address, failure.message(), true);
+        throw link.make_error(failure);
     this->response_head.base() = link.parser->get().base();
 }
 
@@ -226,7 +141,7 @@
             link->stream, link->buffer, *link->parser,
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure && failure != beast::http::error::need_buffer)
-            throw http_error(classify(failure), link->address, failure.message(), true);
+            throw link->make_error(failure);
         skipped_bytes += chunk.size() - body.size;
         if (skipped_bytes > max_skipped_bytes)
         {
@@ -284,7 +199,7 @@
             asio::redirect_error(asio::use_awaitable, failure));
         const std::size_t received = chunk.size() - body.size;
         if (failure && failure != beast::http::error::need_buffer)
-            throw http_error(classify(failure), link.address, failure.message(), true);
+            throw link.make_error(failure);
         if (received > 0)
         {
             chunk.resize(received);
@@ -339,7 +254,7 @@
             throw http_error(error_code::connect_failed, address, failure.message(),
                              false);
         }
-        configure_socket(connection->stream.socket());
+        connection->configure_socket();
     }
     auto call = std::make_unique<http_call>(*this, std::move(connection), options);
     call->reused = reused;
--- /dev/null
+++ b/src/libs/transport/http_connection.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "state/clock.hpp"
+#include "transport/http_error.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <optional>
+#include <string>
+
+namespace pomelorouter::transport::internal
+{
+
+/// Idle timeout that is assumed for servers that announce none.
+inline constexpr state::milliseconds default_idle_timeout{120000};
+
+/// Connection of an `http_client` to a server, which carries one call at a time.
+class http_connection
+{
+public:
+    http_connection(const boost::asio::any_io_executor& executor, std::string peer);
+
+    /// Makes the kernel detect a broken network path.
+    void configure_socket();
+    /// Whether the server has closed the connection or sent bytes without a request.
+    bool is_stale();
+    /// Returns the error of a call that ends with `failure`.
+    http_error make_error(const boost::system::error_code& failure) const;
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    std::string address;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+        parser;
+    bool write_done = false;
+    boost::system::error_code write_failure;
+    state::milliseconds idle_timeout = default_idle_timeout;
+    state::time_point idle_since{};
+};
+
+} // namespace pomelorouter::transport::internal
