Do not take the loss of a connection for the end of a response

Cause: the kernel reports the error of a lost connection once. While the request is still being written, the pending write takes it, and the read that follows finds the end of the stream, as after an orderly close. A response without a length counts as complete there. Evidence: with the fix the log names what the write had received: 'connection was lost before the end of the response: Connection reset by peer'. Change: at the end of a response that ends with its connection, the client asks the kernel whether the server closed its half (CLOSE_WAIT). If the connection is gone, only a broken pipe, which the kernel reports for a reset after the server's close, counts as an orderly end. Bodies that are skipped are checked as well.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -51,6 +51,18 @@
     return state::milliseconds(seconds * ms_per_s);
 }
 
+/// Throws `http_error` if the end of the stream completes a response although the server
+/// did not end it.
+void check_end(internal::http_connection& link)
+{
+    if (!link.parser->is_done() || !link.parser->need_eof() || link.was_ended_by_server())
+        return;
+    std::string problem = "the connection was lost before the end of the response";
+    if (link.write_failure)
+        problem += ": " + link.write_failure.message();
+    throw http_error(error_code::connection_lost, link.address, problem, true);
+}
+
 } // namespace
 
 http_call::http_call(http_client& owner,
@@ -142,6 +154,7 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure && failure != beast::http::error::need_buffer)
             throw link->make_error(failure);
+        check_end(*link);
         skipped_bytes += chunk.size() - body.size;
         if (skipped_bytes > max_skipped_bytes)
         {
@@ -200,6 +213,7 @@
         const std::size_t received = chunk.size() - body.size;
         if (failure && failure != beast::http::error::need_buffer)
             throw link.make_error(failure);
+        check_end(link);
         if (received > 0)
         {
             chunk.resize(received);
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_connection.hpp"
 
+#include "transport/tcp_socket_state.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
@@ -81,6 +83,29 @@
     return failure != asio::error::would_block;
 }
 
+/// The kernel reports the error of a lost connection once. If the pending write takes it,
+/// the read only finds the end of the stream, as after an orderly close.
+bool http_connection::was_ended_by_server()
+{
+    asio::ip::tcp::socket& socket = this->stream.socket();
+    const receive_end end = read_receive_end(socket.native_handle());
+    if (end == receive_end::closed_by_peer)
+        return true;
+    boost::system::error_code loss = this->write_failure;
+    if (!loss)
+    {
+        asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> pending_error;
+        boost::system::error_code failure;
+        socket.get_option(pending_error, failure);
+        loss.assign(pending_error.value(), boost::system::system_category());
+    }
+    // A server that has closed its half resets the connection when the rest of the
+    // request arrives. The kernel reports only that reset as a broken pipe.
+    if (loss)
+        return loss == asio::error::broken_pipe;
+    return end != receive_end::connection_gone;
+}
+
 http_error http_connection::make_error(const boost::system::error_code& failure) const
 {
     return {classify(failure), this->address, failure.message(), true};
--- a/src/libs/transport/http_connection.hpp
+++ b/src/libs/transport/http_connection.hpp
@@ -28,6 +28,9 @@
     void configure_socket();
     /// Whether the server has closed the connection or sent bytes without a request.
     bool is_stale();
+    /// Whether the end of the stream, which a read has found, is the server's: it was not
+    /// caused by a reset or a broken network path.
+    bool was_ended_by_server();
     /// Returns the error of a call that ends with `failure`.
     http_error make_error(const boost::system::error_code& failure) const;
 
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -139,7 +139,7 @@
          boost::json::array{boost::json::object{{"Name", "models"}, {"Engine", engine}},
                             boost::json::object{{"Name", "plain"}}}},
         {"Limits", boost::json::object{{"MaxHeaderBytes", 4096},
-                                       {"MaxBodyBytes", 65536},
+                                       {"MaxBodyBytes", this->max_body_bytes},
                                        {"HeaderTimeoutMs", 300},
                                        {"IdleTimeoutMs", 2000}}}};
     this->store.put("keyed.op", "config", boost::json::serialize(config));
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -53,6 +53,8 @@
     /// closed or nothing has arrived for `quiet`.
     std::string exchange(const std::string& bytes, state::milliseconds quiet);
 
+    /// Limit of request bodies in the configurations that `put_config()` writes.
+    std::int64_t max_body_bytes = 65536;
     state::counter_registry counters;
     boost::asio::io_context loop{1};
     fake_store store{this->loop};
--- a/tests/auto/platform/raw_backend.cpp
+++ b/tests/auto/platform/raw_backend.cpp
@@ -20,6 +20,7 @@
 {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
 namespace
 {
@@ -97,14 +98,21 @@
     boost::system::error_code failure;
     for (;;)
     {
-        transport::http_request request;
-        co_await boost::beast::http::async_read(
-            socket, buffer, request, asio::redirect_error(asio::use_awaitable, failure));
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        co_await http::async_read_header(
+            socket, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure && !this->answers_early)
+        {
+            co_await http::async_read(socket, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, failure));
+        }
         if (failure)
         {
             ++this->closed;
             co_return;
         }
+        const transport::http_request request = parser.get();
         this->requests.push_back(request);
         const raw_reply scripted_reply = this->reply(request);
         bool has_pause = !scripted_reply.begins_at_once;
@@ -128,14 +136,19 @@
             this->crash();
             co_return;
         }
-        if (scripted_reply.end == reply_end::close)
-            co_return;
         if (scripted_reply.end == reply_end::reset)
         {
             socket.set_option(asio::socket_base::linger(true, 0), failure);
             socket.close(failure);
             co_return;
         }
+        if (!parser.is_done())
+        {
+            co_await http::async_read(socket, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, failure));
+        }
+        if (scripted_reply.end == reply_end::close)
+            co_return;
         if (scripted_reply.end == reply_end::silent)
         {
             std::array<char, 1> byte{};
--- a/tests/auto/platform/raw_backend.hpp
+++ b/tests/auto/platform/raw_backend.hpp
@@ -56,6 +56,8 @@
     bool is_running() const { return this->acceptor.is_open(); }
 
     std::string address;
+    /// Replies after the header of a request, and reads its body after the reply.
+    bool answers_early = false;
     std::vector<transport::http_request> requests;
     /// Connections that the other side has closed.
     int closed = 0;
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -9,6 +9,7 @@
 using test::chunk;
 using test::event;
 using test::gateway_fixture;
+using test::raw_backend;
 using test::raw_reply;
 using test::reply_end;
 using test::response_text;
@@ -86,6 +87,55 @@
     CHECK(streams >= sent);
 }
 
+// Guards against half of a response that is forwarded as all of it: the backend server
+// answers before it has read a long body, without a length, and then resets the
+// connection.
+TEST_CASE("a response without length that is reset is not complete")
+{
+    constexpr std::size_t body_bytes = 4 * 1024 * 1024;
+    gateway_fixture test;
+    test.max_body_bytes = body_bytes;
+    const auto half_and_reset =
+        [](const std::string& attempt, const std::string& type, const std::string& half)
+    {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nX-Pomelorouter-Attempt-Id: " + attempt +
+            "\r\nX-Pomelorouter-Server-Seal: seal\r\nContent-Type: " + type +
+            "\r\nConnection: close\r\n\r\n";
+        // The gateway has received the first half when the reset arrives.
+        return raw_reply{
+            {head + half, ""}, reply_end::reset, state::milliseconds(200), true};
+    };
+    raw_backend& plain = test.add_backend(
+        "s1", "plain",
+        [&](const transport::http_request& request)
+        { return half_and_reset(attempt_of(request), "text/plain", "half"); });
+    raw_backend& engine = test.add_backend(
+        "e1", "models",
+        [&](const transport::http_request& request)
+        {
+            if (request.target() != "/stream/x")
+                return raw_reply{{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}};
+            return half_and_reset(attempt_of(request), "text/event-stream", events(1, 2));
+        },
+        {"m1"});
+    plain.answers_early = true;
+    engine.answers_early = true;
+    test.put_config(1);
+    test.start();
+    auto order = test.request("/once/x", "a1");
+    order.body() = std::string(body_bytes, 'x');
+    order.prepare_payload();
+    const auto answer = test.fetch(order);
+    REQUIRE(answer);
+    CHECK(answer->result_int() == 502);
+    auto stream = test.request("/stream/x", "a2", "m1");
+    stream.body() = std::string(body_bytes, 'x');
+    stream.prepare_payload();
+    // A stream that has begun can only be broken off.
+    CHECK_FALSE(test.fetch(stream));
+}
+
 // Guards against a gateway that changes requests or responses while forwarding them.
 TEST_CASE(
     "a request and its response are forwarded without hop-by-hop and reserved fields")
