Keep connections to servers that acknowledge and do not read

Cause: TCP_USER_TIMEOUT of 2 s also ends a connection whose peer acknowledges every probe while its receive window is closed, not only one whose path is broken. The write of the request had the progress timeout of the call besides, counted from the start of the call. Change: while a request is being delivered, delivery_watch samples TCP_INFO. ack_monitor tells a peer that responds from a silent one; for the former the kernel's timeout is disabled, and the client itself closes the connection after 2 s without any acknowledgement of a probe or of a segment that was sent again. Other connections keep the kernel's timeout. The write has no timeout of its own; reads and deadlines bound the call.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_client.hpp"
 
 #include "transport/address.hpp"
+#include "transport/delivery_watch.hpp"
 #include "transport/http_connection.hpp"
 #include "transport/http_error.hpp"
 
@@ -93,9 +94,12 @@
                                       const response_filter* filter)
 {
     internal::http_connection& link = *this->connection;
-    link.write_done = false;
+    link.begin_request();
+    this->client.deliveries->add(this->connection);
     link.stream.expires_after(this->options.progress_timeout);
-    beast::http::async_write(link.stream, *request,
+    // The write has no timeout of its own, since a server that answers early may read the
+    // rest of the request late.
+    beast::http::async_write(link.stream.socket(), *request,
                              [request, owner = this->connection](
                                  boost::system::error_code failure, std::size_t)
                              {
@@ -242,7 +246,8 @@
 }
 
 http_client::http_client(asio::any_io_executor client_executor)
-    : executor(std::move(client_executor))
+    : executor(std::move(client_executor)),
+      deliveries(std::make_shared<internal::delivery_watch>(this->executor))
 {
 }
 
--- a/src/libs/transport/http_client.hpp
+++ b/src/libs/transport/http_client.hpp
@@ -17,8 +17,9 @@
 
 namespace internal
 {
+class delivery_watch;
 class http_connection;
-}
+} // namespace internal
 
 /// Limits of one HTTP call.
 struct http_call_options
@@ -144,6 +145,7 @@
     void keep_idle(std::shared_ptr<internal::http_connection> connection);
 
     boost::asio::any_io_executor executor;
+    std::shared_ptr<internal::delivery_watch> deliveries;
     std::map<std::string, std::vector<std::shared_ptr<internal::http_connection>>,
              std::less<>>
         idle;
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -24,8 +24,8 @@
 /// Limit of the bytes of a response that are received and not yet parsed. Bounds a header
 /// field, a chunk extension or a trailer that does not end.
 constexpr std::size_t max_buffer_bytes = 64 * 1024;
-/// The kernel drops a connection whose sent bytes stay unacknowledged for this long.
-constexpr int tcp_user_timeout_ms = 2000;
+/// A connection is dropped if the server acknowledges nothing for this long.
+constexpr state::milliseconds ack_timeout{2000};
 /// TCP keep-alive probes of a connection on which nothing arrives.
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
@@ -37,8 +37,6 @@
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using keepalive_probes_option =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-using user_timeout_option =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 error_code classify(const boost::system::error_code& failure)
 {
@@ -56,7 +54,10 @@
 } // namespace
 
 http_connection::http_connection(const asio::any_io_executor& executor, std::string peer)
-    : stream(executor), buffer(max_buffer_bytes), address(std::move(peer))
+    : stream(executor),
+      buffer(max_buffer_bytes),
+      address(std::move(peer)),
+      acks(ack_timeout)
 {
 }
 
@@ -70,7 +71,8 @@
     socket.set_option(keepalive_idle_option(keepalive_idle_s), ignored);
     socket.set_option(keepalive_interval_option(keepalive_interval_s), ignored);
     socket.set_option(keepalive_probes_option(keepalive_probes), ignored);
-    socket.set_option(user_timeout_option(tcp_user_timeout_ms), ignored);
+    set_user_timeout(socket.native_handle(), ack_timeout);
+    this->has_user_timeout = true;
 }
 
 bool http_connection::is_stale()
@@ -106,8 +108,50 @@
     return end != receive_end::connection_gone;
 }
 
+void http_connection::begin_request()
+{
+    this->write_done = false;
+    this->write_failure = {};
+    this->acks.reset();
+}
+
+/// The kernel's timeout also ends a connection whose peer acknowledges and does not read,
+/// so it is disabled for such a peer. From then on only this function detects silence.
+bool http_connection::check_delivery(state::time_point now)
+{
+    asio::ip::tcp::socket& socket = this->stream.socket();
+    if (!socket.is_open())
+        return false;
+    const auto sample = read_send_state(socket.native_handle());
+    if (!sample)
+        return false;
+    switch (this->acks.on_sample(now, *sample))
+    {
+    case peer_state::up_to_date:
+        return !this->write_done;
+    case peer_state::awaited:
+        return true;
+    case peer_state::responding:
+        if (std::exchange(this->has_user_timeout, false))
+            set_user_timeout(socket.native_handle(), state::milliseconds(0));
+        return true;
+    case peer_state::silent:
+        break;
+    }
+    this->is_unreachable = true;
+    this->stream.close();
+    return false;
+}
+
 http_error http_connection::make_error(const boost::system::error_code& failure) const
 {
+    if (this->is_unreachable)
+    {
+        return {error_code::connection_lost, this->address,
+                "the server has acknowledged nothing for " +
+                    std::to_string(ack_timeout.count()) + " ms",
+                true};
+    }
     return {classify(failure), this->address, failure.message(), true};
 }
 
--- a/src/libs/transport/http_connection.hpp
+++ b/src/libs/transport/http_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/clock.hpp"
+#include "transport/ack_monitor.hpp"
 #include "transport/http_error.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -31,6 +32,11 @@
     /// Whether the end of the stream, which a read has found, is the server's: it was not
     /// caused by a reset or a broken network path.
     bool was_ended_by_server();
+    /// Starts to supervise the delivery of a request.
+    void begin_request();
+    /// Closes the connection if the server does not acknowledge what was sent to it.
+    /// Returns whether the delivery of the request must still be supervised.
+    bool check_delivery(state::time_point now);
     /// Returns the error of a call that ends with `failure`.
     http_error make_error(const boost::system::error_code& failure) const;
 
@@ -43,6 +49,12 @@
     boost::system::error_code write_failure;
     state::milliseconds idle_timeout = default_idle_timeout;
     state::time_point idle_since{};
+
+private:
+    ack_monitor acks;
+    /// The kernel drops the connection if sent bytes stay unacknowledged.
+    bool has_user_timeout = false;
+    bool is_unreachable = false;
 };
 
 } // namespace pomelorouter::transport::internal
--- a/src/libs/transport/tcp_socket_state.cpp
+++ b/src/libs/transport/tcp_socket_state.cpp
@@ -2,7 +2,6 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <optional>
 #include <sys/socket.h>
 
 namespace pomelorouter::transport
@@ -33,4 +32,23 @@
                                          : receive_end::unknown;
 }
 
+std::optional<tcp_send_state> read_send_state(int socket)
+{
+    const std::optional<tcp_info> info = read_tcp_info(socket);
+    if (!info)
+        return std::nullopt;
+    tcp_send_state result;
+    result.has_segments_in_flight = info->tcpi_unacked > 0;
+    result.is_probing = info->tcpi_unacked == 0 && info->tcpi_backoff > 0;
+    result.has_unanswered_retry = info->tcpi_probes > 0 || info->tcpi_retransmits > 0;
+    result.since_ack = state::milliseconds(info->tcpi_last_ack_recv);
+    return result;
+}
+
+void set_user_timeout(int socket, state::milliseconds timeout)
+{
+    const auto value = static_cast<unsigned>(timeout.count());
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+}
+
 } // namespace pomelorouter::transport
--- a/src/libs/transport/tcp_socket_state.hpp
+++ b/src/libs/transport/tcp_socket_state.hpp
@@ -1,5 +1,10 @@
 #pragma once
 
+#include "state/clock.hpp"
+#include "transport/ack_monitor.hpp"
+
+#include <optional>
+
 namespace pomelorouter::transport
 {
 
@@ -17,5 +22,10 @@
 /// Returns the end of the receiving half of `socket`, after a read found the end of the
 /// stream.
 receive_end read_receive_end(int socket);
+/// Returns nothing if the kernel does not support the query.
+std::optional<tcp_send_state> read_send_state(int socket);
+/// Sets the time without progress after which the kernel drops a connection with
+/// unacknowledged bytes; zero stands for the kernel's default. Failures are ignored.
+void set_user_timeout(int socket, state::milliseconds timeout);
 
 } // namespace pomelorouter::transport
--- a/tests/auto/transport/tst_http_client.cpp
+++ b/tests/auto/transport/tst_http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -138,4 +139,56 @@
                 CHECK(*result.body == "half");
         }
     }
+
+    // Guards against a sound connection that is cut: the server answers before it has
+    // read a long request, works for a time and reads the rest later.
+    TEST_CASE("a server that reads a long request late delivers its whole response")
+    {
+        // Longer than the kernel keeps a connection without acknowledgements.
+        constexpr state::milliseconds work_time{3500};
+        struct row
+        {
+            std::string name;
+            std::string head;
+            std::string first_half;
+            std::string second_half;
+        };
+        const std::vector<row> rows{
+            {"without length", unframed_head, "first ", "second"},
+            {"with length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "first ",
+             "second"},
+            {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "6\r\nfirst \r\n", "6\r\nsecond\r\n0\r\n\r\n"},
+        };
+        boost::asio::io_context loop{1};
+        transport::http_client client(loop.get_executor());
+        std::vector<std::unique_ptr<scripted_server>> servers;
+        std::vector<fetch_result> results(rows.size());
+        int open_calls = static_cast<int>(rows.size());
+        for (std::size_t i = 0; i < rows.size(); ++i)
+        {
+            const row& item = rows[i];
+            const auto script = [&item](tcp::socket& socket) -> awaitable<void>
+            {
+                co_await test::read_request_head(socket);
+                co_await test::write_text(socket, item.head + item.first_half);
+                co_await transport::pause(socket.get_executor(), work_time);
+                co_await test::write_text(socket, item.second_half);
+                socket.shutdown(tcp::socket::shutdown_send);
+                co_await test::read_to_end(socket);
+            };
+            servers.push_back(std::make_unique<scripted_server>(loop, script));
+            boost::asio::co_spawn(loop,
+                                  fetch_into(client, servers.back()->address,
+                                             long_body_bytes, results[i], open_calls),
+                                  boost::asio::detached);
+        }
+        run_until_done(loop, open_calls);
+        for (std::size_t i = 0; i < rows.size(); ++i)
+        {
+            CAPTURE(rows[i].name);
+            CAPTURE(results[i].problem);
+            CHECK(results[i].body == "first second");
+        }
+    }
 }
