Limit the responses to control calls of the gateway

Resident memory with four faulty peers for 10 s on: 425 MB with engines whose reports do not end, 129 MB for responses to orders, 327 MB for all responses of the store; an instance may use 260. Cause: the limit of a response body was 64 MiB unless a call set its own, and no control call did. Change: the default is 64 KiB. 'a call whose response trickles in ends at its time limit' announces a body of 100,000 bytes, which the new default refuses at once, so it sets a limit of 1 MiB; its checks are the same. The suites of two new test files are removed, since no test selects them.

--- a/bench/load_tool/caller.cpp
+++ b/bench/load_tool/caller.cpp
@@ -96,6 +96,7 @@
     result.is_peak = request.is_peak;
     transport::http_call_options options;
     options.progress_timeout = response_timeout;
+    options.max_body_bytes = 64 * 1024 * 1024;
     try
     {
         const transport::http_request http = this->make_request(request);
--- a/src/app/commands/node_client.cpp
+++ b/src/app/commands/node_client.cpp
@@ -26,6 +26,7 @@
 // A node answers a settings change within 10 s, with its verdict or with the report that
 // there is none yet.
 constexpr state::milliseconds answer_timeout{15000};
+constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
 
 struct fetch_result
 {
@@ -41,6 +42,7 @@
     options.connect_timeout = connect_timeout;
     options.progress_timeout = answer_timeout;
     options.fresh_connection = true;
+    options.max_body_bytes = max_response_bytes;
     fetch_result result;
     asio::co_spawn(loop, client.fetch(address, request, options),
                    [&result](std::exception_ptr failure, http_response response)
--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -38,6 +38,8 @@
 /// Time limits of a query of one seed, without progress and as a whole.
 constexpr milliseconds seed_timeout{500};
 constexpr milliseconds seed_total_timeout{1000};
+/// Maximum size of a seed's list of members.
+constexpr std::size_t max_member_list_bytes = 1024 * 1024;
 /// Longest time after the start that a gateway waits for its aggregator.
 constexpr milliseconds max_aggregator_wait{1500};
 constexpr std::int64_t max_capacity = std::numeric_limits<std::int64_t>::max();
@@ -424,6 +426,7 @@
     transport::http_call_options options;
     options.progress_timeout = seed_timeout;
     options.total_timeout = seed_total_timeout;
+    options.max_body_bytes = max_member_list_bytes;
     for (const std::string& seed : this->shared.settings.seeds)
     {
         if (seed == this->self.control)
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -46,6 +46,8 @@
 /// Responses up to this size are read completely before they are forwarded, so that the
 /// request can still be retried if the response breaks off.
 constexpr std::size_t max_buffered_bytes = 256 * 1024;
+/// Maximum size of a response that is forwarded in pieces.
+constexpr std::size_t max_forwarded_bytes = 64 * 1024 * 1024;
 /// A repeatable call without a response after this multiple of the expected time may be
 /// retried at another backend server.
 constexpr double first_byte_timeout_factor = 4.0;
@@ -354,6 +356,7 @@
         options.connect_timeout = std::min(connect_limit, this->time_left());
         // Separate timers watch the deadline of the request and its progress.
         options.progress_timeout = this->time_left() + deadline_margin;
+        options.max_body_bytes = max_forwarded_bytes;
         backend = co_await this->client.connect(entry.address, options);
         if (this->is_aborted())
             co_return call_end::not_run;
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -100,6 +100,7 @@
     transport::http_call_options options;
     options.progress_timeout = aggregator_timeout;
     options.total_timeout = aggregator_total_timeout;
+    options.max_body_bytes = protocol::backend_page_max_bytes;
     std::string target = "/gateway/backends";
     if (this->feed.next())
     {
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds peer_fetch_delay{150};
 /// Maximum duration of a fetch from a peer. The store is read after it.
 constexpr milliseconds peer_timeout{1000};
+/// A configuration is one record of the store, which is smaller.
+constexpr std::size_t max_config_bytes = 1024 * 1024;
 
 } // namespace
 
@@ -144,6 +146,7 @@
     transport::http_call_options options;
     options.progress_timeout = peer_timeout;
     options.total_timeout = peer_timeout;
+    options.max_body_bytes = max_config_bytes;
     try
     {
         const transport::http_response response = co_await this->client.fetch(
--- a/src/app/node/engine_attempt.cpp
+++ b/src/app/node/engine_attempt.cpp
@@ -27,6 +27,10 @@
 
 constexpr std::string_view done_event = "[DONE]";
 constexpr state::milliseconds cancel_timeout{500};
+/// Maximum size of a response that is forwarded to a caller.
+constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
+/// Maximum size of the body of an error response.
+constexpr std::size_t max_error_body_bytes = 64 * 1024;
 
 transport::http_call_options call_options(const state::attribute_values& attributes)
 {
@@ -35,6 +39,7 @@
         state::milliseconds(attributes.get(attribute::connect_timeout_ms));
     options.progress_timeout =
         state::milliseconds(attributes.get(attribute::progress_timeout_ms));
+    options.max_body_bytes = max_response_bytes;
     return options;
 }
 
@@ -175,7 +180,7 @@
         this->request_may_have_been_sent = true;
         if (answer->head().result() != transport::status::ok)
         {
-            const std::string body = co_await answer->read_all();
+            const std::string body = co_await answer->read_all(max_error_body_bytes);
             co_return this->refusal_of(body);
         }
         this->request.may_have_run = true;
--- a/src/app/node/engine_poller.cpp
+++ b/src/app/node/engine_poller.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr state::milliseconds query_timeout{1000};
+/// Maximum size of an engine's inventory and of its load report.
+constexpr std::size_t max_report_bytes = 1024 * 1024;
 
 // Events are not created inside the coroutine because of the GCC 12 bug described in
 // platform_client.cpp.
@@ -90,6 +92,7 @@
     transport::http_call_options options;
     options.connect_timeout = query_timeout;
     options.progress_timeout = query_timeout;
+    options.max_body_bytes = max_report_bytes;
     control_event event = unreachable_event(id);
     const state::time_point requested = std::chrono::steady_clock::now();
     try
--- a/src/app/node/platform_client.cpp
+++ b/src/app/node/platform_client.cpp
@@ -25,6 +25,8 @@
 constexpr state::milliseconds retry_delay{200};
 constexpr state::milliseconds mailbox_full_delay{5};
 constexpr state::milliseconds list_timeout{2000};
+/// Maximum size of the list of instances.
+constexpr std::size_t max_list_bytes = 4 * 1024 * 1024;
 
 // GCC 12 destroys an aggregate twice if it is initialized with braces inside a coroutine,
 // so these functions create the events.
@@ -169,6 +171,7 @@
 {
     http_call_options options;
     options.progress_timeout = list_timeout;
+    options.max_body_bytes = max_list_bytes;
     for (;;)
     {
         try
--- a/src/app/node/service_proxy.cpp
+++ b/src/app/node/service_proxy.cpp
@@ -40,6 +40,8 @@
 constexpr std::string_view forwarded_header = "X-Pomelorouter-Forwarded";
 constexpr std::string_view replayed_header = "Idempotency-Replayed";
 constexpr state::milliseconds default_retry_after{1000};
+/// Maximum size of a response that is forwarded to a caller.
+constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
 constexpr state::milliseconds max_deadline{3600000};
 constexpr state::milliseconds mailbox_full_delay{5};
 // Long enough for an append whose response is lost and the read that finds its record.
@@ -419,6 +421,7 @@
     options.connect_timeout = state::milliseconds(
         call.service->settings->attributes.get(attribute::connect_timeout_ms));
     options.progress_timeout = call.remaining();
+    options.max_body_bytes = max_response_bytes;
     this->forwards.add();
     std::optional<transport::http_error> failed;
     http_response response;
--- a/src/app/node/service_sender.cpp
+++ b/src/app/node/service_sender.cpp
@@ -24,6 +24,8 @@
 {
 
 constexpr state::milliseconds default_retry_after{1000};
+/// Maximum size of a response that is forwarded to a caller.
+constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
 // How long a backend server is avoided after a failed call, as long as there are others.
 constexpr state::milliseconds avoid_duration{1000};
 
@@ -133,6 +135,7 @@
     options.progress_timeout =
         std::min(state::milliseconds(attributes.get(attribute::progress_timeout_ms)),
                  remaining_until(call.deadline));
+    options.max_body_bytes = max_response_bytes;
     service_result result;
     result.failure.retry_after = default_retry_after;
     try
--- a/src/libs/protocol/backend_page.cpp
+++ b/src/libs/protocol/backend_page.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr const char* place = "page of backend servers";
-constexpr std::size_t page_max_bytes = std::size_t{64} * 1024 * 1024;
 
 } // namespace
 
@@ -39,7 +38,7 @@
 backend_page decode_backend_page(std::string_view body)
 {
     const auto wire =
-        internal::decode_compact<gen::BackendPage>(body, place, page_max_bytes);
+        internal::decode_compact<gen::BackendPage>(body, place, backend_page_max_bytes);
     backend_page page;
     page.next = static_cast<std::uint64_t>(wire.nextOffset);
     page.is_full_list = wire.whole;
--- a/src/libs/protocol/backend_page.hpp
+++ b/src/libs/protocol/backend_page.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,9 @@
 namespace pomelorouter::protocol
 {
 
+/// Maximum size of an encoded page.
+inline constexpr std::size_t backend_page_max_bytes = 4 * 1024 * 1024;
+
 /// One change to the list of backend servers: a new entry or a removal.
 struct backend_page_record
 {
--- a/src/libs/transport/http_client.hpp
+++ b/src/libs/transport/http_client.hpp
@@ -32,7 +32,9 @@
     /// Opens a new connection for the call, so that a write failure cannot stem from an
     /// idle connection that the server had already closed.
     bool fresh_connection = false;
-    std::size_t max_body_bytes = 64 * 1024 * 1024;
+    /// Maximum size of the response body. The default fits control calls; calls that
+    /// expect more must set it.
+    std::size_t max_body_bytes = 64 * 1024;
 };
 
 /// Decides which response on a connection belongs to the request that was sent on it.
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -42,6 +42,8 @@
 {
     if (failure == beast::error::timeout)
         return error_code::timed_out;
+    if (failure == beast::http::error::body_limit)
+        return error_code::too_large;
     const bool is_parser_error =
         failure.category() ==
         beast::http::make_error_code(beast::http::error{}).category();
--- a/tests/auto/contracts/tst_engine.cpp
+++ b/tests/auto/contracts/tst_engine.cpp
@@ -186,6 +186,7 @@
         CAPTURE(by_order);
         engine_test t;
         transport::http_call_options options;
+        options.max_body_bytes = 64 * 1024 * 1024;
         auto call = t.test.wait(
             t.test.client.open(t.engine.address, t.completion("r", 1000000), options));
         if (by_order)
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -205,6 +205,7 @@
     {
         transport::http_call_options options;
         options.progress_timeout = state::milliseconds(15000);
+        options.max_body_bytes = 64 * 1024 * 1024;
         try
         {
             result = co_await this->client.fetch(address, request, options);
--- a/tests/auto/platform/tst_trouble.cpp
+++ b/tests/auto/platform/tst_trouble.cpp
@@ -153,6 +153,7 @@
         transport::http_call_options options;
         options.progress_timeout = milliseconds(300);
         options.total_timeout = milliseconds(900);
+        options.max_body_bytes = 1024 * 1024;
         bool failed = false;
         const auto call = [&]() -> boost::asio::awaitable<void>
         {
--- a/tests/auto/transport/tst_ack_monitor.cpp
+++ b/tests/auto/transport/tst_ack_monitor.cpp
@@ -66,79 +66,75 @@
 
 } // namespace
 
-TEST_SUITE("ack_monitor")
+// Guards against a sound server that is taken for an unreachable one because it does
+// not read, and against an unreachable server that is not detected.
+TEST_CASE("only a peer that acknowledges nothing is silent")
 {
-    // Guards against a sound server that is taken for an unreachable one because it does
-    // not read, and against an unreachable server that is not detected.
-    TEST_CASE("only a peer that acknowledges nothing is silent")
+    struct row
     {
-        struct row
-        {
-            std::string name;
-            peer_model peer;
-            peer_state expected;
-            /// When the peer is found silent at the latest.
-            milliseconds silent_until;
-        };
-        const std::vector<row> rows{
-            {"idle", idle_peer, peer_state::up_to_date, {}},
-            {"unreachable", unreachable_peer, peer_state::silent, limit + period},
-            {"not reading", not_reading_peer, peer_state::responding, {}},
-            {"vanishing", vanishing_peer, peer_state::silent,
-             milliseconds(3000) + limit + period},
-            {"dropping", dropping_peer, peer_state::responding, {}},
-            {"slow", slow_peer, peer_state::responding, {}},
-        };
-        for (const row& item : rows)
+        std::string name;
+        peer_model peer;
+        peer_state expected;
+        /// When the peer is found silent at the latest.
+        milliseconds silent_until;
+    };
+    const std::vector<row> rows{
+        {"idle", idle_peer, peer_state::up_to_date, {}},
+        {"unreachable", unreachable_peer, peer_state::silent, limit + period},
+        {"not reading", not_reading_peer, peer_state::responding, {}},
+        {"vanishing", vanishing_peer, peer_state::silent,
+         milliseconds(3000) + limit + period},
+        {"dropping", dropping_peer, peer_state::responding, {}},
+        {"slow", slow_peer, peer_state::responding, {}},
+    };
+    for (const row& item : rows)
+    {
+        for (milliseconds offset{0}; offset < period; offset += milliseconds(10))
         {
-            for (milliseconds offset{0}; offset < period; offset += milliseconds(10))
-            {
-                CAPTURE(item.name);
-                CAPTURE(offset.count());
-                ack_monitor monitor(limit);
-                const state::time_point begin{std::chrono::hours(1)};
-                milliseconds at = offset;
-                peer_state found = peer_state::awaited;
-                for (; at < milliseconds(20000) && found != peer_state::silent;
-                     at += period)
-                    found = monitor.on_sample(begin + at, item.peer(at));
-                CHECK(static_cast<int>(found) == static_cast<int>(item.expected));
-                if (item.expected == peer_state::silent)
-                    CHECK(at - period <= item.silent_until);
-            }
+            CAPTURE(item.name);
+            CAPTURE(offset.count());
+            ack_monitor monitor(limit);
+            const state::time_point begin{std::chrono::hours(1)};
+            milliseconds at = offset;
+            peer_state found = peer_state::awaited;
+            for (; at < milliseconds(20000) && found != peer_state::silent; at += period)
+                found = monitor.on_sample(begin + at, item.peer(at));
+            CHECK(static_cast<int>(found) == static_cast<int>(item.expected));
+            if (item.expected == peer_state::silent)
+                CHECK(at - period <= item.silent_until);
         }
     }
+}
 
-    // Guards against a kernel timeout that is disabled too late: the kernel would drop
-    // the connection first.
-    TEST_CASE("a peer that responds is recognized before the kernel's timeout")
+// Guards against a kernel timeout that is disabled too late: the kernel would drop
+// the connection first.
+TEST_CASE("a peer that responds is recognized before the kernel's timeout")
+{
+    for (const peer_model peer : {not_reading_peer, dropping_peer, slow_peer})
     {
-        for (const peer_model peer : {not_reading_peer, dropping_peer, slow_peer})
+        for (milliseconds offset{0}; offset < period; offset += milliseconds(10))
         {
-            for (milliseconds offset{0}; offset < period; offset += milliseconds(10))
-            {
-                CAPTURE(offset.count());
-                ack_monitor monitor(limit);
-                const state::time_point begin{std::chrono::hours(1)};
-                milliseconds at = offset;
-                while (at < milliseconds(5000) &&
-                       monitor.on_sample(begin + at, peer(at)) != peer_state::responding)
-                    at += period;
-                CHECK(at < limit - period);
-            }
+            CAPTURE(offset.count());
+            ack_monitor monitor(limit);
+            const state::time_point begin{std::chrono::hours(1)};
+            milliseconds at = offset;
+            while (at < milliseconds(5000) &&
+                   monitor.on_sample(begin + at, peer(at)) != peer_state::responding)
+                at += period;
+            CHECK(at < limit - period);
         }
     }
+}
 
-    // Guards against the silence of an earlier request that counts for the next one on
-    // the same connection.
-    TEST_CASE("a reset forgets the silence")
-    {
-        ack_monitor monitor(limit);
-        const state::time_point begin{std::chrono::hours(1)};
-        const tcp_send_state unanswered{true, false, true, milliseconds(60000)};
-        CHECK(monitor.on_sample(begin, unanswered) == peer_state::awaited);
-        monitor.reset();
-        CHECK(monitor.on_sample(begin + limit, unanswered) == peer_state::awaited);
-        CHECK(monitor.on_sample(begin + 2 * limit, unanswered) == peer_state::silent);
-    }
+// Guards against the silence of an earlier request that counts for the next one on
+// the same connection.
+TEST_CASE("a reset forgets the silence")
+{
+    ack_monitor monitor(limit);
+    const state::time_point begin{std::chrono::hours(1)};
+    const tcp_send_state unanswered{true, false, true, milliseconds(60000)};
+    CHECK(monitor.on_sample(begin, unanswered) == peer_state::awaited);
+    monitor.reset();
+    CHECK(monitor.on_sample(begin + limit, unanswered) == peer_state::awaited);
+    CHECK(monitor.on_sample(begin + 2 * limit, unanswered) == peer_state::silent);
 }
--- a/tests/auto/transport/tst_http_client.cpp
+++ b/tests/auto/transport/tst_http_client.cpp
@@ -70,125 +70,120 @@
 
 } // namespace
 
-TEST_SUITE("http_client")
+// Guards against half of a response that is taken for all of it: the connection is
+// lost while the request is still being written, and the response has no length.
+TEST_CASE("a response without length is complete only if the server closed it")
 {
-    // Guards against half of a response that is taken for all of it: the connection is
-    // lost while the request is still being written, and the response has no length.
-    TEST_CASE("a response without length is complete only if the server closed it")
+    struct row
     {
-        struct row
-        {
-            std::string name;
-            std::size_t body_bytes;
-            scripted_server::script script;
-            bool is_complete;
-        };
-        const auto answer_and_reset = [](tcp::socket& socket) -> awaitable<void>
-        {
-            co_await test::read_request_head(socket);
-            co_await test::write_text(socket, unframed_head + "half");
-            // The client has received the first half when the reset arrives.
-            co_await transport::pause(socket.get_executor(), state::milliseconds(200));
-            test::reset_connection(socket);
-        };
-        const auto answer_and_read_on = [](tcp::socket& socket) -> awaitable<void>
+        std::string name;
+        std::size_t body_bytes;
+        scripted_server::script script;
+        bool is_complete;
+    };
+    const auto answer_and_reset = [](tcp::socket& socket) -> awaitable<void>
+    {
+        co_await test::read_request_head(socket);
+        co_await test::write_text(socket, unframed_head + "half");
+        // The client has received the first half when the reset arrives.
+        co_await transport::pause(socket.get_executor(), state::milliseconds(200));
+        test::reset_connection(socket);
+    };
+    const auto answer_and_read_on = [](tcp::socket& socket) -> awaitable<void>
+    {
+        co_await test::read_request_head(socket);
+        co_await test::write_text(socket, unframed_head + "half");
+        socket.shutdown(tcp::socket::shutdown_send);
+        co_await test::read_to_end(socket);
+    };
+    const auto read_and_answer = [](tcp::socket& socket) -> awaitable<void>
+    {
+        co_await test::read_request_head(socket);
+        co_await test::write_text(socket, unframed_head + "half");
+    };
+    const auto answer_close_and_reset = [](tcp::socket& socket) -> awaitable<void>
+    {
+        co_await test::read_request_head(socket);
+        co_await test::write_text(socket, unframed_head + "half");
+        socket.shutdown(tcp::socket::shutdown_send);
+        test::reset_connection(socket);
+    };
+    const row rows[] = {
+        {"reset while the request is written", long_body_bytes, answer_and_reset, false},
+        {"reset after the request", 0, answer_and_reset, false},
+        {"closed, and the rest of the request read", long_body_bytes, answer_and_read_on,
+         true},
+        {"closed after the request", 0, read_and_answer, true},
+        {"closed, then reset because of the request", long_body_bytes,
+         answer_close_and_reset, true},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        boost::asio::io_context loop{1};
+        scripted_server server(loop, item.script);
+        transport::http_client client(loop.get_executor());
+        fetch_result result;
+        int open_calls = 1;
+        boost::asio::co_spawn(
+            loop, fetch_into(client, server.address, item.body_bytes, result, open_calls),
+            boost::asio::detached);
+        run_until_done(loop, open_calls);
+        CAPTURE(result.problem);
+        CHECK(result.body.has_value() == item.is_complete);
+        if (item.is_complete && result.body)
+            CHECK(*result.body == "half");
+    }
+}
+
+// Guards against a sound connection that is cut: the server answers before it has
+// read a long request, works for a time and reads the rest later.
+TEST_CASE("a server that reads a long request late delivers its whole response")
+{
+    // Longer than the kernel keeps a connection without acknowledgements.
+    constexpr state::milliseconds work_time{3500};
+    struct row
+    {
+        std::string name;
+        std::string head;
+        std::string first_half;
+        std::string second_half;
+    };
+    const std::vector<row> rows{
+        {"without length", unframed_head, "first ", "second"},
+        {"with length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "first ",
+         "second"},
+        {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "6\r\nfirst \r\n", "6\r\nsecond\r\n0\r\n\r\n"},
+    };
+    boost::asio::io_context loop{1};
+    transport::http_client client(loop.get_executor());
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    std::vector<fetch_result> results(rows.size());
+    int open_calls = static_cast<int>(rows.size());
+    for (std::size_t i = 0; i < rows.size(); ++i)
+    {
+        const row& item = rows[i];
+        const auto script = [&item](tcp::socket& socket) -> awaitable<void>
         {
             co_await test::read_request_head(socket);
-            co_await test::write_text(socket, unframed_head + "half");
+            co_await test::write_text(socket, item.head + item.first_half);
+            co_await transport::pause(socket.get_executor(), work_time);
+            co_await test::write_text(socket, item.second_half);
             socket.shutdown(tcp::socket::shutdown_send);
             co_await test::read_to_end(socket);
         };
-        const auto read_and_answer = [](tcp::socket& socket) -> awaitable<void>
-        {
-            co_await test::read_request_head(socket);
-            co_await test::write_text(socket, unframed_head + "half");
-        };
-        const auto answer_close_and_reset = [](tcp::socket& socket) -> awaitable<void>
-        {
-            co_await test::read_request_head(socket);
-            co_await test::write_text(socket, unframed_head + "half");
-            socket.shutdown(tcp::socket::shutdown_send);
-            test::reset_connection(socket);
-        };
-        const row rows[] = {
-            {"reset while the request is written", long_body_bytes, answer_and_reset,
-             false},
-            {"reset after the request", 0, answer_and_reset, false},
-            {"closed, and the rest of the request read", long_body_bytes,
-             answer_and_read_on, true},
-            {"closed after the request", 0, read_and_answer, true},
-            {"closed, then reset because of the request", long_body_bytes,
-             answer_close_and_reset, true},
-        };
-        for (const row& item : rows)
-        {
-            CAPTURE(item.name);
-            boost::asio::io_context loop{1};
-            scripted_server server(loop, item.script);
-            transport::http_client client(loop.get_executor());
-            fetch_result result;
-            int open_calls = 1;
-            boost::asio::co_spawn(
-                loop,
-                fetch_into(client, server.address, item.body_bytes, result, open_calls),
-                boost::asio::detached);
-            run_until_done(loop, open_calls);
-            CAPTURE(result.problem);
-            CHECK(result.body.has_value() == item.is_complete);
-            if (item.is_complete && result.body)
-                CHECK(*result.body == "half");
-        }
+        servers.push_back(std::make_unique<scripted_server>(loop, script));
+        boost::asio::co_spawn(loop,
+                              fetch_into(client, servers.back()->address, long_body_bytes,
+                                         results[i], open_calls),
+                              boost::asio::detached);
     }
-
-    // Guards against a sound connection that is cut: the server answers before it has
-    // read a long request, works for a time and reads the rest later.
-    TEST_CASE("a server that reads a long request late delivers its whole response")
+    run_until_done(loop, open_calls);
+    for (std::size_t i = 0; i < rows.size(); ++i)
     {
-        // Longer than the kernel keeps a connection without acknowledgements.
-        constexpr state::milliseconds work_time{3500};
-        struct row
-        {
-            std::string name;
-            std::string head;
-            std::string first_half;
-            std::string second_half;
-        };
-        const std::vector<row> rows{
-            {"without length", unframed_head, "first ", "second"},
-            {"with length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "first ",
-             "second"},
-            {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-             "6\r\nfirst \r\n", "6\r\nsecond\r\n0\r\n\r\n"},
-        };
-        boost::asio::io_context loop{1};
-        transport::http_client client(loop.get_executor());
-        std::vector<std::unique_ptr<scripted_server>> servers;
-        std::vector<fetch_result> results(rows.size());
-        int open_calls = static_cast<int>(rows.size());
-        for (std::size_t i = 0; i < rows.size(); ++i)
-        {
-            const row& item = rows[i];
-            const auto script = [&item](tcp::socket& socket) -> awaitable<void>
-            {
-                co_await test::read_request_head(socket);
-                co_await test::write_text(socket, item.head + item.first_half);
-                co_await transport::pause(socket.get_executor(), work_time);
-                co_await test::write_text(socket, item.second_half);
-                socket.shutdown(tcp::socket::shutdown_send);
-                co_await test::read_to_end(socket);
-            };
-            servers.push_back(std::make_unique<scripted_server>(loop, script));
-            boost::asio::co_spawn(loop,
-                                  fetch_into(client, servers.back()->address,
-                                             long_body_bytes, results[i], open_calls),
-                                  boost::asio::detached);
-        }
-        run_until_done(loop, open_calls);
-        for (std::size_t i = 0; i < rows.size(); ++i)
-        {
-            CAPTURE(rows[i].name);
-            CAPTURE(results[i].problem);
-            CHECK(results[i].body == "first second");
-        }
+        CAPTURE(rows[i].name);
+        CAPTURE(results[i].problem);
+        CHECK(results[i].body == "first second");
     }
 }
--- a/tests/scenario_runner/address_book.cpp
+++ b/tests/scenario_runner/address_book.cpp
@@ -67,6 +67,7 @@
 {
     transport::http_call_options options;
     options.progress_timeout = query_timeout;
+    options.max_body_bytes = 64 * 1024 * 1024;
     try
     {
         const auto response = co_await this->http.fetch(
--- a/tests/scenario_runner/http_agent.cpp
+++ b/tests/scenario_runner/http_agent.cpp
@@ -25,6 +25,7 @@
     transport::http_call_options options;
     options.progress_timeout = call_timeout;
     options.fresh_connection = true;
+    options.max_body_bytes = 64 * 1024 * 1024;
     co_return co_await client.fetch(address, request, options);
 }
 
--- a/tests/scenario_runner/workload.cpp
+++ b/tests/scenario_runner/workload.cpp
@@ -229,6 +229,7 @@
     transport::http_call_options call_options;
     call_options.connect_timeout = connect_timeout;
     call_options.progress_timeout = this->options.timeout;
+    call_options.max_body_bytes = 64 * 1024 * 1024;
     call_options.fresh_connection = this->options.orders;
     const auto call = co_await this->http.open(address, request, call_options);
     request_result result;
