--- a/tests/auto/platform/tst_endless_input.cpp
+++ b/tests/auto/platform/tst_endless_input.cpp
@@ -136,6 +136,43 @@
     }
 }
 
+// Guards against an instance that collects pages of a topic without end.
+TEST_CASE("a topic of endless pages is refused with a typed error")
+{
+    gateway_fixture test;
+    int pages = 0;
+    const std::string value(256 * 1024, 'A');
+    raw_backend faulty(test.loop,
+                       [&](const transport::http_request&)
+                       {
+                           const std::string key = "key-" + std::to_string(++pages);
+                           const boost::json::object item{
+                               {"Key", key}, {"Value", value}, {"Offset", pages}};
+                           return json_reply("200 OK",
+                                             boost::json::serialize(boost::json::object{
+                                                 {"items", boost::json::array{item}},
+                                                 {"HasMore", true},
+                                                 {"EndOffset", 100000}}));
+                       });
+    const auto store = test.adapter->make_store(faulty.address, test.client);
+    std::optional<state::error> refused;
+    const auto call = [&]() -> boost::asio::awaitable<void>
+    {
+        try
+        {
+            co_await store->newest(app::store_topic::backend_servers);
+        }
+        catch (const state::error& failure)
+        {
+            refused = failure;
+        }
+    };
+    boost::asio::co_spawn(test.loop, call(), boost::asio::detached);
+    test.run_until([&] { return refused || pages > 500; });
+    REQUIRE(refused);
+    CHECK(to_string(refused->code()) == to_string(state::error_code::too_large));
+}
+
 // Guards against an instance that runs out of memory because another gateway answers
 // without end.
 TEST_CASE("an endless response of another gateway is cut off")
