--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -70,6 +70,16 @@
     return result;
 }
 
+/// Limits of the listeners whose requests have no body, or one of a few numbers.
+transport::http_server_limits internal_limits()
+{
+    transport::http_server_limits result;
+    result.max_connections = 2048;
+    result.max_header_bytes = 8 * 1024;
+    result.max_body_bytes = 4 * 1024;
+    return result;
+}
+
 } // namespace
 
 gateway::gateway(asio::io_context& event_loop,
@@ -121,10 +131,12 @@
           [this] { return this->is_ready(); }),
       control(this->shared, this->peers, this->config, this->backends, this->permits),
       frontend_server(this->loop, {}, this->relay, this->shared.counters),
-      readiness_server(this->loop, {}, this->directory, this->shared.counters),
-      directory_server(this->loop, {}, this->directory, this->shared.counters),
-      control_server(this->loop, {}, this->control, this->shared.counters),
-      metrics_server(this->loop, {}, this->control, this->shared.counters)
+      readiness_server(this->loop, internal_limits(), this->directory,
+                       this->shared.counters),
+      directory_server(this->loop, internal_limits(), this->directory,
+                       this->shared.counters),
+      control_server(this->loop, internal_limits(), this->control, this->shared.counters),
+      metrics_server(this->loop, internal_limits(), this->control, this->shared.counters)
 {
 }
 
--- a/tests/auto/platform/tst_endless_input.cpp
+++ b/tests/auto/platform/tst_endless_input.cpp
@@ -218,3 +218,23 @@
     CHECK(seed.written_bytes <
           static_cast<std::uint64_t>(seed.closed) * socket_buffer_bytes);
 }
+
+// Guards against bodies that fill the memory of an instance through a listener whose
+// requests need none.
+TEST_CASE("an internal listener refuses a body before it is read")
+{
+    gateway_fixture test;
+    test.put_config(1);
+    test.start();
+    const auto& settings = test.gateway->own_settings();
+    for (const std::string& address :
+         {settings.control_listen, settings.directory_listen})
+    {
+        CAPTURE(address);
+        auto request = transport::make_request(transport::verb::post, "/gateway/permits",
+                                               std::string(1024 * 1024, 'x'));
+        const auto response = test.fetch_from(address, request);
+        REQUIRE(response);
+        CHECK(response->result_int() == 413);
+    }
+}
