Test the limits of response bodies, requests and connections

The table of what a gateway reads rests on limits of the HTTP client and server, whose rows were only tested through the gateway or not at all: bodies over the limit for each framing, a header without end, and connections over max_connections.

--- a/tests/auto/transport/tst_http_client.cpp
+++ b/tests/auto/transport/tst_http_client.cpp
@@ -32,6 +32,7 @@
 {
     std::optional<std::string> body;
     std::string problem;
+    std::string code;
 };
 
 awaitable<void> fetch_into(transport::http_client& client, std::string address,
@@ -52,6 +53,7 @@
     catch (const state::error& failure)
     {
         result.problem = failure.what();
+        result.code = to_string(failure.code());
     }
     --open_calls;
 }
@@ -187,3 +189,55 @@
         CHECK(results[i].body == "first second");
     }
 }
+
+// Guards against a body that fills the memory of the caller because its framing escapes
+// the limit.
+TEST_CASE("a response body over the limit ends the call, whatever its framing")
+{
+    const std::size_t limit = transport::http_call_options{}.max_body_bytes;
+    struct row
+    {
+        std::string name;
+        std::string response;
+        std::string expected_code;
+    };
+    const auto whole = [](std::size_t size)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
+               std::string(size, 'x');
+    };
+    const std::string too_large(to_string(state::error_code::too_large));
+    const std::vector<row> rows{
+        {"at the limit", whole(limit), ""},
+        {"with length", whole(limit + 1), too_large},
+        {"length that no body has",
+         "HTTP/1.1 200 OK\r\nContent-Length: 1" + std::string(18, '0') + "\r\n\r\n",
+         too_large},
+        {"without length", unframed_head + std::string(limit + 1, 'x'), too_large},
+        {"chunked",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
+             std::string(limit + 1, 'x') + "\r\n0\r\n\r\n",
+         too_large},
+    };
+    REQUIRE(limit == 0x10000);
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        boost::asio::io_context loop{1};
+        scripted_server server(loop,
+                               [&item](tcp::socket& socket) -> awaitable<void>
+                               {
+                                   co_await test::read_request_head(socket);
+                                   co_await test::write_text(socket, item.response);
+                                   co_await test::read_to_end(socket);
+                               });
+        transport::http_client client(loop.get_executor());
+        fetch_result result;
+        int open_calls = 1;
+        boost::asio::co_spawn(loop,
+                              fetch_into(client, server.address, 0, result, open_calls),
+                              boost::asio::detached);
+        run_until_done(loop, open_calls);
+        CHECK(result.code == item.expected_code);
+    }
+}
--- /dev/null
+++ b/tests/auto/transport/tst_http_server_limits.cpp
@@ -0,0 +1,173 @@
+#include "transport/address.hpp"
+#include "transport/http_server.hpp"
+
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace pomelorouter; // NOLINT(google-build-using-namespace): test file
+using boost::asio::ip::tcp;
+
+constexpr std::size_t max_connections = 4;
+constexpr std::size_t max_header_bytes = 1024;
+constexpr std::size_t max_body_bytes = 512;
+
+class ok_handler : public transport::http_handler
+{
+public:
+    boost::asio::awaitable<void> handle(transport::http_exchange& exchange) override
+    {
+        co_await exchange.respond(
+            transport::text_response(transport::status::ok, "done"));
+    }
+};
+
+/// Connection that collects the received bytes until the server closes it.
+class raw_client
+{
+public:
+    raw_client(boost::asio::io_context& loop, const std::string& address) : socket(loop)
+    {
+        this->socket.connect(transport::parse_address(address));
+        this->read();
+    }
+
+    void send(const std::string& text)
+    {
+        boost::asio::write(this->socket, boost::asio::buffer(text));
+    }
+
+    std::string received;
+    bool is_closed = false;
+
+private:
+    void read()
+    {
+        this->socket.async_read_some(
+            boost::asio::buffer(this->bytes),
+            [this](boost::system::error_code failure, std::size_t size)
+            {
+                this->received.append(this->bytes.data(), size);
+                this->is_closed = static_cast<bool>(failure);
+                if (!failure)
+                    this->read();
+            });
+    }
+
+    tcp::socket socket;
+    std::array<char, 1024> bytes{};
+};
+
+/// Runs the loop until the condition holds. The timeout is reached only if a test fails.
+template <typename Condition>
+bool run_until(boost::asio::io_context& loop, const Condition& condition)
+{
+    const auto end = state::now() + state::seconds(20);
+    while (!condition() && state::now() < end)
+    {
+        loop.restart();
+        loop.run_one_for(state::milliseconds(20));
+    }
+    return condition();
+}
+
+std::string request(std::size_t header_bytes, std::size_t body_bytes)
+{
+    return "POST / HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(header_bytes, 'x') +
+           "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'x');
+}
+
+class server_fixture
+{
+public:
+    server_fixture() : server(this->loop, limits(), this->handler, this->counters)
+    {
+        this->address = this->server.listen("127.0.0.1:0");
+    }
+
+private:
+    static transport::http_server_limits limits()
+    {
+        transport::http_server_limits result;
+        result.max_connections = max_connections;
+        result.max_header_bytes = max_header_bytes;
+        result.max_body_bytes = max_body_bytes;
+        return result;
+    }
+
+    // The connections, which the loop owns, use these until they are destroyed.
+    state::counter_registry counters;
+    ok_handler handler;
+
+public:
+    boost::asio::io_context loop{1};
+    std::string address;
+
+private:
+    transport::http_server server;
+};
+
+} // namespace
+
+// Guards against requests that fill the memory of the server.
+TEST_CASE("a request over a limit of the server is refused and its connection closed")
+{
+    struct row
+    {
+        std::string name;
+        std::string bytes;
+        std::string expected_status;
+    };
+    const std::vector<row> rows{
+        {"within the limits", request(16, max_body_bytes), " 200 "},
+        {"header", request(2 * max_header_bytes, 0), " 431 "},
+        {"body", request(16, max_body_bytes + 1), " 413 "},
+        {"header without end", "GET / HTTP/1.1\r\nX-Long: " + std::string(64 * 1024, 'x'),
+         " 431 "},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        server_fixture test;
+        raw_client client(test.loop, test.address);
+        client.send(item.bytes);
+        const bool is_refused = item.expected_status != " 200 ";
+        CHECK(run_until(test.loop,
+                        [&] { return client.is_closed || !client.received.empty(); }));
+        CHECK(client.received.find(item.expected_status) != std::string::npos);
+        if (is_refused)
+            CHECK(run_until(test.loop, [&client] { return client.is_closed; }));
+    }
+}
+
+// Guards against connections that fill the memory of the server: the sum of its limits
+// for requests is finite only if their number is.
+TEST_CASE("a connection over max_connections is closed and the others are served")
+{
+    server_fixture test;
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (std::size_t i = 0; i < max_connections; ++i)
+    {
+        clients.push_back(std::make_unique<raw_client>(test.loop, test.address));
+        clients.back()->send(request(16, 1));
+        CHECK(run_until(test.loop, [&] { return !clients.back()->received.empty(); }));
+    }
+    raw_client last(test.loop, test.address);
+    CHECK(run_until(test.loop, [&last] { return last.is_closed; }));
+    CHECK(last.received.empty());
+    for (const auto& client : clients)
+    {
+        client->received.clear();
+        client->send(request(16, 1));
+        CHECK(run_until(test.loop, [&client] { return !client->received.empty(); }));
+        CHECK(client->received.find(" 200 ") != std::string::npos);
+    }
+}
