Make a constant of a test usable in its lambdas

Cause: clang does not capture a local constant that a function takes by value, which GCC accepts; clang-tidy stopped at it. Change: the constant is at namespace scope. Result: clang-tidy has no finding in tst_http_client.cpp.

--- a/tests/auto/transport/tst_http_client.cpp
+++ b/tests/auto/transport/tst_http_client.cpp
@@ -25,6 +25,8 @@
 /// Larger than the buffers of both kernels, so that the write of the request is pending
 /// while the server does not read.
 constexpr std::size_t long_body_bytes = 4 * 1024 * 1024;
+/// Longer than a connection is kept whose peer acknowledges nothing.
+constexpr state::milliseconds work_time{3500};
 const std::string unframed_head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
 /// Outcome of one `http_client::fetch()`: a body or the error.
@@ -142,8 +144,6 @@
 // read a long request, works for a time and reads the rest later.
 TEST_CASE("a server that reads a long request late delivers its whole response")
 {
-    // Longer than the kernel keeps a connection without acknowledgements.
-    constexpr state::milliseconds work_time{3500};
     struct row
     {
         std::string name;
