Derive the bounds of tst_endless_input from the limits

Cause: the check was wrong. Its bound had room for the kernel's buffers and none for the limit of the response, 4 MiB for that list; and the buffers of one connection may take more than 8 MiB, 6 and 4 MiB by the kernel's defaults and 32 and 4 MiB where the receiver's limit is raised (/proc/sys/net/ipv4/tcp_rmem, tcp_wmem), so that a correct gateway could exceed it for every call. Change: the bound is the limit of each response plus 40 MiB for the buffers.

--- a/tests/auto/platform/tst_endless_input.cpp
+++ b/tests/auto/platform/tst_endless_input.cpp
@@ -1,3 +1,4 @@
+#include "protocol/backend_page.hpp"
 #include "scripted_peer.hpp"
 #include "state/error.hpp"
 
@@ -28,10 +29,15 @@
 using test::reply_end;
 using test::scripted_peer;
 
-/// The kernel's buffers of a connection take up some megabytes besides the bytes that a
-/// gateway reads.
-constexpr std::uint64_t socket_buffer_bytes = 8 * 1024 * 1024;
-constexpr std::uint64_t large_page_bytes = 8 * 1024 * 1024;
+/// The kernel's buffers of a connection take up megabytes besides the bytes that a
+/// gateway reads: 6 MiB at the receiver and 4 MiB at the sender by default, and 32 MiB at
+/// the receiver on hosts for fast networks.
+constexpr std::uint64_t socket_buffer_bytes = 40 * 1024 * 1024;
+/// Limits of the responses, see "Limits of what a gateway reads" in docs/design.md.
+constexpr std::uint64_t control_bytes = 64 * 1024;
+constexpr std::uint64_t changes_bytes = 8 * 1024 * 1024;
+constexpr std::uint64_t config_bytes = 1024 * 1024;
+constexpr std::uint64_t members_bytes = 1024 * 1024;
 constexpr std::int64_t highest_capacity = 1'000'000'000'000;
 
 raw_reply endless_body()
@@ -82,7 +88,7 @@
         test.fetch(test.request("/stream/x", "a1", "m1"));
         test.run_until([&] { return faulty_calls > 0 && engine.closed >= faulty_calls; });
         const auto calls = static_cast<std::uint64_t>(faulty_calls);
-        CHECK(engine.written_bytes < calls * socket_buffer_bytes);
+        CHECK(engine.written_bytes < calls * (control_bytes + socket_buffer_bytes));
     }
 }
 
@@ -132,7 +138,7 @@
         boost::asio::co_spawn(test.loop, call(), boost::asio::detached);
         test.run_until([&] { return refused && faulty.closed == 1; });
         CHECK(to_string(refused->code()) == to_string(item.expected));
-        CHECK(faulty.written_bytes < large_page_bytes + socket_buffer_bytes);
+        CHECK(faulty.written_bytes < changes_bytes + socket_buffer_bytes);
     }
 }
 
@@ -177,9 +183,16 @@
 // without end.
 TEST_CASE("an endless response of another gateway is cut off")
 {
-    for (const std::string_view faulty_call : {"/gateway/config", "/gateway/backends"})
+    struct row
     {
-        CAPTURE(std::string(faulty_call));
+        std::string faulty_call;
+        std::uint64_t max_bytes;
+    };
+    const std::vector<row> rows{{"/gateway/config", config_bytes},
+                                {"/gateway/backends", protocol::backend_page_max_bytes}};
+    for (const row& item : rows)
+    {
+        CAPTURE(item.faulty_call);
         gateway_fixture test;
         test.put_config(5);
         int faulty_calls = 0;
@@ -187,7 +200,7 @@
             test,
             [&](const transport::http_request& request) -> raw_reply
             {
-                if (!has_prefix(request, faulty_call))
+                if (!has_prefix(request, item.faulty_call))
                     return json_reply("404 Not Found", "");
                 ++faulty_calls;
                 return endless_body();
@@ -199,7 +212,8 @@
         test.run_until(
             [&] { return faulty_calls > 0 && peer.control.closed >= faulty_calls; });
         const auto calls = static_cast<std::uint64_t>(faulty_calls);
-        CHECK(peer.control.written_bytes < calls * socket_buffer_bytes);
+        CHECK(peer.control.written_bytes <
+              calls * (item.max_bytes + socket_buffer_bytes));
     }
 }
 
@@ -215,8 +229,8 @@
         test.loop, test.settings, test.settings_path, *test.adapter, test.counters);
     test.gateway->start();
     test.run_until([&seed] { return seed.closed > 0; });
-    CHECK(seed.written_bytes <
-          static_cast<std::uint64_t>(seed.closed) * socket_buffer_bytes);
+    CHECK(seed.written_bytes < static_cast<std::uint64_t>(seed.closed) *
+                                   (members_bytes + socket_buffer_bytes));
 }
 
 // Guards against bodies that fill the memory of an instance through a listener whose
