--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -44,6 +44,12 @@
     return static_cast<std::int32_t>(value);
 }
 
+/// A rate or a duration of another gateway; 0 if it is not a sensible number.
+double to_rate(double value)
+{
+    return std::isfinite(value) && value > 0.0 ? value : 0.0;
+}
+
 gen::GatewayMember to_wire(const gateway_member& member)
 {
     gen::GatewayMember result;
@@ -191,6 +197,8 @@
         item.__set_waitingTokens(to_wire_count(load.waiting_tokens));
         item.__set_longStreams(to_wire_count(load.long_streams));
         item.__set_promptRate(load.prompt_rate);
+        if (load.memory_tokens > 0)
+            item.__set_memoryTokens(to_wire_count(load.memory_tokens));
     }
     for (const weight_rate_entry& rate : heartbeat.rates)
     {
@@ -202,6 +210,8 @@
         item.__set_tokensPerSecond(rate.tokens_per_s);
         item.__set_usualTokensPerSecond(rate.usual_tokens_per_s);
         item.__set_waiting(to_wire_count(rate.waiting));
+        if (rate.queued_tokens > 0)
+            item.__set_queuedTokens(to_wire_count(rate.queued_tokens));
     }
     for (const engine_weights& weights : heartbeat.weights)
         result.weights.push_back(to_wire(weights));
@@ -226,6 +236,24 @@
         for (const backend_limit& limit : heartbeat.limits)
             result.limits.push_back(to_wire(limit));
     }
+    for (const team_usage& usage : heartbeat.teams)
+    {
+        result.__isset.teams = true;
+        gen::TeamUsage& item = result.teams.emplace_back();
+        item.__set_team(usage.team);
+        item.__set_asked(usage.asked_per_s);
+        item.__set_admitted(usage.admitted_per_s);
+    }
+    for (const service_speed& speed : heartbeat.speeds)
+    {
+        result.__isset.speeds = true;
+        gen::ServiceSpeed& item = result.speeds.emplace_back();
+        item.__set_serviceName(speed.service);
+        item.__set_promptTokensPerMs(speed.prompt_tokens_per_ms);
+        item.__set_stepMs(speed.step_ms);
+        item.__set_stepMsPerRequest(speed.step_ms_per_request);
+        item.__set_samples(speed.samples);
+    }
     if (heartbeat.members.empty())
         return result;
     result.__isset.members = true;
@@ -272,14 +300,16 @@
         result.loads.push_back({load.backend, to_unsigned<std::uint32_t>(load.active),
                                 to_unsigned<std::uint32_t>(load.waitingTokens),
                                 to_unsigned<std::uint32_t>(load.longStreams),
-                                load.promptRate});
+                                load.promptRate,
+                                to_unsigned<std::uint32_t>(load.memoryTokens)});
     }
     for (const gen::WeightRate& rate : heartbeat.rates)
     {
         result.rates.push_back({rate.serviceName, rate.model, rate.adapter,
                                 rate.perSecond, rate.tokensPerSecond,
                                 rate.usualTokensPerSecond,
-                                to_unsigned<std::uint32_t>(rate.waiting)});
+                                to_unsigned<std::uint32_t>(rate.waiting),
+                                to_unsigned<std::uint32_t>(rate.queuedTokens)});
     }
     for (const gen::EngineWeights& weights : heartbeat.weights)
         result.weights.push_back(from_wire(weights));
@@ -300,6 +330,21 @@
             break;
         result.limits.push_back(from_wire(limit));
     }
+    for (const gen::TeamUsage& usage : heartbeat.teams)
+    {
+        if (result.teams.size() == max_reported_teams)
+            break;
+        result.teams.push_back(
+            {usage.team, to_rate(usage.asked), to_rate(usage.admitted)});
+    }
+    for (const gen::ServiceSpeed& speed : heartbeat.speeds)
+    {
+        if (result.speeds.size() == max_reported_services)
+            break;
+        result.speeds.push_back({speed.serviceName, to_rate(speed.promptTokensPerMs),
+                                 to_rate(speed.stepMs), to_rate(speed.stepMsPerRequest),
+                                 to_rate(speed.samples)});
+    }
     for (const gen::MemberNotice& notice : heartbeat.members)
         result.members.push_back({from_wire(notice.member), notice.alive});
     return result;
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -42,6 +42,9 @@
     std::uint32_t long_streams = 0;
     /// Prompt tokens of newly started calls, per second.
     double prompt_rate = 0.0;
+    /// Tokens of the prompts and outputs of running calls, which occupy the memory of the
+    /// engine.
+    std::uint32_t memory_tokens = 0;
 };
 
 /// Rate at which a gateway receives requests for one model or adapter.
@@ -54,8 +57,36 @@
     double tokens_per_s = 0.0;
     double usual_tokens_per_s = 0.0;
     std::uint32_t waiting = 0;
+    /// Prompt tokens of requests that wait until an engine has capacity for them.
+    std::uint32_t queued_tokens = 0;
 };
 
+/// Use of a team's allowance, in the unit of the allowance per second.
+struct team_usage
+{
+    std::string team;
+    double asked_per_s = 0.0;
+    double admitted_per_s = 0.0;
+};
+
+/// Maximum number of teams in a heartbeat.
+inline constexpr std::size_t max_reported_teams = 256;
+
+/// Speed of the engines of a service, as measured by calls.
+struct service_speed
+{
+    std::string service;
+    double prompt_tokens_per_ms = 0.0;
+    double step_ms = 0.0;
+    /// Increase of the duration of a step for each further running request.
+    double step_ms_per_request = 0.0;
+    /// Number of calls behind the figures, which decreases with their age.
+    double samples = 0.0;
+};
+
+/// Maximum number of services in a heartbeat.
+inline constexpr std::size_t max_reported_services = 64;
+
 /// Models loaded on an engine, as known to the holder of the placement lease.
 struct engine_weights
 {
@@ -164,6 +195,9 @@
     std::vector<leaving_process> leaving;
     std::vector<suspect_part> suspects;
     std::vector<backend_limit> limits;
+    /// Cover the same gateways as `loads`.
+    std::vector<team_usage> teams;
+    std::vector<service_speed> speeds;
     /// Newest era of the store that the sender knows, to which `lease` belongs; 0 if it
     /// knows none.
     std::uint64_t store_era = 0;
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -1229,6 +1229,11 @@
   this->promptRate = val;
 __isset.promptRate = true;
 }
+
+void BackendLoad::__set_memoryTokens(const int32_t val) {
+  this->memoryTokens = val;
+__isset.memoryTokens = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendLoad& obj)
 {
   obj.printTo(out);
@@ -1300,6 +1305,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memoryTokens);
+          this->__isset.memoryTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1345,6 +1358,11 @@
     xfer += oprot->writeDouble(this->promptRate);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.memoryTokens) {
+    xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->memoryTokens);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1357,6 +1375,7 @@
   swap(a.waitingTokens, b.waitingTokens);
   swap(a.longStreams, b.longStreams);
   swap(a.promptRate, b.promptRate);
+  swap(a.memoryTokens, b.memoryTokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -1366,6 +1385,7 @@
   waitingTokens = other32.waitingTokens;
   longStreams = other32.longStreams;
   promptRate = other32.promptRate;
+  memoryTokens = other32.memoryTokens;
   __isset = other32.__isset;
 }
 BackendLoad& BackendLoad::operator=(const BackendLoad& other33) {
@@ -1374,6 +1394,7 @@
   waitingTokens = other33.waitingTokens;
   longStreams = other33.longStreams;
   promptRate = other33.promptRate;
+  memoryTokens = other33.memoryTokens;
   __isset = other33.__isset;
   return *this;
 }
@@ -1385,6 +1406,7 @@
   out << ", " << "waitingTokens=" << to_string(waitingTokens);
   out << ", " << "longStreams="; (__isset.longStreams ? (out << to_string(longStreams)) : (out << "<null>"));
   out << ", " << "promptRate="; (__isset.promptRate ? (out << to_string(promptRate)) : (out << "<null>"));
+  out << ", " << "memoryTokens="; (__isset.memoryTokens ? (out << to_string(memoryTokens)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1421,6 +1443,11 @@
   this->usualTokensPerSecond = val;
 __isset.usualTokensPerSecond = true;
 }
+
+void WeightRate::__set_queuedTokens(const int32_t val) {
+  this->queuedTokens = val;
+__isset.queuedTokens = true;
+}
 std::ostream& operator<<(std::ostream& out, const WeightRate& obj)
 {
   obj.printTo(out);
@@ -1511,6 +1538,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queuedTokens);
+          this->__isset.queuedTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1569,6 +1604,11 @@
     xfer += oprot->writeDouble(this->usualTokensPerSecond);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.queuedTokens) {
+    xfer += oprot->writeFieldBegin("queuedTokens", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->queuedTokens);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1583,6 +1623,7 @@
   swap(a.tokensPerSecond, b.tokensPerSecond);
   swap(a.waiting, b.waiting);
   swap(a.usualTokensPerSecond, b.usualTokensPerSecond);
+  swap(a.queuedTokens, b.queuedTokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -1594,6 +1635,7 @@
   tokensPerSecond = other34.tokensPerSecond;
   waiting = other34.waiting;
   usualTokensPerSecond = other34.usualTokensPerSecond;
+  queuedTokens = other34.queuedTokens;
   __isset = other34.__isset;
 }
 WeightRate& WeightRate::operator=(const WeightRate& other35) {
@@ -1604,6 +1646,7 @@
   tokensPerSecond = other35.tokensPerSecond;
   waiting = other35.waiting;
   usualTokensPerSecond = other35.usualTokensPerSecond;
+  queuedTokens = other35.queuedTokens;
   __isset = other35.__isset;
   return *this;
 }
@@ -1617,6 +1660,329 @@
   out << ", " << "tokensPerSecond=" << to_string(tokensPerSecond);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "usualTokensPerSecond="; (__isset.usualTokensPerSecond ? (out << to_string(usualTokensPerSecond)) : (out << "<null>"));
+  out << ", " << "queuedTokens="; (__isset.queuedTokens ? (out << to_string(queuedTokens)) : (out << "<null>"));
+  out << ")";
+}
+
+
+TeamUsage::~TeamUsage() noexcept {
+}
+
+
+void TeamUsage::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void TeamUsage::__set_asked(const double val) {
+  this->asked = val;
+}
+
+void TeamUsage::__set_admitted(const double val) {
+  this->admitted = val;
+}
+std::ostream& operator<<(std::ostream& out, const TeamUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TeamUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_team = false;
+  bool isset_asked = false;
+  bool isset_admitted = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          isset_team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->asked);
+          isset_asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->admitted);
+          isset_admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_team)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_asked)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TeamUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TeamUsage");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->asked);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->admitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TeamUsage &a, TeamUsage &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.asked, b.asked);
+  swap(a.admitted, b.admitted);
+}
+
+TeamUsage::TeamUsage(const TeamUsage& other36) {
+  team = other36.team;
+  asked = other36.asked;
+  admitted = other36.admitted;
+}
+TeamUsage& TeamUsage::operator=(const TeamUsage& other37) {
+  team = other37.team;
+  asked = other37.asked;
+  admitted = other37.admitted;
+  return *this;
+}
+void TeamUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TeamUsage(";
+  out << "team=" << to_string(team);
+  out << ", " << "asked=" << to_string(asked);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ")";
+}
+
+
+ServiceSpeed::~ServiceSpeed() noexcept {
+}
+
+
+void ServiceSpeed::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ServiceSpeed::__set_promptTokensPerMs(const double val) {
+  this->promptTokensPerMs = val;
+}
+
+void ServiceSpeed::__set_stepMs(const double val) {
+  this->stepMs = val;
+}
+
+void ServiceSpeed::__set_stepMsPerRequest(const double val) {
+  this->stepMsPerRequest = val;
+}
+
+void ServiceSpeed::__set_samples(const double val) {
+  this->samples = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceSpeed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceSpeed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_serviceName = false;
+  bool isset_promptTokensPerMs = false;
+  bool isset_stepMs = false;
+  bool isset_stepMsPerRequest = false;
+  bool isset_samples = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->promptTokensPerMs);
+          isset_promptTokensPerMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->stepMs);
+          isset_stepMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->stepMsPerRequest);
+          isset_stepMsPerRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->samples);
+          isset_samples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_promptTokensPerMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_stepMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_stepMsPerRequest)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_samples)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServiceSpeed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceSpeed");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptTokensPerMs", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->promptTokensPerMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stepMs", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->stepMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stepMsPerRequest", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->stepMsPerRequest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->samples);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceSpeed &a, ServiceSpeed &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.promptTokensPerMs, b.promptTokensPerMs);
+  swap(a.stepMs, b.stepMs);
+  swap(a.stepMsPerRequest, b.stepMsPerRequest);
+  swap(a.samples, b.samples);
+}
+
+ServiceSpeed::ServiceSpeed(const ServiceSpeed& other38) {
+  serviceName = other38.serviceName;
+  promptTokensPerMs = other38.promptTokensPerMs;
+  stepMs = other38.stepMs;
+  stepMsPerRequest = other38.stepMsPerRequest;
+  samples = other38.samples;
+}
+ServiceSpeed& ServiceSpeed::operator=(const ServiceSpeed& other39) {
+  serviceName = other39.serviceName;
+  promptTokensPerMs = other39.promptTokensPerMs;
+  stepMs = other39.stepMs;
+  stepMsPerRequest = other39.stepMsPerRequest;
+  samples = other39.samples;
+  return *this;
+}
+void ServiceSpeed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceSpeed(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "promptTokensPerMs=" << to_string(promptTokensPerMs);
+  out << ", " << "stepMs=" << to_string(stepMs);
+  out << ", " << "stepMsPerRequest=" << to_string(stepMsPerRequest);
+  out << ", " << "samples=" << to_string(samples);
   out << ")";
 }
 
@@ -1687,14 +2053,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->adapters.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->adapters.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += iprot->readString(this->adapters[_i40]);
+              xfer += iprot->readString(this->adapters[_i44]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1737,10 +2103,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->adapters.begin(); _iter41 != this->adapters.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter45;
+    for (_iter45 = this->adapters.begin(); _iter45 != this->adapters.end(); ++_iter45)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter45));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1758,15 +2124,15 @@
   swap(a.adapters, b.adapters);
 }
 
-LoadedModel::LoadedModel(const LoadedModel& other42) {
-  model = other42.model;
-  version = other42.version;
-  adapters = other42.adapters;
+LoadedModel::LoadedModel(const LoadedModel& other46) {
+  model = other46.model;
+  version = other46.version;
+  adapters = other46.adapters;
 }
-LoadedModel& LoadedModel::operator=(const LoadedModel& other43) {
-  model = other43.model;
-  version = other43.version;
-  adapters = other43.adapters;
+LoadedModel& LoadedModel::operator=(const LoadedModel& other47) {
+  model = other47.model;
+  version = other47.version;
+  adapters = other47.adapters;
   return *this;
 }
 void LoadedModel::printTo(std::ostream& out) const {
@@ -1858,14 +2224,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->models.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->models.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->models[_i48].read(iprot);
+              xfer += this->models[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1914,10 +2280,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<LoadedModel> ::const_iterator _iter49;
-    for (_iter49 = this->models.begin(); _iter49 != this->models.end(); ++_iter49)
+    std::vector<LoadedModel> ::const_iterator _iter53;
+    for (_iter53 = this->models.begin(); _iter53 != this->models.end(); ++_iter53)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1936,17 +2302,17 @@
   swap(a.models, b.models);
 }
 
-EngineWeights::EngineWeights(const EngineWeights& other50) {
-  engine = other50.engine;
-  incarnation = other50.incarnation;
-  orderSequence = other50.orderSequence;
-  models = other50.models;
+EngineWeights::EngineWeights(const EngineWeights& other54) {
+  engine = other54.engine;
+  incarnation = other54.incarnation;
+  orderSequence = other54.orderSequence;
+  models = other54.models;
 }
-EngineWeights& EngineWeights::operator=(const EngineWeights& other51) {
-  engine = other51.engine;
-  incarnation = other51.incarnation;
-  orderSequence = other51.orderSequence;
-  models = other51.models;
+EngineWeights& EngineWeights::operator=(const EngineWeights& other55) {
+  engine = other55.engine;
+  incarnation = other55.incarnation;
+  orderSequence = other55.orderSequence;
+  models = other55.models;
   return *this;
 }
 void EngineWeights::printTo(std::ostream& out) const {
@@ -2077,15 +2443,15 @@
   swap(a.endOffset, b.endOffset);
 }
 
-LeaseView::LeaseView(const LeaseView& other52) {
-  holder = other52.holder;
-  epoch = other52.epoch;
-  endOffset = other52.endOffset;
+LeaseView::LeaseView(const LeaseView& other56) {
+  holder = other56.holder;
+  epoch = other56.epoch;
+  endOffset = other56.endOffset;
 }
-LeaseView& LeaseView::operator=(const LeaseView& other53) {
-  holder = other53.holder;
-  epoch = other53.epoch;
-  endOffset = other53.endOffset;
+LeaseView& LeaseView::operator=(const LeaseView& other57) {
+  holder = other57.holder;
+  epoch = other57.epoch;
+  endOffset = other57.endOffset;
   return *this;
 }
 void LeaseView::printTo(std::ostream& out) const {
@@ -2195,13 +2561,13 @@
   swap(a.alive, b.alive);
 }
 
-MemberNotice::MemberNotice(const MemberNotice& other54) {
-  member = other54.member;
-  alive = other54.alive;
+MemberNotice::MemberNotice(const MemberNotice& other58) {
+  member = other58.member;
+  alive = other58.alive;
 }
-MemberNotice& MemberNotice::operator=(const MemberNotice& other55) {
-  member = other55.member;
-  alive = other55.alive;
+MemberNotice& MemberNotice::operator=(const MemberNotice& other59) {
+  member = other59.member;
+  alive = other59.alive;
   return *this;
 }
 void MemberNotice::printTo(std::ostream& out) const {
@@ -2330,15 +2696,15 @@
   swap(a.waitedMs, b.waitedMs);
 }
 
-SuspectedCrash::SuspectedCrash(const SuspectedCrash& other56) {
-  process = other56.process;
-  ageMs = other56.ageMs;
-  waitedMs = other56.waitedMs;
+SuspectedCrash::SuspectedCrash(const SuspectedCrash& other60) {
+  process = other60.process;
+  ageMs = other60.ageMs;
+  waitedMs = other60.waitedMs;
 }
-SuspectedCrash& SuspectedCrash::operator=(const SuspectedCrash& other57) {
-  process = other57.process;
-  ageMs = other57.ageMs;
-  waitedMs = other57.waitedMs;
+SuspectedCrash& SuspectedCrash::operator=(const SuspectedCrash& other61) {
+  process = other61.process;
+  ageMs = other61.ageMs;
+  waitedMs = other61.waitedMs;
   return *this;
 }
 void SuspectedCrash::printTo(std::ostream& out) const {
@@ -2450,14 +2816,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->crashes.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->crashes.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->crashes[_i62].read(iprot);
+              xfer += this->crashes[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2538,10 +2904,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<SuspectedCrash> ::const_iterator _iter63;
-    for (_iter63 = this->crashes.begin(); _iter63 != this->crashes.end(); ++_iter63)
+    std::vector<SuspectedCrash> ::const_iterator _iter67;
+    for (_iter67 = this->crashes.begin(); _iter67 != this->crashes.end(); ++_iter67)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2585,27 +2951,27 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectPart::SuspectPart(const SuspectPart& other64) {
-  serviceName = other64.serviceName;
-  part = other64.part;
-  position = other64.position;
-  crashes = other64.crashes;
-  clearedAgoMs = other64.clearedAgoMs;
-  round = other64.round;
-  remainingMs = other64.remainingMs;
-  released = other64.released;
-  __isset = other64.__isset;
-}
-SuspectPart& SuspectPart::operator=(const SuspectPart& other65) {
-  serviceName = other65.serviceName;
-  part = other65.part;
-  position = other65.position;
-  crashes = other65.crashes;
-  clearedAgoMs = other65.clearedAgoMs;
-  round = other65.round;
-  remainingMs = other65.remainingMs;
-  released = other65.released;
-  __isset = other65.__isset;
+SuspectPart::SuspectPart(const SuspectPart& other68) {
+  serviceName = other68.serviceName;
+  part = other68.part;
+  position = other68.position;
+  crashes = other68.crashes;
+  clearedAgoMs = other68.clearedAgoMs;
+  round = other68.round;
+  remainingMs = other68.remainingMs;
+  released = other68.released;
+  __isset = other68.__isset;
+}
+SuspectPart& SuspectPart::operator=(const SuspectPart& other69) {
+  serviceName = other69.serviceName;
+  part = other69.part;
+  position = other69.position;
+  crashes = other69.crashes;
+  clearedAgoMs = other69.clearedAgoMs;
+  round = other69.round;
+  remainingMs = other69.remainingMs;
+  released = other69.released;
+  __isset = other69.__isset;
   return *this;
 }
 void SuspectPart::printTo(std::ostream& out) const {
@@ -2740,17 +3106,17 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendLimit::BackendLimit(const BackendLimit& other66) {
-  backend = other66.backend;
-  perSecond = other66.perSecond;
-  ageMs = other66.ageMs;
-  __isset = other66.__isset;
+BackendLimit::BackendLimit(const BackendLimit& other70) {
+  backend = other70.backend;
+  perSecond = other70.perSecond;
+  ageMs = other70.ageMs;
+  __isset = other70.__isset;
 }
-BackendLimit& BackendLimit::operator=(const BackendLimit& other67) {
-  backend = other67.backend;
-  perSecond = other67.perSecond;
-  ageMs = other67.ageMs;
-  __isset = other67.__isset;
+BackendLimit& BackendLimit::operator=(const BackendLimit& other71) {
+  backend = other71.backend;
+  perSecond = other71.perSecond;
+  ageMs = other71.ageMs;
+  __isset = other71.__isset;
   return *this;
 }
 void BackendLimit::printTo(std::ostream& out) const {
@@ -2833,6 +3199,16 @@
   this->storeEra = val;
 __isset.storeEra = true;
 }
+
+void GatewayHeartbeat::__set_teams(const std::vector<TeamUsage> & val) {
+  this->teams = val;
+__isset.teams = true;
+}
+
+void GatewayHeartbeat::__set_speeds(const std::vector<ServiceSpeed> & val) {
+  this->speeds = val;
+__isset.speeds = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -2905,14 +3281,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->loads.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->loads.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->loads[_i72].read(iprot);
+              xfer += this->loads[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2925,14 +3301,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->rates.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->rates.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->rates[_i77].read(iprot);
+              xfer += this->rates[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2945,14 +3321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->weights.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->weights.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->weights[_i82].read(iprot);
+              xfer += this->weights[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2965,14 +3341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->leaving.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->leaving.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->leaving[_i87].read(iprot);
+              xfer += this->leaving[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3009,14 +3385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->members.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->members.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->members[_i92].read(iprot);
+              xfer += this->members[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3029,14 +3405,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->suspects.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->suspects.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->suspects[_i97].read(iprot);
+              xfer += this->suspects[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3049,14 +3425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->limits.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->limits.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->limits[_i102].read(iprot);
+              xfer += this->limits[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3073,6 +3449,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->teams.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->teams.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += this->teams[_i111].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.teams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speeds.clear();
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->speeds.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
+            {
+              xfer += this->speeds[_i116].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3125,10 +3541,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<BackendLoad> ::const_iterator _iter103;
-    for (_iter103 = this->loads.begin(); _iter103 != this->loads.end(); ++_iter103)
+    std::vector<BackendLoad> ::const_iterator _iter117;
+    for (_iter117 = this->loads.begin(); _iter117 != this->loads.end(); ++_iter117)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3137,10 +3553,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<WeightRate> ::const_iterator _iter104;
-    for (_iter104 = this->rates.begin(); _iter104 != this->rates.end(); ++_iter104)
+    std::vector<WeightRate> ::const_iterator _iter118;
+    for (_iter118 = this->rates.begin(); _iter118 != this->rates.end(); ++_iter118)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3149,10 +3565,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
-    std::vector<EngineWeights> ::const_iterator _iter105;
-    for (_iter105 = this->weights.begin(); _iter105 != this->weights.end(); ++_iter105)
+    std::vector<EngineWeights> ::const_iterator _iter119;
+    for (_iter119 = this->weights.begin(); _iter119 != this->weights.end(); ++_iter119)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3161,10 +3577,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingBackend> ::const_iterator _iter106;
-    for (_iter106 = this->leaving.begin(); _iter106 != this->leaving.end(); ++_iter106)
+    std::vector<LeavingBackend> ::const_iterator _iter120;
+    for (_iter120 = this->leaving.begin(); _iter120 != this->leaving.end(); ++_iter120)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3189,10 +3605,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MemberNotice> ::const_iterator _iter107;
-      for (_iter107 = this->members.begin(); _iter107 != this->members.end(); ++_iter107)
+      std::vector<MemberNotice> ::const_iterator _iter121;
+      for (_iter121 = this->members.begin(); _iter121 != this->members.end(); ++_iter121)
       {
-        xfer += (*_iter107).write(oprot);
+        xfer += (*_iter121).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3202,10 +3618,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectPart> ::const_iterator _iter108;
-      for (_iter108 = this->suspects.begin(); _iter108 != this->suspects.end(); ++_iter108)
+      std::vector<SuspectPart> ::const_iterator _iter122;
+      for (_iter122 = this->suspects.begin(); _iter122 != this->suspects.end(); ++_iter122)
       {
-        xfer += (*_iter108).write(oprot);
+        xfer += (*_iter122).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3215,10 +3631,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<BackendLimit> ::const_iterator _iter109;
-      for (_iter109 = this->limits.begin(); _iter109 != this->limits.end(); ++_iter109)
+      std::vector<BackendLimit> ::const_iterator _iter123;
+      for (_iter123 = this->limits.begin(); _iter123 != this->limits.end(); ++_iter123)
       {
-        xfer += (*_iter109).write(oprot);
+        xfer += (*_iter123).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3229,6 +3645,32 @@
     xfer += oprot->writeI64(this->storeEra);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.teams) {
+    xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->teams.size()));
+      std::vector<TeamUsage> ::const_iterator _iter124;
+      for (_iter124 = this->teams.begin(); _iter124 != this->teams.end(); ++_iter124)
+      {
+        xfer += (*_iter124).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.speeds) {
+    xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
+      std::vector<ServiceSpeed> ::const_iterator _iter125;
+      for (_iter125 = this->speeds.begin(); _iter125 != this->speeds.end(); ++_iter125)
+      {
+        xfer += (*_iter125).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3251,44 +3693,50 @@
   swap(a.suspects, b.suspects);
   swap(a.limits, b.limits);
   swap(a.storeEra, b.storeEra);
+  swap(a.teams, b.teams);
+  swap(a.speeds, b.speeds);
   swap(a.__isset, b.__isset);
 }
 
-GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other110) {
-  origin = other110.origin;
-  counter = other110.counter;
-  configVersion = other110.configVersion;
-  lease = other110.lease;
-  loads = other110.loads;
-  rates = other110.rates;
-  weights = other110.weights;
-  leaving = other110.leaving;
-  scope = other110.scope;
-  periodMs = other110.periodMs;
-  aggregator = other110.aggregator;
-  members = other110.members;
-  suspects = other110.suspects;
-  limits = other110.limits;
-  storeEra = other110.storeEra;
-  __isset = other110.__isset;
-}
-GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other111) {
-  origin = other111.origin;
-  counter = other111.counter;
-  configVersion = other111.configVersion;
-  lease = other111.lease;
-  loads = other111.loads;
-  rates = other111.rates;
-  weights = other111.weights;
-  leaving = other111.leaving;
-  scope = other111.scope;
-  periodMs = other111.periodMs;
-  aggregator = other111.aggregator;
-  members = other111.members;
-  suspects = other111.suspects;
-  limits = other111.limits;
-  storeEra = other111.storeEra;
-  __isset = other111.__isset;
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other126) {
+  origin = other126.origin;
+  counter = other126.counter;
+  configVersion = other126.configVersion;
+  lease = other126.lease;
+  loads = other126.loads;
+  rates = other126.rates;
+  weights = other126.weights;
+  leaving = other126.leaving;
+  scope = other126.scope;
+  periodMs = other126.periodMs;
+  aggregator = other126.aggregator;
+  members = other126.members;
+  suspects = other126.suspects;
+  limits = other126.limits;
+  storeEra = other126.storeEra;
+  teams = other126.teams;
+  speeds = other126.speeds;
+  __isset = other126.__isset;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other127) {
+  origin = other127.origin;
+  counter = other127.counter;
+  configVersion = other127.configVersion;
+  lease = other127.lease;
+  loads = other127.loads;
+  rates = other127.rates;
+  weights = other127.weights;
+  leaving = other127.leaving;
+  scope = other127.scope;
+  periodMs = other127.periodMs;
+  aggregator = other127.aggregator;
+  members = other127.members;
+  suspects = other127.suspects;
+  limits = other127.limits;
+  storeEra = other127.storeEra;
+  teams = other127.teams;
+  speeds = other127.speeds;
+  __isset = other127.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -3309,6 +3757,8 @@
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
+  out << ", " << "teams="; (__isset.teams ? (out << to_string(teams)) : (out << "<null>"));
+  out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3450,17 +3900,17 @@
   swap(a.urgent, b.urgent);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other112) {
-  backend = other112.backend;
-  perSecond = other112.perSecond;
-  count = other112.count;
-  urgent = other112.urgent;
+PermitRequest::PermitRequest(const PermitRequest& other128) {
+  backend = other128.backend;
+  perSecond = other128.perSecond;
+  count = other128.count;
+  urgent = other128.urgent;
 }
-PermitRequest& PermitRequest::operator=(const PermitRequest& other113) {
-  backend = other113.backend;
-  perSecond = other113.perSecond;
-  count = other113.count;
-  urgent = other113.urgent;
+PermitRequest& PermitRequest::operator=(const PermitRequest& other129) {
+  backend = other129.backend;
+  perSecond = other129.perSecond;
+  count = other129.count;
+  urgent = other129.urgent;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -3571,13 +4021,13 @@
   swap(a.waitMs, b.waitMs);
 }
 
-PermitGrant::PermitGrant(const PermitGrant& other114) noexcept {
-  count = other114.count;
-  waitMs = other114.waitMs;
+PermitGrant::PermitGrant(const PermitGrant& other130) noexcept {
+  count = other130.count;
+  waitMs = other130.waitMs;
 }
-PermitGrant& PermitGrant::operator=(const PermitGrant& other115) noexcept {
-  count = other115.count;
-  waitMs = other115.waitMs;
+PermitGrant& PermitGrant::operator=(const PermitGrant& other131) noexcept {
+  count = other131.count;
+  waitMs = other131.waitMs;
   return *this;
 }
 void PermitGrant::printTo(std::ostream& out) const {
@@ -3726,19 +4176,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other116) {
-  key = other116.key;
-  offset = other116.offset;
-  value = other116.value;
-  removal = other116.removal;
-  __isset = other116.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other132) {
+  key = other132.key;
+  offset = other132.offset;
+  value = other132.value;
+  removal = other132.removal;
+  __isset = other132.__isset;
 }
-BackendRecord& BackendRecord::operator=(const BackendRecord& other117) {
-  key = other117.key;
-  offset = other117.offset;
-  value = other117.value;
-  removal = other117.removal;
-  __isset = other117.__isset;
+BackendRecord& BackendRecord::operator=(const BackendRecord& other133) {
+  key = other133.key;
+  offset = other133.offset;
+  value = other133.value;
+  removal = other133.removal;
+  __isset = other133.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -3849,14 +4299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->records.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->records.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->records[_i122].read(iprot);
+              xfer += this->records[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3919,10 +4369,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter123;
-    for (_iter123 = this->records.begin(); _iter123 != this->records.end(); ++_iter123)
+    std::vector<BackendRecord> ::const_iterator _iter139;
+    for (_iter139 = this->records.begin(); _iter139 != this->records.end(); ++_iter139)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3949,23 +4399,23 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendPage::BackendPage(const BackendPage& other124) {
-  nextOffset = other124.nextOffset;
-  whole = other124.whole;
-  listReachable = other124.listReachable;
-  settingsReachable = other124.settingsReachable;
-  records = other124.records;
-  storeEra = other124.storeEra;
-  __isset = other124.__isset;
-}
-BackendPage& BackendPage::operator=(const BackendPage& other125) {
-  nextOffset = other125.nextOffset;
-  whole = other125.whole;
-  listReachable = other125.listReachable;
-  settingsReachable = other125.settingsReachable;
-  records = other125.records;
-  storeEra = other125.storeEra;
-  __isset = other125.__isset;
+BackendPage::BackendPage(const BackendPage& other140) {
+  nextOffset = other140.nextOffset;
+  whole = other140.whole;
+  listReachable = other140.listReachable;
+  settingsReachable = other140.settingsReachable;
+  records = other140.records;
+  storeEra = other140.storeEra;
+  __isset = other140.__isset;
+}
+BackendPage& BackendPage::operator=(const BackendPage& other141) {
+  nextOffset = other141.nextOffset;
+  whole = other141.whole;
+  listReachable = other141.listReachable;
+  settingsReachable = other141.settingsReachable;
+  records = other141.records;
+  storeEra = other141.storeEra;
+  __isset = other141.__isset;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -4096,17 +4546,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other126) {
-  heartbeat = other126.heartbeat;
-  settingsPull = other126.settingsPull;
-  settingsState = other126.settingsState;
-  __isset = other126.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other142) {
+  heartbeat = other142.heartbeat;
+  settingsPull = other142.settingsPull;
+  settingsState = other142.settingsState;
+  __isset = other142.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other127) {
-  heartbeat = other127.heartbeat;
-  settingsPull = other127.settingsPull;
-  settingsState = other127.settingsState;
-  __isset = other127.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other143) {
+  heartbeat = other143.heartbeat;
+  settingsPull = other143.settingsPull;
+  settingsState = other143.settingsState;
+  __isset = other143.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -4216,13 +4666,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other128) {
-  sender = other128.sender;
-  message = other128.message;
+Envelope::Envelope(const Envelope& other144) {
+  sender = other144.sender;
+  message = other144.message;
 }
-Envelope& Envelope::operator=(const Envelope& other129) {
-  sender = other129.sender;
-  message = other129.message;
+Envelope& Envelope::operator=(const Envelope& other145) {
+  sender = other145.sender;
+  message = other145.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -39,6 +39,10 @@
 
 class WeightRate;
 
+class TeamUsage;
+
+class ServiceSpeed;
+
 class LoadedModel;
 
 class EngineWeights;
@@ -482,9 +486,10 @@
 std::ostream& operator<<(std::ostream& out, const GatewayMember& obj);
 
 typedef struct _BackendLoad__isset {
-  _BackendLoad__isset() : longStreams(false), promptRate(false) {}
+  _BackendLoad__isset() : longStreams(false), promptRate(false), memoryTokens(false) {}
   bool longStreams :1;
   bool promptRate :1;
+  bool memoryTokens :1;
 } _BackendLoad__isset;
 
 class BackendLoad : public virtual ::apache::thrift::TBase {
@@ -497,7 +502,8 @@
                 active(0),
                 waitingTokens(0),
                 longStreams(0),
-                promptRate(0) {
+                promptRate(0),
+                memoryTokens(0) {
   }
 
   virtual ~BackendLoad() noexcept;
@@ -506,6 +512,7 @@
   int32_t waitingTokens;
   int32_t longStreams;
   double promptRate;
+  int32_t memoryTokens;
 
   _BackendLoad__isset __isset;
 
@@ -519,6 +526,8 @@
 
   void __set_promptRate(const double val);
 
+  void __set_memoryTokens(const int32_t val);
+
   bool operator == (const BackendLoad & rhs) const
   {
     if (!(backend == rhs.backend))
@@ -535,6 +544,10 @@
       return false;
     else if (__isset.promptRate && !(promptRate == rhs.promptRate))
       return false;
+    if (__isset.memoryTokens != rhs.__isset.memoryTokens)
+      return false;
+    else if (__isset.memoryTokens && !(memoryTokens == rhs.memoryTokens))
+      return false;
     return true;
   }
   bool operator != (const BackendLoad &rhs) const {
@@ -554,8 +567,9 @@
 std::ostream& operator<<(std::ostream& out, const BackendLoad& obj);
 
 typedef struct _WeightRate__isset {
-  _WeightRate__isset() : usualTokensPerSecond(false) {}
+  _WeightRate__isset() : usualTokensPerSecond(false), queuedTokens(false) {}
   bool usualTokensPerSecond :1;
+  bool queuedTokens :1;
 } _WeightRate__isset;
 
 class WeightRate : public virtual ::apache::thrift::TBase {
@@ -570,7 +584,8 @@
                perSecond(0),
                tokensPerSecond(0),
                waiting(0),
-               usualTokensPerSecond(0) {
+               usualTokensPerSecond(0),
+               queuedTokens(0) {
   }
 
   virtual ~WeightRate() noexcept;
@@ -581,6 +596,7 @@
   double tokensPerSecond;
   int32_t waiting;
   double usualTokensPerSecond;
+  int32_t queuedTokens;
 
   _WeightRate__isset __isset;
 
@@ -598,6 +614,8 @@
 
   void __set_usualTokensPerSecond(const double val);
 
+  void __set_queuedTokens(const int32_t val);
+
   bool operator == (const WeightRate & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -616,6 +634,10 @@
       return false;
     else if (__isset.usualTokensPerSecond && !(usualTokensPerSecond == rhs.usualTokensPerSecond))
       return false;
+    if (__isset.queuedTokens != rhs.__isset.queuedTokens)
+      return false;
+    else if (__isset.queuedTokens && !(queuedTokens == rhs.queuedTokens))
+      return false;
     return true;
   }
   bool operator != (const WeightRate &rhs) const {
@@ -635,6 +657,116 @@
 std::ostream& operator<<(std::ostream& out, const WeightRate& obj);
 
 
+class TeamUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  TeamUsage(const TeamUsage&);
+  TeamUsage& operator=(const TeamUsage&);
+  TeamUsage() noexcept
+            : team(),
+              asked(0),
+              admitted(0) {
+  }
+
+  virtual ~TeamUsage() noexcept;
+  std::string team;
+  double asked;
+  double admitted;
+
+  void __set_team(const std::string& val);
+
+  void __set_asked(const double val);
+
+  void __set_admitted(const double val);
+
+  bool operator == (const TeamUsage & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    return true;
+  }
+  bool operator != (const TeamUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TeamUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TeamUsage &a, TeamUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const TeamUsage& obj);
+
+
+class ServiceSpeed : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceSpeed(const ServiceSpeed&);
+  ServiceSpeed& operator=(const ServiceSpeed&);
+  ServiceSpeed() noexcept
+               : serviceName(),
+                 promptTokensPerMs(0),
+                 stepMs(0),
+                 stepMsPerRequest(0),
+                 samples(0) {
+  }
+
+  virtual ~ServiceSpeed() noexcept;
+  std::string serviceName;
+  double promptTokensPerMs;
+  double stepMs;
+  double stepMsPerRequest;
+  double samples;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_promptTokensPerMs(const double val);
+
+  void __set_stepMs(const double val);
+
+  void __set_stepMsPerRequest(const double val);
+
+  void __set_samples(const double val);
+
+  bool operator == (const ServiceSpeed & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(promptTokensPerMs == rhs.promptTokensPerMs))
+      return false;
+    if (!(stepMs == rhs.stepMs))
+      return false;
+    if (!(stepMsPerRequest == rhs.stepMsPerRequest))
+      return false;
+    if (!(samples == rhs.samples))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceSpeed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceSpeed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceSpeed &a, ServiceSpeed &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceSpeed& obj);
+
+
 class LoadedModel : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1029,7 +1161,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
 
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
@@ -1037,6 +1169,8 @@
   bool suspects :1;
   bool limits :1;
   bool storeEra :1;
+  bool teams :1;
+  bool speeds :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1069,6 +1203,8 @@
   std::vector<SuspectPart>  suspects;
   std::vector<BackendLimit>  limits;
   int64_t storeEra;
+  std::vector<TeamUsage>  teams;
+  std::vector<ServiceSpeed>  speeds;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -1102,6 +1238,10 @@
 
   void __set_storeEra(const int64_t val);
 
+  void __set_teams(const std::vector<TeamUsage> & val);
+
+  void __set_speeds(const std::vector<ServiceSpeed> & val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -1148,6 +1288,14 @@
       return false;
     else if (__isset.storeEra && !(storeEra == rhs.storeEra))
       return false;
+    if (__isset.teams != rhs.__isset.teams)
+      return false;
+    else if (__isset.teams && !(teams == rhs.teams))
+      return false;
+    if (__isset.speeds != rhs.__isset.speeds)
+      return false;
+    else if (__isset.speeds && !(speeds == rhs.speeds))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -68,6 +68,8 @@
   // per second.
   4: optional i32 longStreams
   5: optional double promptRate
+  // Tokens of the prompts and outputs of running calls, which occupy the memory of the engine.
+  6: optional i32 memoryTokens
 }
 
 // Rate at which a gateway receives requests for one model or adapter.
@@ -80,6 +82,26 @@
   6: required i32 waiting
   // Tokens per second, averaged over a longer period.
   7: optional double usualTokensPerSecond
+  // Prompt tokens of requests that wait at gateways until an engine has capacity for them.
+  8: optional i32 queuedTokens
+}
+
+// Use of a team's allowance, in the unit of the allowance per second.
+struct TeamUsage {
+  1: required string team
+  2: required double asked
+  3: required double admitted
+}
+
+// Speed of the engines of a service, as measured by calls.
+struct ServiceSpeed {
+  1: required string serviceName
+  2: required double promptTokensPerMs
+  3: required double stepMs
+  // Increase of the duration of a step for each further running request.
+  4: required double stepMsPerRequest
+  // Number of calls behind the figures, which decreases with their age.
+  5: required double samples
 }
 
 struct LoadedModel {
@@ -164,6 +186,9 @@
   14: optional list<BackendLimit> limits
   // Newest era of the platform's store that the sender knows; `lease` is from it.
   15: optional i64 storeEra
+  // Cover the same gateways as `loads`.
+  16: optional list<TeamUsage> teams
+  17: optional list<ServiceSpeed> speeds
 }
 
 // Requests permits to send requests to a backend server with a limit, from the gateway that issues
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <limits>
 #include <vector>
 
 namespace
@@ -25,12 +26,14 @@
     heartbeat.lease = {"n2", 5, 77};
     heartbeat.scope = protocol::load_scope::zone;
     heartbeat.period = state::milliseconds(400);
-    heartbeat.loads = {{"e1@3", 4, 2000, 1, 12.5}};
-    heartbeat.rates = {{"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2}};
+    heartbeat.loads = {{"e1@3", 4, 2000, 1, 12.5, 9000}};
+    heartbeat.rates = {{"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2, 4100}};
     heartbeat.weights = {{"e1", 3, 8, {{"m1", 2, {"a1", "a2"}}}}};
     heartbeat.leaving = {{"e4", 6}};
     heartbeat.limits = {{"e1@3", 0.5, state::milliseconds(120)},
                         {"e2@1", std::nullopt, state::milliseconds(0)}};
+    heartbeat.teams = {{"team-a", 250.5, 200.0}};
+    heartbeat.speeds = {{"models", 38.7, 10.1, 0.2, 30.0}};
     return heartbeat;
 }
 
@@ -53,9 +56,17 @@
     REQUIRE(copy.loads.size() == 1);
     CHECK(copy.loads[0].waiting_tokens == 2000);
     CHECK(copy.loads[0].prompt_rate == 12.5);
+    CHECK(copy.loads[0].memory_tokens == 9000);
     REQUIRE(copy.rates.size() == 1);
     CHECK(copy.rates[0].usual_tokens_per_s == 2500.0);
     CHECK(copy.rates[0].waiting == 2);
+    CHECK(copy.rates[0].queued_tokens == 4100);
+    REQUIRE(copy.teams.size() == 1);
+    CHECK(copy.teams[0].asked_per_s == 250.5);
+    CHECK(copy.teams[0].admitted_per_s == 200.0);
+    REQUIRE(copy.speeds.size() == 1);
+    CHECK(copy.speeds[0].prompt_tokens_per_ms == 38.7);
+    CHECK(copy.speeds[0].step_ms_per_request == 0.2);
     REQUIRE(copy.weights.size() == 1);
     CHECK(copy.weights[0].models[0].adapters.size() == 2);
     CHECK(copy.leaving[0].incarnation == 6);
@@ -65,6 +76,20 @@
     CHECK(!copy.limits[1].per_s);
 }
 
+// A rate that is not a number would spread through the sums of all gateways.
+TEST_CASE("odd rates in a heartbeat are read as 0")
+{
+    gateway_heartbeat heartbeat = sample();
+    heartbeat.teams = {{"team-a", std::numeric_limits<double>::quiet_NaN(), -3.0}};
+    heartbeat.speeds = {
+        {"models", std::numeric_limits<double>::infinity(), 1.0, 0.0, 0.0}};
+    const auto copy =
+        protocol::decode_gateway_heartbeat(protocol::encode_gateway_heartbeat(heartbeat));
+    CHECK(copy.teams[0].asked_per_s == 0.0);
+    CHECK(copy.teams[0].admitted_per_s == 0.0);
+    CHECK(copy.speeds[0].prompt_tokens_per_ms == 0.0);
+}
+
 TEST_CASE("a permit request and its grant are decoded, odd values give a typed error")
 {
     const auto request = protocol::decode_permit_request(
