--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -138,10 +138,10 @@
         {"Services",
          boost::json::array{boost::json::object{{"Name", "models"}, {"Engine", engine}},
                             boost::json::object{{"Name", "plain"}}}},
-        {"Limits", boost::json::object{{"MaxHeaderBytes", 4096},
+        {"Limits", boost::json::object{{"MaxHeaderBytes", this->max_header_bytes},
                                        {"MaxBodyBytes", this->max_body_bytes},
-                                       {"HeaderTimeoutMs", 300},
-                                       {"IdleTimeoutMs", 2000}}}};
+                                       {"HeaderTimeoutMs", this->header_timeout_ms},
+                                       {"IdleTimeoutMs", this->idle_timeout_ms}}}};
     this->store.put("keyed.op", "config", boost::json::serialize(config));
 }
 
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -53,8 +53,11 @@
     /// closed or nothing has arrived for `quiet`.
     std::string exchange(const std::string& bytes, state::milliseconds quiet);
 
-    /// Limit of request bodies in the configurations that `put_config()` writes.
+    /// Limits of requests in the configurations that `put_config()` writes.
     std::int64_t max_body_bytes = 65536;
+    std::int64_t max_header_bytes = 4096;
+    std::int64_t header_timeout_ms = 300;
+    std::int64_t idle_timeout_ms = 2000;
     state::counter_registry counters;
     boost::asio::io_context loop{1};
     fake_store store{this->loop};
