Answer responses with an invalid status with 502 at once

Cause: the parser takes any three digits for a status. The client counted all statuses below 200 as interim responses and waited for the final one, so that 000, 001, 099 and an unasked 101 made the caller wait for the deadline and get 504. 600 and 999 were passed on to callers with the body of the engine. Change: a head whose status is outside of 100 to 599, or is 101, ends the call as malformed, on every path that reads a response (requests, reports, orders, the store, other gateways); the connection is closed. Result: the new test of tst_trouble failed before (504 for four statuses, 600 passed on) and passes now, on a plain and on a streaming route.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -52,6 +52,21 @@
     return state::milliseconds(seconds * ms_per_s);
 }
 
+/// Throws `http_error` if `status` is none that a server may send: one outside of the
+/// classes of RFC 9110, or a change of protocols that no request asks for. The parser
+/// takes any three digits, and a response below 200 would count as an interim one.
+void check_status(unsigned status, const std::string& address)
+{
+    constexpr unsigned min_status = 100;
+    constexpr unsigned max_status = 599;
+    constexpr unsigned switching_protocols = 101;
+    if (status >= min_status && status <= max_status && status != switching_protocols)
+        return;
+    throw http_error(error_code::malformed_frame, address,
+                     "the response has the invalid status " + std::to_string(status),
+                     true);
+}
+
 /// Throws `http_error` if the end of the stream completes a response although the server
 /// did not end it.
 void check_end(internal::http_connection& link)
@@ -139,6 +154,7 @@
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         throw link.make_error(failure);
+    check_status(link.parser->get().result_int(), link.address);
     this->response_head.base() = link.parser->get().base();
 }
 
--- a/tests/auto/platform/tst_trouble.cpp
+++ b/tests/auto/platform/tst_trouble.cpp
@@ -121,6 +121,36 @@
     }
 }
 
+// Guards against a status that is none, which a caller would get as an answer or for
+// which its request would wait until the deadline.
+TEST_CASE("a response with an invalid status is answered with 502")
+{
+    for (const std::string path : {"/once/x", "/stream/x"})
+    {
+        const bool is_stream = path == "/stream/x";
+        for (const std::string status : {"000", "001", "099", "101", "600", "999"})
+        {
+            CAPTURE(path);
+            CAPTURE(status);
+            gateway_fixture test;
+            auto& backend = test.add_backend(
+                "s1", is_stream ? "models" : "plain",
+                [&](const transport::http_request&)
+                { return raw_reply{{response_text(status + " Odd", "a1", "odd")}}; },
+                {"m1"});
+            test.put_config(1);
+            test.start();
+            const auto response =
+                test.fetch(test.request(path, "a1", is_stream ? "m1" : ""));
+            REQUIRE(response);
+            CHECK(response->result_int() == 502);
+            CHECK(response->body().find("odd") == std::string::npos);
+            // The connection may hold a body that belongs to no request.
+            test.run_until([&backend] { return backend.closed > 0; });
+        }
+    }
+}
+
 // Guards against the gateway's own calls to an engine or the store that never end because
 // a byte arrives now and then.
 TEST_CASE("a call whose response trickles in ends at its time limit")
