--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -32,6 +32,7 @@
 
 constexpr state::milliseconds longest_period{60000};
 constexpr int max_round = 1000000;
+constexpr std::int32_t max_gateways = 100000;
 
 template <typename Unsigned, typename Signed>
 Unsigned to_unsigned(Signed value)
@@ -244,6 +245,8 @@
         item.__set_asked(usage.asked_per_s);
         item.__set_admitted(usage.admitted_per_s);
     }
+    if (heartbeat.team_reporters > 0)
+        result.__set_teamReporters(static_cast<std::int32_t>(heartbeat.team_reporters));
     for (const service_speed& speed : heartbeat.speeds)
     {
         result.__isset.speeds = true;
@@ -337,6 +340,11 @@
         result.teams.push_back(
             {usage.team, to_rate(usage.asked), to_rate(usage.admitted)});
     }
+    if (heartbeat.__isset.teamReporters)
+    {
+        result.team_reporters = to_unsigned<std::uint32_t>(
+            std::clamp(heartbeat.teamReporters, 0, max_gateways));
+    }
     for (const gen::ServiceSpeed& speed : heartbeat.speeds)
     {
         if (result.speeds.size() == max_reported_services)
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -197,6 +197,8 @@
     std::vector<backend_limit> limits;
     /// Cover the same gateways as `loads`.
     std::vector<team_usage> teams;
+    /// Number of gateways whose use `teams` contains; 0 if the sender does not report it.
+    std::uint32_t team_reporters = 0;
     std::vector<service_speed> speeds;
     /// Newest era of the store that the sender knows, to which `lease` belongs; 0 if it
     /// knows none.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -3209,6 +3209,11 @@
   this->speeds = val;
 __isset.speeds = true;
 }
+
+void GatewayHeartbeat::__set_teamReporters(const int32_t val) {
+  this->teamReporters = val;
+__isset.teamReporters = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -3489,6 +3494,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->teamReporters);
+          this->__isset.teamReporters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3671,6 +3684,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.teamReporters) {
+    xfer += oprot->writeFieldBegin("teamReporters", ::apache::thrift::protocol::T_I32, 18);
+    xfer += oprot->writeI32(this->teamReporters);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3695,6 +3713,7 @@
   swap(a.storeEra, b.storeEra);
   swap(a.teams, b.teams);
   swap(a.speeds, b.speeds);
+  swap(a.teamReporters, b.teamReporters);
   swap(a.__isset, b.__isset);
 }
 
@@ -3716,6 +3735,7 @@
   storeEra = other126.storeEra;
   teams = other126.teams;
   speeds = other126.speeds;
+  teamReporters = other126.teamReporters;
   __isset = other126.__isset;
 }
 GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other127) {
@@ -3736,6 +3756,7 @@
   storeEra = other127.storeEra;
   teams = other127.teams;
   speeds = other127.speeds;
+  teamReporters = other127.teamReporters;
   __isset = other127.__isset;
   return *this;
 }
@@ -3759,6 +3780,7 @@
   out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ", " << "teams="; (__isset.teams ? (out << to_string(teams)) : (out << "<null>"));
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
+  out << ", " << "teamReporters="; (__isset.teamReporters ? (out << to_string(teamReporters)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -1161,7 +1161,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
 
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false), teamReporters(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
@@ -1171,6 +1171,7 @@
   bool storeEra :1;
   bool teams :1;
   bool speeds :1;
+  bool teamReporters :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1184,7 +1185,8 @@
                      scope(0),
                      periodMs(0),
                      aggregator(0),
-                     storeEra(0) {
+                     storeEra(0),
+                     teamReporters(0) {
   }
 
   virtual ~GatewayHeartbeat() noexcept;
@@ -1205,6 +1207,7 @@
   int64_t storeEra;
   std::vector<TeamUsage>  teams;
   std::vector<ServiceSpeed>  speeds;
+  int32_t teamReporters;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -1242,6 +1245,8 @@
 
   void __set_speeds(const std::vector<ServiceSpeed> & val);
 
+  void __set_teamReporters(const int32_t val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -1296,6 +1301,10 @@
       return false;
     else if (__isset.speeds && !(speeds == rhs.speeds))
       return false;
+    if (__isset.teamReporters != rhs.__isset.teamReporters)
+      return false;
+    else if (__isset.teamReporters && !(teamReporters == rhs.teamReporters))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -189,6 +189,8 @@
   // Cover the same gateways as `loads`.
   16: optional list<TeamUsage> teams
   17: optional list<ServiceSpeed> speeds
+  // Number of gateways whose use `teams` contains; absent if the sender does not report it.
+  18: optional i32 teamReporters
 }
 
 // Requests permits to send requests to a backend server with a limit, from the gateway that issues
--- a/src/libs/state/gateway_config.cpp
+++ b/src/libs/state/gateway_config.cpp
@@ -16,6 +16,11 @@
     {route_type::streaming, "streaming"},
 }};
 
+constexpr std::array<enum_name<allowance_unit>, 2> unit_names{{
+    {allowance_unit::requests, "requests"},
+    {allowance_unit::tokens, "tokens"},
+}};
+
 template <typename Item>
 const Item* find_named(const std::vector<Item>& items, std::string_view name)
 {
@@ -32,6 +37,11 @@
     return name_of(rule_names, type);
 }
 
+std::string_view to_string(allowance_unit unit)
+{
+    return name_of(unit_names, unit);
+}
+
 const hosted_model* engine_profile::find_model(std::string_view name) const
 {
     return find_named(this->models, name);
--- a/src/libs/state/gateway_config.hpp
+++ b/src/libs/state/gateway_config.hpp
@@ -51,6 +51,8 @@
     /// Maximum number of backend servers to which one request is sent.
     int max_attempts = 1;
     bool resumable = false;
+    /// Whether requests need no key although the configuration has teams.
+    bool anonymous = false;
     std::vector<service_share> services;
 
     /// Whether a request may be sent again although it may have run already.
@@ -100,6 +102,41 @@
     std::optional<engine_profile> engine;
 };
 
+/// What the allowance of a team counts.
+enum class allowance_unit
+{
+    requests,
+    /// Tokens of the prompt and of the output.
+    tokens,
+};
+
+std::string_view to_string(allowance_unit unit);
+
+/// Requests or tokens that a team may use over all gateways together.
+struct team_allowance
+{
+    allowance_unit unit = allowance_unit::requests;
+    /// Units per second; zero for no limit.
+    double per_s = 0.0;
+    /// Units beyond the rate.
+    double burst = 0.0;
+    /// Tokens that a request without a token count is counted as.
+    double raw_tokens = 0.0;
+
+    bool is_limited() const { return this->per_s > 0.0; }
+    bool operator==(const team_allowance&) const = default;
+};
+
+/// A team whose callers identify themselves by its keys.
+struct team
+{
+    std::string name;
+    std::vector<std::string> keys;
+    /// Takes precedence over the priority of the route; 0 is the highest.
+    std::optional<int> priority;
+    team_allowance allowance;
+};
+
 /// Limits on client requests and connections.
 struct client_limits
 {
@@ -115,6 +152,8 @@
     std::int64_t version = 0;
     std::vector<gateway_route> routes;
     std::vector<gateway_service> services;
+    /// If there are teams, requests need a key of one of them.
+    std::vector<team> teams;
     client_limits limits;
 
     /// Returns the service, or null if there is none of that name.
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -33,6 +33,7 @@
     heartbeat.limits = {{"e1@3", 0.5, state::milliseconds(120)},
                         {"e2@1", std::nullopt, state::milliseconds(0)}};
     heartbeat.teams = {{"team-a", 250.5, 200.0}};
+    heartbeat.team_reporters = 71;
     heartbeat.speeds = {{"models", 38.7, 10.1, 0.2, 30.0}};
     return heartbeat;
 }
@@ -64,6 +65,7 @@
     REQUIRE(copy.teams.size() == 1);
     CHECK(copy.teams[0].asked_per_s == 250.5);
     CHECK(copy.teams[0].admitted_per_s == 200.0);
+    CHECK(copy.team_reporters == 71);
     REQUIRE(copy.speeds.size() == 1);
     CHECK(copy.speeds[0].prompt_tokens_per_ms == 38.7);
     CHECK(copy.speeds[0].step_ms_per_request == 0.2);
