--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -7,6 +7,7 @@
 #include "transport/http_client.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/array.hpp>
 
 #include <future>
 #include <memory>
@@ -58,6 +59,9 @@
     std::int64_t max_header_bytes = 4096;
     std::int64_t header_timeout_ms = 300;
     std::int64_t idle_timeout_ms = 2000;
+    /// Members `Tenants` of the configurations that `put_config()` writes. Unless empty,
+    /// there is also an anonymous route /open/ to the plain service.
+    boost::json::array tenants;
     state::counter_registry counters;
     boost::asio::io_context loop{1};
     fake_store store{this->loop};
