Count the memory that calls occupy at engines

No figure tells how much of an engine's memory is in use. backend_loads now adds the prompt tokens and the maximum of output tokens of each running call, those of other gateways from the heartbeats included.

--- a/src/app/gateway/peers/load_exchange.cpp
+++ b/src/app/gateway/peers/load_exchange.cpp
@@ -89,7 +89,8 @@
         if (is_negligible(load) || heartbeat.loads.size() == max_loads)
             continue;
         heartbeat.loads.push_back({backend, load.active, load.waiting_tokens,
-                                   load.long_streams, load.prompt_rate});
+                                   load.long_streams, load.prompt_rate,
+                                   load.memory_tokens});
     }
 }
 
@@ -144,7 +145,7 @@
         for (const protocol::backend_load_entry& load : heartbeat.loads)
         {
             loads[load.backend] = {load.active, load.waiting_tokens, load.long_streams,
-                                   load.prompt_rate};
+                                   load.prompt_rate, load.memory_tokens};
         }
         this->shared.loads.set_peer(now(), key, std::move(loads));
     }
--- a/src/libs/coordination/backend_loads.cpp
+++ b/src/libs/coordination/backend_loads.cpp
@@ -65,6 +65,7 @@
     this->waiting_tokens += more.waiting_tokens;
     this->long_streams += more.long_streams;
     this->prompt_rate += more.prompt_rate;
+    this->memory_tokens += more.memory_tokens;
     return *this;
 }
 
@@ -75,6 +76,7 @@
         saturating_difference(this->waiting_tokens, part.waiting_tokens);
     this->long_streams = saturating_difference(this->long_streams, part.long_streams);
     this->prompt_rate -= std::min(this->prompt_rate, part.prompt_rate);
+    this->memory_tokens = saturating_difference(this->memory_tokens, part.memory_tokens);
     return *this;
 }
 
@@ -159,6 +161,7 @@
     {
         peer_load& load = result[item.backend];
         ++load.active;
+        load.memory_tokens += item.work.memory_tokens;
         if (!item.has_first_byte)
             load.waiting_tokens += item.work.prompt_tokens;
         if (is_long(item.work))
@@ -218,6 +221,7 @@
         for (const call_id id : item.active)
         {
             const call& current = this->calls.at(id);
+            result.memory_tokens += current.work.memory_tokens;
             if (is_long(current.work))
                 ++result.long_streams;
             if (current.has_first_byte)
@@ -239,6 +243,8 @@
         result.waiting_tokens += load->second.waiting_tokens;
         result.long_streams += load->second.long_streams;
         result.prompt_rate += load->second.prompt_rate;
+        result.peer_prompt_rate += load->second.prompt_rate;
+        result.memory_tokens += load->second.memory_tokens;
     }
     return result;
 }
@@ -250,6 +256,20 @@
                                         : found->second.paused_until;
 }
 
+double backend_loads::report_age_ms(state::time_point now) const
+{
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (const auto& [peer, report] : this->peers)
+    {
+        if (now - report.received > peer_report_ttl)
+            continue;
+        sum += elapsed_ms(report.received, now);
+        ++count;
+    }
+    return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
 void backend_loads::forget_idle(state::time_point now)
 {
     for (auto item = this->records.begin(); item != this->records.end();)
--- a/src/libs/coordination/backend_loads.hpp
+++ b/src/libs/coordination/backend_loads.hpp
@@ -30,6 +30,8 @@
     std::uint32_t output_tokens = 0;
     /// Expected time to first byte on an idle backend server.
     double expected_ms = 0.0;
+    /// Tokens that the call occupies in the memory of the engine; 0 for plain services.
+    std::uint32_t memory_tokens = 0;
 };
 
 /// How a call ended.
@@ -51,6 +53,7 @@
     std::uint32_t waiting_tokens = 0;
     std::uint32_t long_streams = 0;
     double prompt_rate = 0.0;
+    std::uint32_t memory_tokens = 0;
 
     peer_load& operator+=(const peer_load& more);
     /// Subtracts `part` and clamps each field at 0.
@@ -68,6 +71,10 @@
     std::uint32_t long_streams = 0;
     /// Prompt tokens sent per second, averaged over the last seconds.
     double prompt_rate = 0.0;
+    /// The part of `prompt_rate` that other gateways reported.
+    double peer_prompt_rate = 0.0;
+    /// Tokens that running calls occupy in the memory of the engine.
+    std::uint64_t memory_tokens = 0;
     /// Longest time by which the first byte of a call is overdue.
     double overdue_ms = 0.0;
     /// Share of recent calls that failed, and mean ratio of actual to expected time to
@@ -116,6 +123,8 @@
     load_summary summary(state::time_point now, std::string_view backend) const;
     /// End of the pause that the backend server asked for; in the past without a pause.
     state::time_point paused_until(std::string_view backend) const;
+    /// Mean time since the reports of peers arrived; 0 without reports.
+    double report_age_ms(state::time_point now) const;
     std::size_t active_calls() const { return this->calls.size(); }
     /// Drops the records of backend servers without recent calls.
     void forget_idle(state::time_point now);
