Choose engines by memory, pauses of streams and time left

Engines were chosen by fixed speeds, and neither their memory nor the pauses of their streams mattered, so long streams were interrupted and late. The choice now uses the learned speeds. It leaves out engines without memory for the request, and those where it cannot end before its deadline, and refuses the request as overloaded if no other is left. Prompts that would make long streams pause for more than half of their target cost more.

All gateways chose the cheapest engine by loads of 0.2 to 0.6 s of age. They now choose at random in proportion to the room below the level to which the unseen prompts of the others raise the cheapest engines.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -176,6 +176,13 @@
     this->demand.output_tokens = this->metadata.output_tokens;
     this->demand.parts = this->metadata.parts;
     this->demand.target_ms = static_cast<double>(this->route->target_latency.count());
+    if (service != nullptr && service->engine)
+    {
+        this->demand.target_gap_ms = static_cast<double>(this->route->target_gap.count());
+        this->demand.engine_slots = service->engine->slots;
+        this->demand.engine_tokens = service->engine->kv_tokens;
+        this->demand.deadline = this->deadline;
+    }
     this->check_time_before_exit();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
@@ -238,6 +245,13 @@
         {
             this->last_failure = choice.failure;
             this->available_at = choice.available_at;
+            if (choice.failure == coordination::choice_failure::overloaded &&
+                this->last_problem.empty())
+            {
+                this->last_problem = choice.is_too_large
+                                         ? "the request exceeds the memory of an engine"
+                                         : "no engine can complete the request in time";
+            }
             break;
         }
         if (this->attempts > 0 && !std::exchange(this->has_reserved_retry, false) &&
@@ -341,13 +355,14 @@
 {
     const state::backend_entry& entry = choice.backend->entry;
     ++this->attempts;
+    this->demand.is_retry = true;
     this->tried.insert(entry.id);
     this->last_backend = entry.id;
     this->sent_at = now();
     this->answer_begun = false;
     this->shared.quarantine.on_sent(now(), this->demand.service, this->shared_parts());
     this->shared.limits.on_sent(now(), coordination::backend_chooser::process_key(entry));
-    call_record record(this->shared, choice, this->demand.output_tokens);
+    call_record record(this->shared, choice, this->demand);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
     try
@@ -590,6 +605,7 @@
                                                         call_record& record)
 {
     const bool can_resume = this->route->may_retry();
+    const bool is_whole = !this->stream_begun;
     this->watch_progress(this->stall_limit());
     this->events.discard_incomplete_event();
     while (auto piece = co_await backend.read_some())
@@ -624,6 +640,8 @@
     }
     if (!this->stream_begun)
         co_await this->begin_stream(backend.head());
+    if (is_whole)
+        record.on_stream_end(this->events.events());
     co_await this->exchange.end_stream();
     co_return call_end::completed;
 }
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -24,8 +24,6 @@
 constexpr double max_queue_ms = 450.0;
 /// The same limit for a request that has already missed its target latency.
 constexpr double max_late_queue_ms = 300.0;
-/// Time per output token of a stream at a busy engine.
-constexpr double ms_per_output_token = 25.0;
 
 } // namespace
 
@@ -83,6 +81,10 @@
 
 milliseconds relayed_request::stream_time() const
 {
+    const coordination::engine_pace pace =
+        this->shared.chooser.speeds().of(now(), this->demand.service);
+    const double ms_per_output_token =
+        pace.ms_per_output_token(this->demand.engine_slots);
     return milliseconds(
         static_cast<std::int64_t>(this->demand.output_tokens * ms_per_output_token));
 }
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -3,7 +3,7 @@
 #include "state/enum_table.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
 
 namespace pomelorouter::coordination
 {
@@ -24,13 +24,29 @@
     {choice_failure::stopping, "stopping"},
 }};
 
-/// Estimates that differ by less count as equal, so that gateways with the same data do
-/// not all choose the same backend server.
+/// Costs that differ by less count as equal, so that gateways with the same data do not
+/// all choose the same backend server.
 constexpr double tie_tolerance_ms = 2.0;
 /// Waiting up to this share of the target costs little; waiting beyond it costs more.
 constexpr double low_wait_share = 0.4;
 constexpr double low_wait_weight = 0.3;
 constexpr double high_wait_weight = 2.0;
+/// Share of the maximum number of output tokens that a request is assumed to generate.
+/// Most requests end earlier, and one that might end in time is better sent than refused.
+constexpr double expected_output_share = 0.5;
+/// Pauses of streams cost nothing up to this share of their target: estimates of the work
+/// at an engine are uncertain by about the work that arrives between two reports.
+constexpr double harmless_gap_share = 0.5;
+/// Long streams that a pause makes late count up to this number, so that an engine with
+/// many of them is still used when all others have no room.
+constexpr std::uint32_t max_harmed_streams = 4;
+/// Share of the time by which prompts lengthen a stream that counts as cost. A stream
+/// whose tokens are all a little late is still on time.
+constexpr double stretch_weight = 0.1;
+/// Share of an engine's memory from which on it is avoided by long streams, which would
+/// be the first to be interrupted.
+constexpr double ample_memory_share = 0.75;
+constexpr double ms_per_s = 1000.0;
 
 /// Whether a backend server accepts the request later.
 bool is_temporary(choice_failure failure)
@@ -46,6 +62,40 @@
            high_wait_weight * std::max(0.0, expected_ms - low_wait_ms);
 }
 
+/// Returns 0 up to `low`, 1 at 1, and values in between, and beyond 1, on the line.
+double ramp(double value, double low)
+{
+    return std::max(0.0, value - low) / (1.0 - low);
+}
+
+bool is_long(const backend_demand& demand)
+{
+    return demand.output_tokens >= long_stream_tokens;
+}
+
+/// Returns the cost of a first byte after `expected_ms`, and of a pause of `gap_ms` for
+/// the long streams at the engine. The engine processes the prompts in line between the
+/// tokens of its streams.
+double prompt_cost(const backend_demand& demand, double expected_ms, double gap_ms,
+                   std::uint32_t long_streams)
+{
+    double cost = wait_cost(expected_ms, demand.target_ms);
+    if (demand.target_gap_ms > 0.0)
+    {
+        cost += ramp(gap_ms / demand.target_gap_ms, harmless_gap_share) * long_streams *
+                demand.target_ms;
+    }
+    return cost;
+}
+
+/// Whether a request fits into the memory of an engine beside `used` tokens, if other
+/// gateways have sent `unseen` tokens since.
+bool has_memory(const backend_demand& demand, double used, double unseen)
+{
+    return demand.engine_tokens <= 0 || used + unseen + demand.memory_tokens() <=
+                                            static_cast<double>(demand.engine_tokens);
+}
+
 } // namespace
 
 std::string backend_demand::weights() const
@@ -53,13 +103,18 @@
     return this->adapter.empty() ? this->model : this->model + "/" + this->adapter;
 }
 
+std::uint32_t backend_demand::memory_tokens() const
+{
+    return this->model.empty() ? 0 : this->prompt_tokens + this->output_tokens;
+}
+
 std::string_view to_string(choice_failure failure)
 {
     return name_of(failure_names, failure);
 }
 
 backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds)
-    : zone(std::move(own_zone)), speed(speeds)
+    : zone(std::move(own_zone)), speed(speeds), learned(speeds.engines)
 {
 }
 
@@ -76,7 +131,13 @@
 {
     backend_choice best;
     best.failure = choice_failure::no_backend;
-    double best_cost = std::numeric_limits<double>::infinity();
+    const engine_pace pace =
+        demand.model.empty() ? engine_pace() : this->learned.of(now, demand.service);
+    const double report_age_ms = loads.report_age_ms(now) + this->speed.report_age_ms;
+    std::vector<option> options;
+    options.reserve(directory.all().size());
+    bool has_late_option = false;
+    bool lacks_memory = false;
     for (const auto& [id, backend] : directory.all())
     {
         const state::backend_entry& entry = backend->entry;
@@ -121,90 +182,187 @@
             best.failure = is_limited ? choice_failure::limited : choice_failure::paused;
             continue;
         }
-        ++best.candidates;
-        backend_choice option;
-        // Derives another pseudo-random value for each candidate to break ties.
-        draw = draw * 7.0 + 0.137;
-        draw -= static_cast<double>(static_cast<std::int64_t>(draw));
-        const double cost = this->estimate(now, *backend, loads, demand, option) +
-                            draw * tie_tolerance_ms;
-        if (cost >= best_cost)
+        const load_summary load = loads.summary(now, key);
+        const double unseen_tokens = load.peer_prompt_rate * report_age_ms / ms_per_s;
+        if (!has_memory(demand, static_cast<double>(load.memory_tokens), unseen_tokens))
+        {
+            lacks_memory = true;
             continue;
-        best_cost = cost;
-        best.backend = backend;
+        }
+        const option candidate =
+            this->estimate(now, backend, load, key, demand, pace, unseen_tokens);
+        has_late_option |= !candidate.ends_in_time;
+        options.push_back(candidate);
         best.failure = choice_failure::none;
-        best.expected_ms = option.expected_ms;
-        best.idle_ms = option.idle_ms;
-        best.uncached_tokens = option.uncached_tokens;
     }
+    best.candidates = options.size();
+    if (options.empty())
+    {
+        if (lacks_memory && !is_temporary(best.failure))
+        {
+            best.failure = choice_failure::overloaded;
+            best.is_too_large = !has_memory(demand, 0.0, 0.0);
+        }
+        return best;
+    }
+    if (has_late_option)
+    {
+        const auto first_late =
+            std::stable_partition(options.begin(), options.end(),
+                                  [](const option& item) { return item.ends_in_time; });
+        if (first_late != options.begin())
+            options.erase(first_late, options.end());
+        else if (!demand.is_retry)
+        {
+            best.failure = choice_failure::overloaded;
+            return best;
+        }
+    }
+    const option& chosen = pick(options, draw);
+    best.backend = *chosen.backend;
+    best.expected_ms = chosen.expected_ms;
+    best.idle_ms = chosen.idle_ms;
+    best.usual_ms = chosen.usual_ms;
+    best.uncached_tokens = chosen.uncached_tokens;
+    best.waiting_tokens = chosen.waiting_tokens;
     return best;
 }
 
-double backend_chooser::estimate(state::time_point now, const known_backend& backend,
-                                 const backend_loads& loads, const backend_demand& demand,
-                                 backend_choice& result) const
+backend_chooser::option
+backend_chooser::estimate(state::time_point now, const known_backend_ptr& backend,
+                          const load_summary& load, const std::string& process,
+                          const backend_demand& demand, const engine_pace& pace,
+                          double unseen_tokens) const
 {
-    const std::string key = process_key(backend.entry);
-    const load_summary load = loads.summary(now, key);
-    const double active = load.active + load.peer_active;
-    const double slots = std::max(backend.entry.slots, 1);
-    double wait_ms = 0.0;
+    option result;
+    result.backend = &backend;
+    const double slots = std::max(backend->entry.slots, 1);
     if (demand.model.empty())
+        result.cost = this->plain_cost(load, slots, result);
+    else
+        result.cost = this->engine_cost(now, load, slots, process, demand, pace,
+                                        unseen_tokens, result);
+    result.cost += std::max(load.overdue_ms, 0.0);
+    result.cost += load.failure_share * this->speed.failure_cost_ms;
+    if (load.is_full)
+        result.cost += this->speed.refusal_cost_ms;
+    if (backend->entry.zone != this->zone)
+        result.cost += this->speed.zone_hop_ms;
+    return result;
+}
+
+double backend_chooser::plain_cost(const load_summary& load, double slots,
+                                   option& result) const
+{
+    const double active = load.active + load.peer_active;
+    double wait_ms =
+        std::max(0.0, active + 1.0 - slots) * this->speed.plain_service_ms / slots;
+    // A backend server slows down before all its slots are in use.
+    wait_ms += active / slots * this->speed.plain_service_ms;
+    result.idle_ms = this->speed.plain_service_ms;
+    result.usual_ms = result.idle_ms + wait_ms;
+    result.expected_ms = result.usual_ms * std::max(load.slow_ratio, 1.0);
+    return result.expected_ms;
+}
+
+double backend_chooser::engine_cost(state::time_point now, const load_summary& load,
+                                    double slots, const std::string& process,
+                                    const backend_demand& demand, const engine_pace& pace,
+                                    double unseen_tokens, option& result) const
+{
+    std::uint32_t cached = 0;
+    const auto cache = this->caches.find(process);
+    if (cache != this->caches.end())
+        cached = cache->second.cached_tokens(demand.weights(), demand.parts);
+    result.uncached_tokens =
+        demand.prompt_tokens - std::min(cached, demand.prompt_tokens);
+    result.waiting_tokens = load.waiting_tokens;
+    const double active = load.active + load.peer_active;
+    const double slow_ratio = std::max(load.slow_ratio, 1.0);
+    const double own_prompt_ms = result.uncached_tokens / pace.prompt_tokens_per_ms;
+    const double waiting_ms = load.waiting_tokens / pace.prompt_tokens_per_ms;
+    result.idle_ms = pace.first_step_ms + own_prompt_ms;
+    result.usual_ms = result.idle_ms + waiting_ms +
+                      std::max(0.0, active + 1.0 - slots) * pace.first_step_ms +
+                      active * this->speed.running_request_ms;
+    result.expected_ms = result.usual_ms * slow_ratio;
+    const double step_ms = pace.ms_per_output_token(active) * slow_ratio;
+    const double gap_ms = step_ms + (waiting_ms + own_prompt_ms) * slow_ratio;
+    const std::uint32_t harmed =
+        std::min(load.long_streams + (is_long(demand) ? 1U : 0U), max_harmed_streams);
+    double cost = prompt_cost(demand, result.expected_ms, gap_ms, harmed);
+    const double unseen_ms = unseen_tokens / pace.prompt_tokens_per_ms * slow_ratio;
+    result.unseen_cost =
+        prompt_cost(demand, result.expected_ms + unseen_ms, gap_ms + unseen_ms, harmed) -
+        cost;
+
+    const double prompt_share = pace.prompt_share(load.prompt_rate * slow_ratio);
+    const double alone_ms = step_ms * demand.output_tokens;
+    const double stream_ms = alone_ms / (1.0 - prompt_share);
+    if (demand.deadline != state::time_point())
     {
-        result.idle_ms = this->speed.plain_service_ms;
-        wait_ms =
-            std::max(0.0, active + 1.0 - slots) * this->speed.plain_service_ms / slots;
-        // A backend server slows down before all its slots are in use.
-        wait_ms += active / slots * this->speed.plain_service_ms;
+        const double left_ms =
+            std::chrono::duration<double, std::milli>(demand.deadline - now).count();
+        result.ends_in_time =
+            result.expected_ms + stream_ms * expected_output_share <= left_ms;
     }
-    else
+    if (!is_long(demand))
+        return cost;
+    cost += stretch_weight * (stream_ms - alone_ms);
+    if (demand.engine_tokens > 0)
     {
-        std::uint32_t cached = 0;
-        const auto cache = this->caches.find(key);
-        if (cache != this->caches.end())
-            cached = cache->second.cached_tokens(demand.weights(), demand.parts);
-        result.uncached_tokens =
-            demand.prompt_tokens - std::min(cached, demand.prompt_tokens);
-        result.idle_ms = this->speed.first_step_ms +
-                         result.uncached_tokens / this->speed.prompt_tokens_per_ms;
-        wait_ms = load.waiting_tokens / this->speed.prompt_tokens_per_ms;
-        wait_ms += std::max(0.0, active + 1.0 - slots) * this->speed.first_step_ms;
-        wait_ms += active;
+        const double used =
+            static_cast<double>(load.memory_tokens) + demand.memory_tokens();
+        cost +=
+            ramp(used / static_cast<double>(demand.engine_tokens), ample_memory_share) *
+            demand.target_ms;
     }
-    result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 1.0);
-    double cost = demand.model.empty() ? result.expected_ms
-                                       : wait_cost(result.expected_ms, demand.target_ms);
-    cost += std::max(load.overdue_ms, 0.0);
-    cost += load.failure_share * this->speed.failure_cost_ms;
-    if (load.is_full)
-        cost += this->speed.refusal_cost_ms;
-    if (backend.entry.zone != this->zone)
-        cost += this->speed.zone_hop_ms;
-    if (!demand.model.empty())
-        cost += this->interference_cost(load, demand, result.uncached_tokens);
     return cost;
 }
 
-/// Processing a prompt delays the next tokens of the streams on the same engine. This
-/// cost keeps prompts and long streams on different engines unless the alternative is
-/// much slower.
-double backend_chooser::interference_cost(const load_summary& load,
-                                          const backend_demand& demand,
-                                          std::uint32_t uncached_tokens) const
+/// Chooses at random, in proportion to the room below a level of cost. The level is the
+/// one to which the prompts that other gateways have sent since their last reports would
+/// raise the cheapest backend servers. If all gateways chose the cheapest one, all would
+/// choose the same until the next reports.
+const backend_chooser::option& backend_chooser::pick(const std::vector<option>& options,
+                                                     double draw)
 {
-    constexpr double unit_ms = 100.0;
-    constexpr double ms_per_s = 1000.0;
-    const double prompt_units =
-        uncached_tokens / this->speed.prompt_tokens_per_ms / unit_ms;
-    double cost = prompt_units * load.long_streams * this->speed.interference_cost_ms;
-    if (demand.output_tokens >= long_stream_tokens)
+    double unseen_cost = tie_tolerance_ms;
+    const option* cheapest = &options.front();
+    for (const option& item : options)
     {
-        const double units_per_s =
-            load.prompt_rate / this->speed.prompt_tokens_per_ms / unit_ms;
-        cost += units_per_s * this->speed.interference_cost_ms * demand.output_tokens *
-                this->speed.first_step_ms / ms_per_s;
+        unseen_cost += item.unseen_cost;
+        if (item.cost < cheapest->cost)
+            cheapest = &item;
     }
-    return cost;
+    std::vector<double> costs;
+    costs.reserve(options.size());
+    for (const option& item : options)
+    {
+        if (item.cost < cheapest->cost + unseen_cost)
+            costs.push_back(item.cost);
+    }
+    std::sort(costs.begin(), costs.end());
+    double level = 0.0;
+    double sum = 0.0;
+    for (std::size_t i = 0; i < costs.size(); ++i)
+    {
+        sum += costs[i];
+        level = (sum + unseen_cost) / static_cast<double>(i + 1);
+        if (i + 1 < costs.size() && level <= costs[i + 1])
+            break;
+    }
+    double remaining = draw * unseen_cost;
+    for (const option& item : options)
+    {
+        const double room = level - item.cost;
+        if (room <= 0.0)
+            continue;
+        remaining -= room;
+        if (remaining < 0.0)
+            return item;
+    }
+    return *cheapest;
 }
 
 void backend_chooser::on_sent(const known_backend& backend, const backend_demand& demand,
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -3,6 +3,7 @@
 #include "coordination/backend_directory.hpp"
 #include "coordination/backend_limits.hpp"
 #include "coordination/backend_loads.hpp"
+#include "coordination/engine_speed.hpp"
 #include "coordination/prompt_cache.hpp"
 #include "state/clock.hpp"
 
@@ -28,9 +29,21 @@
     std::vector<prompt_part> parts;
     /// Target time to first byte that the operator configured.
     double target_ms = 1000.0;
+    /// Target of the longest pause of a stream; 0 for no target.
+    double target_gap_ms = 0.0;
+    /// Requests that each engine of the service runs at once.
+    int engine_slots = 1;
+    /// Memory of each engine of the service, in tokens; 0 if unknown.
+    std::int64_t engine_tokens = 0;
+    /// When the caller stops waiting; the default if unknown.
+    state::time_point deadline{};
+    /// The request was sent before, so it is sent again even if it may end too late.
+    bool is_retry = false;
 
     /// Returns a key for the pair of model and adapter.
     std::string weights() const;
+    /// Tokens that the request occupies in the memory of an engine until it ends.
+    std::uint32_t memory_tokens() const;
 };
 
 /// Why no backend server was chosen.
@@ -45,7 +58,8 @@
     adapter_missing,
     /// The request was already sent to every suitable backend server.
     all_tried,
-    /// All suitable backend servers have more queued work than the request can wait for.
+    /// All suitable backend servers have more queued work than the request can wait for,
+    /// or no memory for it.
     overloaded,
     /// All suitable backend servers have asked for a pause.
     paused,
@@ -68,7 +82,15 @@
     double expected_ms = 0.0;
     /// Estimated time to first byte on the same backend server when idle.
     double idle_ms = 0.0;
+    /// Estimated time to first byte if the backend server is as fast as others of its
+    /// service.
+    double usual_ms = 0.0;
     std::uint32_t uncached_tokens = 0;
+    /// Prompt tokens of calls that wait for their first byte there.
+    double waiting_tokens = 0.0;
+    /// For `choice_failure::overloaded`: the request needs more memory than any engine
+    /// has, so waiting does not help.
+    bool is_too_large = false;
     std::size_t candidates = 0;
     /// For `choice_failure::paused` and `limited`: earliest time at which a backend
     /// server may accept the request.
@@ -80,10 +102,10 @@
 /// Parameters of the latency estimates and of the cost function.
 struct speed_model
 {
-    /// Prompt tokens that an engine processes per millisecond.
-    double prompt_tokens_per_ms = 20.0;
-    /// Duration of the first decoding step of an engine.
-    double first_step_ms = 25.0;
+    /// Speed of engines before the first call to a service.
+    engine_pace engines;
+    /// Time that each running request of an engine adds to the time to first byte.
+    double running_request_ms = 1.0;
     /// Mean time that a plain service takes for a request.
     double plain_service_ms = 20.0;
     /// Round trip to another availability zone.
@@ -92,10 +114,8 @@
     double failure_cost_ms = 600.0;
     /// Extra cost of a backend server that has just refused a call.
     double refusal_cost_ms = 400.0;
-    /// Cost of one prompt of 100 ms for each long stream on the same engine, since the
-    /// prompt causes a long gap between tokens. Also the cost for a long stream of each
-    /// such prompt per second.
-    double interference_cost_ms = 12.0;
+    /// Age of the loads in a report when it arrives: two aggregators pass them on.
+    double report_age_ms = 300.0;
 };
 
 /// Chooses the backend server with the lowest cost, which is mainly the expected time to
@@ -106,7 +126,8 @@
     backend_chooser(std::string own_zone, const speed_model& speed);
 
     /// `tried` holds the ids of backend servers that the request was already sent to.
-    /// `draw` is a random number in [0, 1) that breaks ties.
+    /// `draw` is a random number in [0, 1) that decides among backend servers of similar
+    /// cost.
     backend_choice choose(state::time_point now, const backend_directory& directory,
                           const backend_loads& loads, const backend_limits& limits,
                           const backend_demand& demand,
@@ -117,18 +138,42 @@
     /// Drops the prompt caches of processes that are no longer in `directory`.
     void retain(const backend_directory& directory);
 
+    engine_speed& speeds() { return this->learned; }
+    const engine_speed& speeds() const { return this->learned; }
+
     static std::string process_key(const state::backend_entry& entry);
 
 private:
-    double estimate(state::time_point now, const known_backend& backend,
-                    const backend_loads& loads, const backend_demand& demand,
-                    backend_choice& result) const;
-
-    double interference_cost(const load_summary& load, const backend_demand& demand,
-                             std::uint32_t uncached_tokens) const;
+    /// A backend server that the request may be sent to, and what that would cost.
+    struct option
+    {
+        const known_backend_ptr* backend = nullptr;
+        double cost = 0.0;
+        double expected_ms = 0.0;
+        double idle_ms = 0.0;
+        double usual_ms = 0.0;
+        std::uint32_t uncached_tokens = 0;
+        double waiting_tokens = 0.0;
+        /// Increase of the cost by the prompts that other gateways have sent since their
+        /// last reports.
+        double unseen_cost = 0.0;
+        bool ends_in_time = true;
+    };
+
+    option estimate(state::time_point now, const known_backend_ptr& backend,
+                    const load_summary& load, const std::string& process,
+                    const backend_demand& demand, const engine_pace& pace,
+                    double unseen_tokens) const;
+    double plain_cost(const load_summary& load, double slots, option& result) const;
+    double engine_cost(state::time_point now, const load_summary& load, double slots,
+                       const std::string& process, const backend_demand& demand,
+                       const engine_pace& pace, double unseen_tokens,
+                       option& result) const;
+    static const option& pick(const std::vector<option>& options, double draw);
 
     std::string zone;
     speed_model speed;
+    engine_speed learned;
     std::map<std::string, prompt_cache, std::less<>> caches;
 };
 
--- a/tests/auto/platform/tst_relay.cpp
+++ b/tests/auto/platform/tst_relay.cpp
@@ -613,3 +613,31 @@
     CHECK(first < second);
     CHECK(second < third);
 }
+
+// Guards against requests that no engine can run, which each engine rejects in turn.
+TEST_CASE("a request that exceeds the memory of each engine is refused at once")
+{
+    gateway_fixture test;
+    int calls = 0;
+    test.add_backend("e1", "models",
+                     [&](const transport::http_request& request)
+                     {
+                         ++calls;
+                         return raw_reply{{stream_head(attempt_of(request)),
+                                           chunk(events(1, 1)), "0\r\n\r\n"}};
+                     },
+                     {"m1"});
+    test.put_config(1);
+    test.start();
+    // The configuration gives engines memory for 100,000 tokens.
+    transport::http_request large = test.request("/stream/x", "a1", "m1");
+    large.set("X-Pomelorouter-Token-Count", "99990,20");
+    const auto refusal = test.fetch(large);
+    REQUIRE(refusal);
+    CHECK(refusal->result_int() == 429);
+    CHECK(calls == 0);
+    const auto response = test.fetch(test.request("/stream/x", "a2", "m1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK(calls == 1);
+}
