Exchange the learned speeds of engines in heartbeats

A gateway of a large fleet calls an engine service a few times a second, too seldom to learn its speed by itself. The figures travel as the loads do, and replace those before.

--- a/src/app/gateway/peers/load_exchange.cpp
+++ b/src/app/gateway/peers/load_exchange.cpp
@@ -54,6 +54,7 @@
     heartbeat.loads.clear();
     heartbeat.rates.clear();
     this->fill_loads(heartbeat, target);
+    this->fill_speeds(heartbeat);
     if (target.has_rates)
         this->fill_rates(heartbeat, target);
 }
@@ -94,6 +95,37 @@
     }
 }
 
+void load_exchange::fill_speeds(protocol::gateway_heartbeat& heartbeat)
+{
+    const coordination::engine_speed& speeds = this->shared.chooser.speeds();
+    heartbeat.speeds.clear();
+    switch (heartbeat.scope)
+    {
+    case load_scope::none:
+        return;
+    case load_scope::gateway:
+        heartbeat.speeds = speeds.own_speeds(now());
+        break;
+    case load_scope::zone:
+        heartbeat.speeds = speeds.zone_speeds(now());
+        break;
+    case load_scope::others:
+        if (!this->cached_speeds)
+            this->cached_speeds = speeds.all_speeds(now());
+        heartbeat.speeds = *this->cached_speeds;
+        break;
+    }
+    if (heartbeat.speeds.size() <= protocol::max_reported_services)
+        return;
+    const auto has_more_samples =
+        [](const protocol::service_speed& left, const protocol::service_speed& right)
+    { return left.samples > right.samples; };
+    std::nth_element(heartbeat.speeds.begin(),
+                     heartbeat.speeds.begin() + protocol::max_reported_services,
+                     heartbeat.speeds.end(), has_more_samples);
+    heartbeat.speeds.resize(protocol::max_reported_services);
+}
+
 void load_exchange::fill_rates(protocol::gateway_heartbeat& heartbeat,
                                const coordination::gossip_target& target) const
 {
@@ -148,6 +180,7 @@
                                    load.prompt_rate, load.memory_tokens};
         }
         this->shared.loads.set_peer(now(), key, std::move(loads));
+        this->shared.chooser.speeds().set_peer(now(), key, heartbeat.speeds);
     }
     return has_new_waiting && is_aggregator && heartbeat.scope == load_scope::gateway;
 }
@@ -155,12 +188,14 @@
 void load_exchange::forget(const std::string& node)
 {
     this->shared.loads.forget_peer({load_scope::gateway, node});
+    this->shared.chooser.speeds().forget_peer({load_scope::gateway, node});
     this->shared.demand.forget_peer({load_scope::gateway, node});
 }
 
 void load_exchange::forget_all()
 {
     this->shared.loads.forget_peers();
+    this->shared.chooser.speeds().forget_peers();
     this->shared.demand.forget_peers();
 }
 
--- a/src/app/gateway/peers/load_exchange.hpp
+++ b/src/app/gateway/peers/load_exchange.hpp
@@ -9,8 +9,8 @@
 namespace pomelorouter::app
 {
 
-/// Writes the backend loads and the weight demand that this gateway knows into
-/// heartbeats, and stores those that other gateways report.
+/// Writes the backend loads, the speeds of engines and the weight demand that this
+/// gateway knows into heartbeats, and stores those that other gateways report.
 class load_exchange
 {
 public:
@@ -18,7 +18,11 @@
 
     /// Discards the cached totals. All heartbeats filled until the next call share one
     /// set of totals, which is computed once.
-    void reset_totals() { this->cached_totals.reset(); }
+    void reset_totals()
+    {
+        this->cached_totals.reset();
+        this->cached_speeds.reset();
+    }
     /// Sets the loads and rates that `target` receives.
     void fill(protocol::gateway_heartbeat& heartbeat,
               const coordination::gossip_target& target);
@@ -32,11 +36,13 @@
 private:
     void fill_loads(protocol::gateway_heartbeat& heartbeat,
                     const coordination::gossip_target& target);
+    void fill_speeds(protocol::gateway_heartbeat& heartbeat);
     void fill_rates(protocol::gateway_heartbeat& heartbeat,
                     const coordination::gossip_target& target) const;
 
     gateway_state& shared;
     std::optional<coordination::backend_loads::load_map> cached_totals;
+    std::optional<coordination::engine_speed::speed_list> cached_speeds;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -222,6 +222,7 @@
                     heartbeat.scope = target.scope;
                     heartbeat.members.clear();
                     heartbeat.loads.clear();
+                    heartbeat.speeds.clear();
                     heartbeat.rates.clear();
                     datagram = encode_within_limit(heartbeat);
                 }
