--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -124,6 +124,7 @@
       quarantined_parts(counters.gauge("prompt_parts_quarantined",
                                        "prompt parts that crash backend servers, whose "
                                        "requests are refused")),
+      speed_report(this->shared),
       relay(this->shared, this->adapter.requests(), this->client),
       directory(
           this->shared, this->adapter.directory(),
@@ -362,20 +363,22 @@
         next_slow_housekeeping = now() + slow_housekeeping_period;
         this->client.drop_expired(now());
         this->shared.loads.forget_idle(now());
-        this->forget_old_limits();
+        this->forget_ended_processes();
+        this->speed_report.update();
         this->crashes.forget_old(now());
         this->shared.chooser.retain(this->shared.directory);
         this->settings_file.reload_if_changed();
     }
 }
 
-void gateway::forget_old_limits()
+void gateway::forget_ended_processes()
 {
     std::set<std::string, std::less<>> listed;
     for (const auto& [id, backend] : this->shared.directory.all())
         listed.insert(coordination::backend_chooser::process_key(backend->entry));
     this->shared.limits.forget_old(now(), [&listed](std::string_view backend)
                                    { return listed.count(backend) > 0; });
+    this->shared.chooser.speeds().retain(now(), listed);
 }
 
 asio::awaitable<void> gateway::drain(std::function<void()> on_stopped)
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -4,6 +4,7 @@
 #include "app/gateway/peers/permit_exchange.hpp"
 #include "app/gateway/placement/placement_agent.hpp"
 #include "app/gateway/process/control_handler.hpp"
+#include "app/gateway/process/engine_speed_report.hpp"
 #include "app/gateway/process/platform_adapter.hpp"
 #include "app/gateway/process/settings_watch.hpp"
 #include "app/gateway/serving/crash_detector.hpp"
@@ -57,7 +58,8 @@
     /// Applies the decisions about prompt parts that crash backend servers, and saves
     /// them if this gateway does so for the others.
     void update_quarantine(bool may_save = true);
-    void forget_old_limits();
+    /// Drops limits and learned speeds of processes that have ended.
+    void forget_ended_processes();
     /// Restores the saved quarantines after the store has returned from an older copy.
     void save_quarantines_again();
     boost::asio::awaitable<void> housekeeping();
@@ -78,6 +80,7 @@
     crash_detector crashes;
     quarantine_store saved_quarantines;
     state::counter& quarantined_parts;
+    engine_speed_report speed_report;
     request_relay relay;
     directory_handler directory;
     control_handler control;
