--- a/src/app/gateway/peers/load_exchange.cpp
+++ b/src/app/gateway/peers/load_exchange.cpp
@@ -55,6 +55,7 @@
     heartbeat.rates.clear();
     this->fill_loads(heartbeat, target);
     this->fill_teams(heartbeat, target);
+    this->fill_speeds(heartbeat);
     if (target.has_rates)
         this->fill_rates(heartbeat, target);
 }
@@ -90,7 +91,8 @@
         if (is_negligible(load) || heartbeat.loads.size() == max_loads)
             continue;
         heartbeat.loads.push_back({backend, load.active, load.waiting_tokens,
-                                   load.long_streams, load.prompt_rate});
+                                   load.long_streams, load.prompt_rate,
+                                   load.memory_tokens});
     }
 }
 
@@ -132,6 +134,37 @@
     heartbeat.teams.resize(protocol::max_reported_teams);
 }
 
+void load_exchange::fill_speeds(protocol::gateway_heartbeat& heartbeat)
+{
+    const coordination::engine_speed& speeds = this->shared.chooser.speeds();
+    heartbeat.speeds.clear();
+    switch (heartbeat.scope)
+    {
+    case load_scope::none:
+        return;
+    case load_scope::gateway:
+        heartbeat.speeds = speeds.own_speeds(now());
+        break;
+    case load_scope::zone:
+        heartbeat.speeds = speeds.zone_speeds(now());
+        break;
+    case load_scope::others:
+        if (!this->cached_speeds)
+            this->cached_speeds = speeds.all_speeds(now());
+        heartbeat.speeds = *this->cached_speeds;
+        break;
+    }
+    if (heartbeat.speeds.size() <= protocol::max_reported_services)
+        return;
+    const auto has_more_samples =
+        [](const protocol::service_speed& left, const protocol::service_speed& right)
+    { return left.samples > right.samples; };
+    std::nth_element(heartbeat.speeds.begin(),
+                     heartbeat.speeds.begin() + protocol::max_reported_services,
+                     heartbeat.speeds.end(), has_more_samples);
+    heartbeat.speeds.resize(protocol::max_reported_services);
+}
+
 void load_exchange::fill_rates(protocol::gateway_heartbeat& heartbeat,
                                const coordination::gossip_target& target) const
 {
@@ -183,13 +216,14 @@
         for (const protocol::backend_load_entry& load : heartbeat.loads)
         {
             loads[load.backend] = {load.active, load.waiting_tokens, load.long_streams,
-                                   load.prompt_rate};
+                                   load.prompt_rate, load.memory_tokens};
         }
         this->shared.loads.set_peer(now(), key, std::move(loads));
         coordination::team_usage_report usage;
         usage.gateways = heartbeat.team_reporters;
         for (const protocol::team_usage& team : heartbeat.teams)
             usage.teams[team.team] = {team.asked_per_s, team.admitted_per_s};
+        this->shared.chooser.speeds().set_peer(now(), key, heartbeat.speeds);
         this->shared.team_reports.set_peer(now(), key, std::move(usage));
     }
     return has_new_waiting && is_aggregator && heartbeat.scope == load_scope::gateway;
@@ -198,6 +232,7 @@
 void load_exchange::forget(const std::string& node)
 {
     this->shared.loads.forget_peer({load_scope::gateway, node});
+    this->shared.chooser.speeds().forget_peer({load_scope::gateway, node});
     this->shared.team_reports.forget_peer({load_scope::gateway, node});
     this->shared.demand.forget_peer({load_scope::gateway, node});
 }
@@ -205,6 +240,7 @@
 void load_exchange::forget_all()
 {
     this->shared.loads.forget_peers();
+    this->shared.chooser.speeds().forget_peers();
     this->shared.team_reports.forget_peers();
     this->shared.demand.forget_peers();
 }
--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -234,6 +234,7 @@
                     heartbeat.scope = target.scope;
                     heartbeat.members.clear();
                     heartbeat.loads.clear();
+                    heartbeat.speeds.clear();
                     heartbeat.rates.clear();
                     heartbeat.teams.clear();
                     heartbeat.team_reporters = 0;
