Limit the queues that requests join by their urgency

Any request was sent while the queue of the chosen engine was below 450 ms, so patient requests filled the queues and urgent ones came late.

room_policy derives the limit from the ranks and targets of the routes of the service: the most urgent may use what their target still allows, others a part of what the most urgent can spare, rising as their own target comes near, and late ones one prompt. Services whose routes have one rank keep the limits of 450 and 300 ms. Calls carry the rank as their priority at the engine, lowered for late requests and raised for resumed streams.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -176,6 +176,12 @@
     this->demand.output_tokens = this->metadata.output_tokens;
     this->demand.parts = this->metadata.parts;
     this->demand.target_ms = static_cast<double>(this->route->target_latency.count());
+    if (!this->demand.model.empty())
+    {
+        this->room =
+            coordination::classify_request(this->routes->config(), this->demand.service,
+                                           this->rank(), this->route->target_latency);
+    }
     this->check_time_before_exit();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
@@ -409,7 +415,8 @@
     call_metadata.resume_after = this->events.last_id();
     if (!this->demand.model.empty())
     {
-        call_metadata.priority = this->route->priority;
+        call_metadata.priority = coordination::engine_priority(
+            this->rank(), this->is_late(choice.idle_ms), this->stream_begun);
         const state::gateway_service* const service =
             this->routes->config().find_service(this->demand.service);
         this->shared.chooser.on_sent(*choice.backend, this->demand,
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -3,6 +3,7 @@
 #include "app/gateway/serving/gateway_state.hpp"
 #include "app/gateway/serving/request_dialect.hpp"
 #include "coordination/backend_choice.hpp"
+#include "coordination/room_policy.hpp"
 #include "protocol/refusal.hpp"
 #include "protocol/sse_event_splitter.hpp"
 #include "transport/http_client.hpp"
@@ -98,7 +99,14 @@
     /// Whether the request may be sent now: it is next in the queue, and the queue of the
     /// chosen engine is short enough.
     bool may_be_sent(const coordination::backend_choice& choice,
-                     coordination::admission_queue::ticket ticket) const;
+                     coordination::admission_queue::ticket ticket);
+    /// Rank of the request; 0 is the highest.
+    int rank() const;
+    /// Whether the answer cannot begin within the target any more.
+    bool is_late(double idle_ms) const;
+    /// Whether the expected queue of the chosen engine is within the limit of this
+    /// request.
+    bool has_room(const coordination::backend_choice& choice);
     /// Estimates the time until an engine produces the first token, in milliseconds.
     double queue_ms(const coordination::backend_choice& choice,
                     coordination::admission_queue::ticket ticket) const;
@@ -160,6 +168,10 @@
     const state::gateway_route* route = nullptr;
     request_metadata metadata;
     coordination::backend_demand demand;
+    coordination::room_class room;
+    /// Expected queue of the engine chosen last, and the limit of this request.
+    double engine_queue_ms = 0.0;
+    double queue_limit_ms = 0.0;
     state::time_point started{};
     state::time_point deadline{};
     boost::asio::steady_timer deadline_timer;
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -19,11 +19,6 @@
 
 /// Fraction of the time limit that a request may wait for weights to be loaded.
 constexpr double max_weight_wait_fraction = 0.6;
-/// Maximum prompt computation time queued at an engine before a request is sent to it.
-/// Further requests wait in the gateway, where their order can still change.
-constexpr double max_queue_ms = 450.0;
-/// The same limit for a request that has already missed its target latency.
-constexpr double max_late_queue_ms = 300.0;
 /// Time per output token of a stream at a busy engine.
 constexpr double ms_per_output_token = 25.0;
 
@@ -41,8 +36,7 @@
     const std::vector<std::string> wanted = std::move(choice.without_permit);
     if (wanted.empty())
         return choice;
-    const bool is_urgent =
-        !choice.backend || choice.expected_ms - choice.idle_ms > max_queue_ms;
+    const bool is_urgent = !choice.backend || !this->has_room(choice);
     for (const std::string& backend : wanted)
         this->shared.limits.on_wanted(backend, is_urgent);
     this->shared.on_permits_wanted();
@@ -73,8 +67,7 @@
     const bool is_missing = choice.failure == choice_failure::model_missing ||
                             choice.failure == choice_failure::adapter_missing ||
                             choice.failure == choice_failure::paused || is_limited;
-    const bool is_busy =
-        choice.backend && choice.expected_ms - choice.idle_ms > max_queue_ms;
+    const bool is_busy = choice.backend && !this->has_room(choice);
     const bool has_queue = this->shared.queue.size() > 0;
     if (is_missing || is_busy || (choice.backend && has_queue))
         choice = co_await this->wait_in_queue();
@@ -87,14 +80,30 @@
         static_cast<std::int64_t>(this->demand.output_tokens * ms_per_output_token));
 }
 
+int relayed_request::rank() const
+{
+    return this->route->priority;
+}
+
+bool relayed_request::is_late(double idle_ms) const
+{
+    return since(this->started) + milliseconds(static_cast<std::int64_t>(idle_ms)) >
+           this->route->target_latency;
+}
+
+bool relayed_request::has_room(const backend_choice& choice)
+{
+    this->engine_queue_ms = choice.expected_ms - choice.idle_ms;
+    this->queue_limit_ms = coordination::queue_limit_ms(
+        this->room, static_cast<double>(since(this->started).count()), choice.idle_ms);
+    return this->engine_queue_ms <= this->queue_limit_ms;
+}
+
 bool relayed_request::may_be_sent(const backend_choice& choice,
-                                  coordination::admission_queue::ticket ticket) const
+                                  coordination::admission_queue::ticket ticket)
 {
-    if (!choice.backend || !this->shared.queue.is_next(now(), ticket))
-        return false;
-    const double queue_ms = choice.expected_ms - choice.idle_ms;
-    return queue_ms <= (this->shared.queue.is_in_time(now(), ticket) ? max_queue_ms
-                                                                     : max_late_queue_ms);
+    return choice.backend && this->has_room(choice) &&
+           this->shared.queue.is_next(now(), ticket);
 }
 
 double relayed_request::queue_ms(const backend_choice& choice,
@@ -135,7 +144,7 @@
     const std::string& group =
         this->demand.model.empty() ? this->demand.service : this->demand.model;
     const auto ticket = this->shared.queue.enter(
-        {group, this->route->priority, this->started,
+        {group, this->rank(), this->started,
          this->started + this->route->target_latency -
              milliseconds(static_cast<std::int64_t>(choice.idle_ms)),
          choice.idle_ms});
