--- a/src/app/gateway/peers/load_exchange.cpp
+++ b/src/app/gateway/peers/load_exchange.cpp
@@ -3,6 +3,8 @@
 #include "coordination/report_source.hpp"
 
 #include <algorithm>
+#include <map>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -22,6 +24,8 @@
 /// are the smallest ones.
 constexpr std::size_t max_rates = 300;
 constexpr std::size_t max_loads = 500;
+/// Models listed by what waits for them; those beyond the limit are added up.
+constexpr std::size_t max_queued_models = 32;
 
 /// Returns the key under which the reported loads and rates are stored.
 report_source reporter_key(const protocol::gateway_heartbeat& heartbeat)
@@ -39,6 +43,12 @@
     return {heartbeat.scope, ""};
 }
 
+void subtract(protocol::tokens_by_rank& sum, const protocol::tokens_by_rank& part)
+{
+    for (std::size_t rank = 0; rank < sum.size(); ++rank)
+        sum[rank] -= std::min(sum[rank], part[rank]);
+}
+
 bool is_negligible(const coordination::peer_load& load)
 {
     return load.active == 0 && load.waiting_tokens == 0 && load.long_streams == 0 &&
@@ -56,6 +66,8 @@
     this->fill_loads(heartbeat, target);
     if (target.has_rates)
         this->fill_rates(heartbeat, target);
+    else
+        this->fill_queues(heartbeat, target);
 }
 
 void load_exchange::fill_loads(protocol::gateway_heartbeat& heartbeat,
@@ -104,21 +116,76 @@
     {
         heartbeat.rates.push_back({name.service, name.model, name.adapter, rate.per_s,
                                    rate.tokens_per_s, rate.usual_tokens_per_s,
-                                   rate.waiting});
+                                   rate.waiting, rate.queued_tokens,
+                                   rate.queued_by_rank});
     }
     if (heartbeat.rates.size() <= max_rates)
         return;
     const auto is_larger = [](const protocol::weight_rate_entry& left,
                               const protocol::weight_rate_entry& right)
     {
-        return std::tie(left.waiting, left.usual_tokens_per_s) >
-               std::tie(right.waiting, right.usual_tokens_per_s);
+        return std::tie(left.waiting, left.queued_tokens, left.usual_tokens_per_s) >
+               std::tie(right.waiting, right.queued_tokens, right.usual_tokens_per_s);
     };
     std::nth_element(heartbeat.rates.begin(), heartbeat.rates.begin() + max_rates,
                      heartbeat.rates.end(), is_larger);
     heartbeat.rates.resize(max_rates);
 }
 
+void load_exchange::fill_queues(protocol::gateway_heartbeat& heartbeat,
+                                const coordination::gossip_target& target)
+{
+    weight_demand::queue_map queues;
+    if (target.scope == load_scope::zone)
+    {
+        queues = this->shared.demand.zone_queues(now());
+    }
+    else if (target.scope == load_scope::others)
+    {
+        if (!this->cached_queues)
+            this->cached_queues = this->shared.demand.all_queues(now());
+        queues = *this->cached_queues;
+        const auto* const own =
+            this->shared.demand.queues_of(now(), {load_scope::gateway, target.node});
+        if (own != nullptr)
+        {
+            for (const auto& [name, tokens] : *own)
+                subtract(queues[name], tokens);
+        }
+    }
+    for (const auto& [name, tokens] : queues)
+    {
+        const std::uint32_t sum =
+            std::accumulate(tokens.begin(), tokens.end(), std::uint32_t(0));
+        if (sum == 0)
+            continue;
+        protocol::weight_rate_entry& rate = heartbeat.rates.emplace_back();
+        rate.service = name.service;
+        rate.model = name.model;
+        rate.queued_tokens = sum;
+        rate.queued_by_rank = tokens;
+    }
+    if (heartbeat.rates.size() <= max_queued_models)
+        return;
+    std::sort(heartbeat.rates.begin(), heartbeat.rates.end(),
+              [](const protocol::weight_rate_entry& left,
+                 const protocol::weight_rate_entry& right)
+              { return left.queued_tokens > right.queued_tokens; });
+    std::map<std::string, protocol::weight_rate_entry> rest;
+    for (std::size_t i = max_queued_models; i < heartbeat.rates.size(); ++i)
+    {
+        const protocol::weight_rate_entry& rate = heartbeat.rates[i];
+        protocol::weight_rate_entry& sum = rest[rate.service];
+        sum.service = rate.service;
+        sum.queued_tokens += rate.queued_tokens;
+        for (std::size_t rank = 0; rank < sum.queued_by_rank.size(); ++rank)
+            sum.queued_by_rank[rank] += rate.queued_by_rank[rank];
+    }
+    heartbeat.rates.resize(max_queued_models);
+    for (auto& [service, rate] : rest)
+        heartbeat.rates.push_back(std::move(rate));
+}
+
 bool load_exchange::accept(const protocol::gateway_heartbeat& heartbeat,
                            bool is_aggregator)
 {
@@ -130,7 +197,8 @@
     for (const protocol::weight_rate_entry& rate : heartbeat.rates)
     {
         rates[{rate.service, rate.model, rate.adapter}] = {
-            rate.per_s, rate.tokens_per_s, rate.usual_tokens_per_s, rate.waiting};
+            rate.per_s,   rate.tokens_per_s,  rate.usual_tokens_per_s,
+            rate.waiting, rate.queued_tokens, rate.queued_by_rank};
         has_waiting |= rate.waiting > 0;
     }
     const bool has_new_waiting = has_waiting && !this->shared.demand.had_waiting(key);
--- a/src/app/gateway/peers/load_exchange.hpp
+++ b/src/app/gateway/peers/load_exchange.hpp
@@ -18,7 +18,11 @@
 
     /// Discards the cached totals. All heartbeats filled until the next call share one
     /// set of totals, which is computed once.
-    void reset_totals() { this->cached_totals.reset(); }
+    void reset_totals()
+    {
+        this->cached_totals.reset();
+        this->cached_queues.reset();
+    }
     /// Sets the loads and rates that `target` receives.
     void fill(protocol::gateway_heartbeat& heartbeat,
               const coordination::gossip_target& target);
@@ -34,9 +38,13 @@
                     const coordination::gossip_target& target);
     void fill_rates(protocol::gateway_heartbeat& heartbeat,
                     const coordination::gossip_target& target) const;
+    /// Sets what waits for capacity, for receivers that do not plan the placement.
+    void fill_queues(protocol::gateway_heartbeat& heartbeat,
+                     const coordination::gossip_target& target);
 
     gateway_state& shared;
     std::optional<coordination::backend_loads::load_map> cached_totals;
+    std::optional<coordination::weight_demand::queue_map> cached_queues;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/serving/gateway_state.cpp
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -23,7 +23,17 @@
       chooser(process_settings.zone, coordination::speed_model{}),
       random(seed),
       backends_changed(loop_executor),
-      loads_changed(loop_executor)
+      loads_changed(loop_executor),
+      requests_held(process_counters.count("requests_held_total",
+                                           "requests that waited for capacity")),
+      requests_released(process_counters.count("requests_released_total",
+                                               "waiting requests that were sent")),
+      refused_by_deadline(process_counters.count(
+          "requests_refused_deadline_total",
+          "requests refused since the queues exceed the deadline")),
+      refused_by_target(process_counters.count(
+          "requests_refused_target_total",
+          "requests refused since they would be late and can come back earlier"))
 {
 }
 
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -74,6 +74,11 @@
                        std::optional<coordination::unanswered_call>)>
         on_call_lost = [](const state::backend_entry&,
                           const std::optional<coordination::unanswered_call>&) {};
+    /// Requests that had to wait, and those of them that were sent or refused.
+    state::counter& requests_held;
+    state::counter& requests_released;
+    state::counter& refused_by_deadline;
+    state::counter& refused_by_target;
     /// Gateways that share the engines, this one included.
     std::size_t gateways = 1;
     /// A planned stop has begun; requests are still accepted.
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -106,6 +106,7 @@
 relayed_request::~relayed_request()
 {
     this->shared.requests.erase(this);
+    this->set_queued(std::nullopt);
     // Callbacks that are already queued must not access this request.
     this->aborted->call = nullptr;
     this->aborted->request = nullptr;
@@ -176,6 +177,7 @@
     this->demand.output_tokens = this->metadata.output_tokens;
     this->demand.parts = this->metadata.parts;
     this->demand.target_ms = static_cast<double>(this->route->target_latency.count());
+    this->room.target_ms = this->demand.target_ms;
     if (!this->demand.model.empty())
     {
         this->room =
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -96,22 +96,24 @@
     /// Chooses a backend server, and requests permits that are missing.
     coordination::backend_choice choose_now();
     coordination::backend_choice choose_backend();
-    /// Whether the request may be sent now: it is next in the queue, and the queue of the
-    /// chosen engine is short enough.
-    bool may_be_sent(const coordination::backend_choice& choice,
-                     coordination::admission_queue::ticket ticket);
     /// Rank of the request; 0 is the highest.
     int rank() const;
     /// Whether the answer cannot begin within the target any more.
     bool is_late(double idle_ms) const;
-    /// Whether the expected queue of the chosen engine is within the limit of this
-    /// request.
-    bool has_room(const coordination::backend_choice& choice);
-    /// Estimates the time until an engine produces the first token, in milliseconds.
-    double queue_ms(const coordination::backend_choice& choice,
-                    coordination::admission_queue::ticket ticket) const;
-    bool can_finish_in_time(const coordination::backend_choice& choice,
-                            coordination::admission_queue::ticket ticket);
+    /// Rank with which the request counts among those that wait.
+    std::size_t queue_rank(double idle_ms) const;
+    /// Engine time of the requests at other gateways that precede this one.
+    coordination::waiting_work work_at_peers(const protocol::tokens_by_rank& tokens,
+                                             double idle_ms, std::size_t engines) const;
+    /// Decides whether the request is sent to the chosen engine now. `own_ahead_ms` is
+    /// the engine time of the requests at this gateway that precede it.
+    coordination::room_decision decide(const coordination::backend_choice& choice,
+                                       bool is_next, double own_ahead_ms);
+    /// Counts the request among those that wait for capacity, or removes it.
+    void set_queued(std::optional<std::size_t> rank);
+    void on_refused(const coordination::room_decision& decision);
+    /// Without a chosen backend server: whether one may become available in time.
+    bool may_become_available(const coordination::backend_choice& choice) const;
     state::milliseconds stream_time() const;
     bool may_try_again(call_end last) const;
     /// Sends the request to one backend server and forwards its response.
@@ -172,6 +174,10 @@
     /// Expected queue of the engine chosen last, and the limit of this request.
     double engine_queue_ms = 0.0;
     double queue_limit_ms = 0.0;
+    /// Time of the last decision about the room.
+    state::time_point decided_at{};
+    /// Rank with which the request is counted as waiting.
+    std::optional<std::size_t> queued_as;
     state::time_point started{};
     state::time_point deadline{};
     boost::asio::steady_timer deadline_timer;
--- a/src/app/gateway/serving/relayed_request_completion.cpp
+++ b/src/app/gateway/serving/relayed_request_completion.cpp
@@ -28,8 +28,6 @@
 /// to be loaded.
 constexpr milliseconds short_retry_after{200};
 constexpr milliseconds long_retry_after{1000};
-/// Retry-After of an overload is at most the remaining time divided by this.
-constexpr int retry_after_divisor = 3;
 constexpr double ms_per_s = 1000.0;
 
 std::string format_seconds(milliseconds value)
@@ -138,9 +136,9 @@
     if (this->last_failure == choice_failure::overloaded)
     {
         // An earlier retry would find the same queues.
-        after = std::clamp(
-            this->queue_time / 2, short_retry_after,
-            std::max(this->time_left() / retry_after_divisor, short_retry_after));
+        return milliseconds(static_cast<std::int64_t>(coordination::retry_after_ms(
+            static_cast<double>(this->queue_time.count()),
+            static_cast<double>(this->time_left().count()), this->shared.random.unit())));
     }
     // Jitter spreads the retries of callers that were refused at the same time.
     double spread = 0.75 + 0.5 * this->shared.random.unit();
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -19,6 +19,8 @@
 
 /// Fraction of the time limit that a request may wait for weights to be loaded.
 constexpr double max_weight_wait_fraction = 0.6;
+/// Interval between decisions about a waiting request.
+constexpr milliseconds longest_wait{30};
 /// Time per output token of a stream at a busy engine.
 constexpr double ms_per_output_token = 25.0;
 
@@ -36,7 +38,12 @@
     const std::vector<std::string> wanted = std::move(choice.without_permit);
     if (wanted.empty())
         return choice;
-    const bool is_urgent = !choice.backend || !this->has_room(choice);
+    const bool is_urgent =
+        !choice.backend ||
+        choice.expected_ms - choice.idle_ms >
+            coordination::queue_limit_ms(
+                this->room, static_cast<double>(since(this->started).count()),
+                choice.idle_ms);
     for (const std::string& backend : wanted)
         this->shared.limits.on_wanted(backend, is_urgent);
     this->shared.on_permits_wanted();
@@ -67,9 +74,11 @@
     const bool is_missing = choice.failure == choice_failure::model_missing ||
                             choice.failure == choice_failure::adapter_missing ||
                             choice.failure == choice_failure::paused || is_limited;
-    const bool is_busy = choice.backend && !this->has_room(choice);
     const bool has_queue = this->shared.queue.size() > 0;
-    if (is_missing || is_busy || (choice.backend && has_queue))
+    const bool is_held =
+        choice.backend && (has_queue || this->decide(choice, true, 0.0).action !=
+                                            coordination::room_action::send);
+    if (is_missing || is_held)
         choice = co_await this->wait_in_queue();
     co_return choice;
 }
@@ -91,41 +100,81 @@
            this->route->target_latency;
 }
 
-bool relayed_request::has_room(const backend_choice& choice)
+coordination::waiting_work
+relayed_request::work_at_peers(const protocol::tokens_by_rank& tokens, double idle_ms,
+                               std::size_t engines) const
 {
-    this->engine_queue_ms = choice.expected_ms - choice.idle_ms;
-    this->queue_limit_ms = coordination::queue_limit_ms(
-        this->room, static_cast<double>(since(this->started).count()), choice.idle_ms);
-    return this->engine_queue_ms <= this->queue_limit_ms;
+    double sum = 0.0;
+    for (std::size_t rank = 0; rank <= this->queue_rank(idle_ms); ++rank)
+        sum += tokens[rank];
+    coordination::waiting_work result;
+    // Assumes that the other prompts take as long for each token as this one.
+    result.others_ms = sum * idle_ms / std::max(1.0, this->demand.prompt_tokens * 1.0);
+    result.engines = std::max<std::size_t>(engines, 1);
+    return result;
 }
 
-bool relayed_request::may_be_sent(const backend_choice& choice,
-                                  coordination::admission_queue::ticket ticket)
+std::size_t relayed_request::queue_rank(double idle_ms) const
 {
-    return choice.backend && this->has_room(choice) &&
-           this->shared.queue.is_next(now(), ticket);
+    constexpr int late_rank = static_cast<int>(protocol::queue_ranks) - 1;
+    return static_cast<std::size_t>(
+        this->is_late(idle_ms) ? late_rank : std::clamp(this->rank(), 0, late_rank - 1));
 }
 
-double relayed_request::queue_ms(const backend_choice& choice,
-                                 coordination::admission_queue::ticket ticket) const
+coordination::room_decision relayed_request::decide(const backend_choice& choice,
+                                                    bool is_next, double own_ahead_ms)
 {
-    // Assumes that the other gateways have equally long queues.
-    const double ahead_ms =
-        this->shared.queue.work_ahead_ms(now(), ticket) *
-        static_cast<double>(this->shared.gateways) /
-        static_cast<double>(std::max<std::size_t>(choice.candidates, 1));
-    return choice.expected_ms + ahead_ms;
+    coordination::room_request request;
+    request.urgency = this->room;
+    request.waited_ms = static_cast<double>(since(this->started).count());
+    request.left_ms =
+        static_cast<double>((this->time_left() - this->stream_time()).count());
+    request.idle_ms = choice.idle_ms;
+    request.queue_ms = choice.expected_ms - choice.idle_ms;
+    request.is_next = is_next;
+    if (!this->demand.model.empty())
+    {
+        const coordination::queued_tokens queued = this->shared.demand.peer_queue(
+            now(), this->demand.service, this->demand.model);
+        request.model =
+            this->work_at_peers(queued.model, choice.idle_ms, choice.candidates);
+        request.service =
+            this->work_at_peers(queued.service, choice.idle_ms,
+                                this->shared.directory.count(this->demand.service));
+    }
+    request.model.own_ms = own_ahead_ms;
+    request.service.own_ms = own_ahead_ms;
+    const bool is_first = this->decided_at == state::time_point{};
+    request.interval_ms =
+        is_first
+            ? static_cast<double>(longest_wait.count())
+            : std::chrono::duration<double, std::milli>(now() - this->decided_at).count();
+    this->decided_at = now();
+    const coordination::room_decision decision =
+        coordination::decide_room(request, this->shared.random.unit());
+    this->engine_queue_ms = request.queue_ms;
+    this->queue_limit_ms = decision.limit_ms;
+    this->queue_time =
+        milliseconds(static_cast<std::int64_t>(decision.wait_ms + choice.idle_ms));
+    return decision;
 }
 
-bool relayed_request::can_finish_in_time(const backend_choice& choice,
-                                         coordination::admission_queue::ticket ticket)
+void relayed_request::set_queued(std::optional<std::size_t> rank)
+{
+    if (rank == this->queued_as)
+        return;
+    const coordination::weight_name name{this->demand.service, this->demand.model,
+                                         this->demand.adapter};
+    if (this->queued_as)
+        this->shared.demand.on_queue_left(name, *this->queued_as,
+                                          this->demand.prompt_tokens);
+    if (rank)
+        this->shared.demand.on_queued(name, *rank, this->demand.prompt_tokens);
+    this->queued_as = rank;
+}
+
+bool relayed_request::may_become_available(const backend_choice& choice) const
 {
-    if (choice.backend)
-    {
-        const double queue = this->queue_ms(choice, ticket);
-        this->queue_time = milliseconds(static_cast<std::int64_t>(queue));
-        return this->queue_time < this->time_left() - this->stream_time();
-    }
     if (choice.failure == choice_failure::paused)
         return choice.available_at + this->stream_time() < this->deadline;
     const auto longest = std::chrono::duration_cast<milliseconds>(
@@ -136,6 +185,24 @@
     return since(this->started) < limit;
 }
 
+void relayed_request::on_refused(const coordination::room_decision& decision)
+{
+    switch (decision.reason)
+    {
+    case coordination::refusal_reason::none:
+        this->last_problem = "";
+        return;
+    case coordination::refusal_reason::deadline:
+        this->shared.refused_by_deadline.add();
+        break;
+    case coordination::refusal_reason::target:
+        this->shared.refused_by_target.add();
+        break;
+    }
+    this->last_problem =
+        "the queues are too long for the " + std::string(to_string(decision.reason));
+}
+
 asio::awaitable<backend_choice> relayed_request::wait_in_queue()
 {
     const coordination::weight_name name{this->demand.service, this->demand.model,
@@ -155,8 +222,20 @@
         this->shared.demand.on_wait(name);
         this->shared.backends_changed.notify();
     }
-    while (!this->is_aborted() && !this->may_be_sent(choice, ticket))
+    this->shared.requests_held.add();
+    while (!this->is_aborted())
     {
+        coordination::room_decision decision;
+        if (choice.backend)
+            decision = this->decide(choice, this->shared.queue.is_next(now(), ticket),
+                                    this->shared.queue.work_ahead_ms(now(), ticket));
+        else if (!this->may_become_available(choice))
+            decision.action = coordination::room_action::refuse;
+        if (decision.action == coordination::room_action::send)
+        {
+            this->shared.requests_released.add();
+            break;
+        }
         if (this->shared.refuses_new_requests)
         {
             // Refuses now, so that the caller can retry at another gateway while there is
@@ -167,20 +246,24 @@
         }
         if (choice.failure == choice_failure::quarantined)
             break;
-        if (!this->can_finish_in_time(choice, ticket))
+        if (decision.action == coordination::room_action::refuse)
         {
-            this->last_problem = choice.backend ? "the queues are too long" : "";
+            this->on_refused(decision);
             if (choice.backend)
                 choice.failure = choice_failure::overloaded;
             choice.backend = nullptr;
             break;
         }
+        const bool waits_for_room = choice.backend && !this->demand.model.empty();
+        this->set_queued(
+            waits_for_room ? std::optional<std::size_t>(this->queue_rank(choice.idle_ms))
+                           : std::nullopt);
         // Re-evaluates periodically, since load changes at other gateways send no
         // notification.
-        constexpr milliseconds longest_wait{30};
         co_await this->shared.loads_changed.wait(longest_wait);
         choice = this->choose_now();
     }
+    this->set_queued(std::nullopt);
     if (is_missing)
         this->shared.demand.on_wait_ended(name);
     this->shared.queue.leave(ticket);
--- a/src/libs/coordination/backend_directory.cpp
+++ b/src/libs/coordination/backend_directory.cpp
@@ -219,6 +219,14 @@
     return found == this->backends.end() ? nullptr : found->second;
 }
 
+std::size_t backend_directory::count(std::string_view service) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->backends.begin(), this->backends.end(),
+        [service](const auto& item)
+        { return item.second->entry.service == service && !item.second->is_leaving; }));
+}
+
 std::vector<known_backend_ptr>
 backend_directory::of_service(std::string_view service) const
 {
--- a/src/libs/coordination/backend_directory.hpp
+++ b/src/libs/coordination/backend_directory.hpp
@@ -107,6 +107,8 @@
     known_backend_ptr find(std::string_view id) const;
     /// The backend servers of a service, leaving ones included, ordered by id.
     std::vector<known_backend_ptr> of_service(std::string_view service) const;
+    /// Number of backend servers of a service that accept new requests.
+    std::size_t count(std::string_view service) const;
     const std::map<std::string, known_backend_ptr, std::less<>>& all() const
     {
         return this->backends;
--- a/src/libs/coordination/room_policy.cpp
+++ b/src/libs/coordination/room_policy.cpp
@@ -1,5 +1,6 @@
 #include "coordination/room_policy.hpp"
 
+#include "coordination/queue_forecast.hpp"
 #include "state/enum_table.hpp"
 
 #include <algorithm>
@@ -19,6 +20,12 @@
     {room_action::refuse, "refuse"},
 }};
 
+constexpr std::array<state::enum_name<refusal_reason>, 3> reason_names{{
+    {refusal_reason::none, "none"},
+    {refusal_reason::deadline, "deadline"},
+    {refusal_reason::target, "target"},
+}};
+
 /// Longest queue at an engine. It keeps the engine busy until the gateways hear of its
 /// progress; a longer one would only fix the order of requests too early.
 constexpr double max_queue_ms = 450.0;
@@ -34,9 +41,6 @@
 /// Highest and lowest priority of a call at an engine.
 constexpr int first_priority = 0;
 constexpr int last_priority = 9;
-/// Time after which a call of another gateway appears in the load figures: two reports
-/// within an availability zone, and one more between zones.
-constexpr double load_report_age_ms = 400.0;
 /// Callers honour a Retry-After up to the time they have left divided by this.
 constexpr double retry_after_divisor = 3.0;
 constexpr double min_retry_after_ms = 200.0;
@@ -65,6 +69,11 @@
     return name_of(action_names, action);
 }
 
+std::string_view to_string(refusal_reason reason)
+{
+    return name_of(reason_names, reason);
+}
+
 double waiting_work::wait_ms() const
 {
     return (this->own_ms + this->others_ms) /
@@ -157,15 +166,21 @@
     if (result.wait_ms + request.idle_ms >= request.left_ms)
     {
         result.action = room_action::refuse;
+        result.reason = refusal_reason::deadline;
         return result;
     }
-    // A request that is expected to be late anyway is refused if its caller could be back
-    // before its turn.
+    // A request that is expected to be late is refused while other requests need the
+    // room, unless its turn comes before its caller could be back.
     const double slack_ms =
         request.urgency.target_ms - request.waited_ms - request.idle_ms;
-    if (request.urgency.is_ranked && result.wait_ms > slack_ms &&
-        result.wait_ms > request.left_ms / retry_after_divisor)
+    const bool has_rivals =
+        request.model.others_ms > 0.0 || request.service.others_ms > 0.0;
+    if (request.urgency.is_ranked && has_rivals &&
+        result.wait_ms > std::max(slack_ms, min_retry_after_ms))
+    {
         result.action = room_action::refuse;
+        result.reason = refusal_reason::target;
+    }
     return result;
 }
 
--- a/src/libs/coordination/room_policy.hpp
+++ b/src/libs/coordination/room_policy.hpp
@@ -78,9 +78,21 @@
 
 std::string_view to_string(room_action action);
 
+enum class refusal_reason
+{
+    none,
+    /// The answer would not begin before the deadline.
+    deadline,
+    /// The answer would be late, and the caller could be back before its turn.
+    target,
+};
+
+std::string_view to_string(refusal_reason reason);
+
 struct room_decision
 {
     room_action action = room_action::hold;
+    refusal_reason reason = refusal_reason::none;
     /// Longest queue to which the request may be sent.
     double limit_ms = 0.0;
     /// Expected time until an engine begins with the request.
--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/report_source.hpp"
+#include "protocol/gateway_heartbeat.hpp"
 #include "state/clock.hpp"
 
 #include <cstdint>
@@ -38,6 +39,32 @@
     double usual_tokens_per_s = 0.0;
     /// Requests that wait because no engine has the weights loaded.
     std::uint32_t waiting = 0;
+    /// Prompt tokens of requests that wait until an engine has capacity for them, and the
+    /// same by rank.
+    std::uint32_t queued_tokens = 0;
+    protocol::tokens_by_rank queued_by_rank{};
+};
+
+/// A model whose requests wait for capacity. The model is empty for the sum over models
+/// that are not listed.
+struct model_key
+{
+    std::string service;
+    std::string model;
+
+    bool operator<(const model_key& other) const
+    {
+        return std::tie(this->service, this->model) <
+               std::tie(other.service, other.model);
+    }
+};
+
+/// Prompt tokens that wait at other gateways for one model and for all models of its
+/// service.
+struct queued_tokens
+{
+    protocol::tokens_by_rank model{};
+    protocol::tokens_by_rank service{};
 };
 
 /// Measures the demand for models and adapters from the requests of this process and from
@@ -51,6 +78,9 @@
     /// Count the requests that wait for the weights.
     void on_wait(const weight_name& name);
     void on_wait_ended(const weight_name& name);
+    /// Count the prompt tokens of requests that wait for capacity.
+    void on_queued(const weight_name& name, std::size_t rank, std::uint32_t tokens);
+    void on_queue_left(const weight_name& name, std::size_t rank, std::uint32_t tokens);
     bool has_waiting() const { return !this->waiting.empty(); }
 
     /// Demand from the requests of this process.
@@ -64,6 +94,17 @@
     rates zone_rates(state::time_point now, const std::string& receiver) const;
     /// Whether the last report of `peer` contains requests that wait for weights.
     bool had_waiting(const report_source& peer) const;
+    using queue_map = std::map<model_key, protocol::tokens_by_rank>;
+
+    /// Waiting requests of this gateway and of the gateways in its availability zone.
+    queue_map zone_queues(state::time_point now) const;
+    /// Waiting requests of all gateways.
+    queue_map all_queues(state::time_point now) const;
+    /// Waiting requests that `peer` reported, or null without a recent report.
+    const queue_map* queues_of(state::time_point now, const report_source& peer) const;
+    /// Waiting requests of all other gateways.
+    queued_tokens peer_queue(state::time_point now, std::string_view service,
+                             std::string_view model) const;
     /// Demand over all gateways.
     rates total(state::time_point now) const;
 
@@ -79,10 +120,14 @@
     {
         state::time_point received{};
         rates values;
+        queue_map queues;
     };
 
+    queue_map own_queues() const;
+
     std::map<weight_name, meter> meters;
     std::map<weight_name, std::uint32_t> waiting;
+    std::map<weight_name, protocol::tokens_by_rank> queued;
     std::map<report_source, peer_rates> peers;
 };
 
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -212,6 +212,13 @@
         item.__set_waiting(to_wire_count(rate.waiting));
         if (rate.queued_tokens > 0)
             item.__set_queuedTokens(to_wire_count(rate.queued_tokens));
+        std::vector<std::int32_t> by_rank;
+        for (const std::uint32_t tokens : rate.queued_by_rank)
+            by_rank.push_back(to_wire_count(tokens));
+        while (!by_rank.empty() && by_rank.back() == 0)
+            by_rank.pop_back();
+        if (!by_rank.empty())
+            item.__set_queuedByRank(by_rank);
     }
     for (const engine_weights& weights : heartbeat.weights)
         result.weights.push_back(to_wire(weights));
@@ -305,11 +312,21 @@
     }
     for (const gen::WeightRate& rate : heartbeat.rates)
     {
-        result.rates.push_back({rate.serviceName, rate.model, rate.adapter,
-                                rate.perSecond, rate.tokensPerSecond,
+        result.rates.push_back({rate.serviceName,
+                                rate.model,
+                                rate.adapter,
+                                rate.perSecond,
+                                rate.tokensPerSecond,
                                 rate.usualTokensPerSecond,
                                 to_unsigned<std::uint32_t>(rate.waiting),
-                                to_unsigned<std::uint32_t>(rate.queuedTokens)});
+                                to_unsigned<std::uint32_t>(rate.queuedTokens),
+                                {}});
+        // Ranks that a newer version may add count among the last.
+        for (std::size_t i = 0; i < rate.queuedByRank.size(); ++i)
+        {
+            result.rates.back().queued_by_rank[std::min(i, queue_ranks - 1)] +=
+                to_unsigned<std::uint32_t>(rate.queuedByRank[i]);
+        }
     }
     for (const gen::EngineWeights& weights : heartbeat.weights)
         result.weights.push_back(from_wire(weights));
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -3,6 +3,8 @@
 #include "state/backend_entry.hpp"
 #include "state/clock.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -47,6 +49,11 @@
     std::uint32_t memory_tokens = 0;
 };
 
+/// Number of ranks for which waiting requests are counted. The last one contains those
+/// that cannot be answered within their target any more.
+inline constexpr std::size_t queue_ranks = 10;
+using tokens_by_rank = std::array<std::uint32_t, queue_ranks>;
+
 /// Rate at which a gateway receives requests for one model or adapter.
 struct weight_rate_entry
 {
@@ -59,6 +66,8 @@
     std::uint32_t waiting = 0;
     /// Prompt tokens of requests that wait until an engine has capacity for them.
     std::uint32_t queued_tokens = 0;
+    /// The same by rank.
+    tokens_by_rank queued_by_rank{};
 };
 
 /// Use of a team's allowance, in the unit of the allowance per second.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -1448,6 +1448,11 @@
   this->queuedTokens = val;
 __isset.queuedTokens = true;
 }
+
+void WeightRate::__set_queuedByRank(const std::vector<int32_t> & val) {
+  this->queuedByRank = val;
+__isset.queuedByRank = true;
+}
 std::ostream& operator<<(std::ostream& out, const WeightRate& obj)
 {
   obj.printTo(out);
@@ -1546,6 +1551,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->queuedByRank.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->queuedByRank.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readI32(this->queuedByRank[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.queuedByRank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1609,6 +1634,19 @@
     xfer += oprot->writeI32(this->queuedTokens);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.queuedByRank) {
+    xfer += oprot->writeFieldBegin("queuedByRank", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->queuedByRank.size()));
+      std::vector<int32_t> ::const_iterator _iter39;
+      for (_iter39 = this->queuedByRank.begin(); _iter39 != this->queuedByRank.end(); ++_iter39)
+      {
+        xfer += oprot->writeI32((*_iter39));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1624,30 +1662,33 @@
   swap(a.waiting, b.waiting);
   swap(a.usualTokensPerSecond, b.usualTokensPerSecond);
   swap(a.queuedTokens, b.queuedTokens);
+  swap(a.queuedByRank, b.queuedByRank);
   swap(a.__isset, b.__isset);
 }
 
-WeightRate::WeightRate(const WeightRate& other34) {
-  serviceName = other34.serviceName;
-  model = other34.model;
-  adapter = other34.adapter;
-  perSecond = other34.perSecond;
-  tokensPerSecond = other34.tokensPerSecond;
-  waiting = other34.waiting;
-  usualTokensPerSecond = other34.usualTokensPerSecond;
-  queuedTokens = other34.queuedTokens;
-  __isset = other34.__isset;
-}
-WeightRate& WeightRate::operator=(const WeightRate& other35) {
-  serviceName = other35.serviceName;
-  model = other35.model;
-  adapter = other35.adapter;
-  perSecond = other35.perSecond;
-  tokensPerSecond = other35.tokensPerSecond;
-  waiting = other35.waiting;
-  usualTokensPerSecond = other35.usualTokensPerSecond;
-  queuedTokens = other35.queuedTokens;
-  __isset = other35.__isset;
+WeightRate::WeightRate(const WeightRate& other40) {
+  serviceName = other40.serviceName;
+  model = other40.model;
+  adapter = other40.adapter;
+  perSecond = other40.perSecond;
+  tokensPerSecond = other40.tokensPerSecond;
+  waiting = other40.waiting;
+  usualTokensPerSecond = other40.usualTokensPerSecond;
+  queuedTokens = other40.queuedTokens;
+  queuedByRank = other40.queuedByRank;
+  __isset = other40.__isset;
+}
+WeightRate& WeightRate::operator=(const WeightRate& other41) {
+  serviceName = other41.serviceName;
+  model = other41.model;
+  adapter = other41.adapter;
+  perSecond = other41.perSecond;
+  tokensPerSecond = other41.tokensPerSecond;
+  waiting = other41.waiting;
+  usualTokensPerSecond = other41.usualTokensPerSecond;
+  queuedTokens = other41.queuedTokens;
+  queuedByRank = other41.queuedByRank;
+  __isset = other41.__isset;
   return *this;
 }
 void WeightRate::printTo(std::ostream& out) const {
@@ -1661,6 +1702,7 @@
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "usualTokensPerSecond="; (__isset.usualTokensPerSecond ? (out << to_string(usualTokensPerSecond)) : (out << "<null>"));
   out << ", " << "queuedTokens="; (__isset.queuedTokens ? (out << to_string(queuedTokens)) : (out << "<null>"));
+  out << ", " << "queuedByRank="; (__isset.queuedByRank ? (out << to_string(queuedByRank)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1782,15 +1824,15 @@
   swap(a.admitted, b.admitted);
 }
 
-TeamUsage::TeamUsage(const TeamUsage& other36) {
-  team = other36.team;
-  asked = other36.asked;
-  admitted = other36.admitted;
+TeamUsage::TeamUsage(const TeamUsage& other42) {
+  team = other42.team;
+  asked = other42.asked;
+  admitted = other42.admitted;
 }
-TeamUsage& TeamUsage::operator=(const TeamUsage& other37) {
-  team = other37.team;
-  asked = other37.asked;
-  admitted = other37.admitted;
+TeamUsage& TeamUsage::operator=(const TeamUsage& other43) {
+  team = other43.team;
+  asked = other43.asked;
+  admitted = other43.admitted;
   return *this;
 }
 void TeamUsage::printTo(std::ostream& out) const {
@@ -1960,19 +2002,19 @@
   swap(a.samples, b.samples);
 }
 
-ServiceSpeed::ServiceSpeed(const ServiceSpeed& other38) {
-  serviceName = other38.serviceName;
-  promptTokensPerMs = other38.promptTokensPerMs;
-  stepMs = other38.stepMs;
-  stepMsPerRequest = other38.stepMsPerRequest;
-  samples = other38.samples;
+ServiceSpeed::ServiceSpeed(const ServiceSpeed& other44) {
+  serviceName = other44.serviceName;
+  promptTokensPerMs = other44.promptTokensPerMs;
+  stepMs = other44.stepMs;
+  stepMsPerRequest = other44.stepMsPerRequest;
+  samples = other44.samples;
 }
-ServiceSpeed& ServiceSpeed::operator=(const ServiceSpeed& other39) {
-  serviceName = other39.serviceName;
-  promptTokensPerMs = other39.promptTokensPerMs;
-  stepMs = other39.stepMs;
-  stepMsPerRequest = other39.stepMsPerRequest;
-  samples = other39.samples;
+ServiceSpeed& ServiceSpeed::operator=(const ServiceSpeed& other45) {
+  serviceName = other45.serviceName;
+  promptTokensPerMs = other45.promptTokensPerMs;
+  stepMs = other45.stepMs;
+  stepMsPerRequest = other45.stepMsPerRequest;
+  samples = other45.samples;
   return *this;
 }
 void ServiceSpeed::printTo(std::ostream& out) const {
@@ -2053,14 +2095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->adapters.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->adapters.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += iprot->readString(this->adapters[_i44]);
+              xfer += iprot->readString(this->adapters[_i50]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2103,10 +2145,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter45;
-    for (_iter45 = this->adapters.begin(); _iter45 != this->adapters.end(); ++_iter45)
+    std::vector<std::string> ::const_iterator _iter51;
+    for (_iter51 = this->adapters.begin(); _iter51 != this->adapters.end(); ++_iter51)
     {
-      xfer += oprot->writeString((*_iter45));
+      xfer += oprot->writeString((*_iter51));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2124,15 +2166,15 @@
   swap(a.adapters, b.adapters);
 }
 
-LoadedModel::LoadedModel(const LoadedModel& other46) {
-  model = other46.model;
-  version = other46.version;
-  adapters = other46.adapters;
+LoadedModel::LoadedModel(const LoadedModel& other52) {
+  model = other52.model;
+  version = other52.version;
+  adapters = other52.adapters;
 }
-LoadedModel& LoadedModel::operator=(const LoadedModel& other47) {
-  model = other47.model;
-  version = other47.version;
-  adapters = other47.adapters;
+LoadedModel& LoadedModel::operator=(const LoadedModel& other53) {
+  model = other53.model;
+  version = other53.version;
+  adapters = other53.adapters;
   return *this;
 }
 void LoadedModel::printTo(std::ostream& out) const {
@@ -2224,14 +2266,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->models.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->models.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->models[_i52].read(iprot);
+              xfer += this->models[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2280,10 +2322,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<LoadedModel> ::const_iterator _iter53;
-    for (_iter53 = this->models.begin(); _iter53 != this->models.end(); ++_iter53)
+    std::vector<LoadedModel> ::const_iterator _iter59;
+    for (_iter59 = this->models.begin(); _iter59 != this->models.end(); ++_iter59)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2302,17 +2344,17 @@
   swap(a.models, b.models);
 }
 
-EngineWeights::EngineWeights(const EngineWeights& other54) {
-  engine = other54.engine;
-  incarnation = other54.incarnation;
-  orderSequence = other54.orderSequence;
-  models = other54.models;
+EngineWeights::EngineWeights(const EngineWeights& other60) {
+  engine = other60.engine;
+  incarnation = other60.incarnation;
+  orderSequence = other60.orderSequence;
+  models = other60.models;
 }
-EngineWeights& EngineWeights::operator=(const EngineWeights& other55) {
-  engine = other55.engine;
-  incarnation = other55.incarnation;
-  orderSequence = other55.orderSequence;
-  models = other55.models;
+EngineWeights& EngineWeights::operator=(const EngineWeights& other61) {
+  engine = other61.engine;
+  incarnation = other61.incarnation;
+  orderSequence = other61.orderSequence;
+  models = other61.models;
   return *this;
 }
 void EngineWeights::printTo(std::ostream& out) const {
@@ -2443,15 +2485,15 @@
   swap(a.endOffset, b.endOffset);
 }
 
-LeaseView::LeaseView(const LeaseView& other56) {
-  holder = other56.holder;
-  epoch = other56.epoch;
-  endOffset = other56.endOffset;
+LeaseView::LeaseView(const LeaseView& other62) {
+  holder = other62.holder;
+  epoch = other62.epoch;
+  endOffset = other62.endOffset;
 }
-LeaseView& LeaseView::operator=(const LeaseView& other57) {
-  holder = other57.holder;
-  epoch = other57.epoch;
-  endOffset = other57.endOffset;
+LeaseView& LeaseView::operator=(const LeaseView& other63) {
+  holder = other63.holder;
+  epoch = other63.epoch;
+  endOffset = other63.endOffset;
   return *this;
 }
 void LeaseView::printTo(std::ostream& out) const {
@@ -2561,13 +2603,13 @@
   swap(a.alive, b.alive);
 }
 
-MemberNotice::MemberNotice(const MemberNotice& other58) {
-  member = other58.member;
-  alive = other58.alive;
+MemberNotice::MemberNotice(const MemberNotice& other64) {
+  member = other64.member;
+  alive = other64.alive;
 }
-MemberNotice& MemberNotice::operator=(const MemberNotice& other59) {
-  member = other59.member;
-  alive = other59.alive;
+MemberNotice& MemberNotice::operator=(const MemberNotice& other65) {
+  member = other65.member;
+  alive = other65.alive;
   return *this;
 }
 void MemberNotice::printTo(std::ostream& out) const {
@@ -2696,15 +2738,15 @@
   swap(a.waitedMs, b.waitedMs);
 }
 
-SuspectedCrash::SuspectedCrash(const SuspectedCrash& other60) {
-  process = other60.process;
-  ageMs = other60.ageMs;
-  waitedMs = other60.waitedMs;
+SuspectedCrash::SuspectedCrash(const SuspectedCrash& other66) {
+  process = other66.process;
+  ageMs = other66.ageMs;
+  waitedMs = other66.waitedMs;
 }
-SuspectedCrash& SuspectedCrash::operator=(const SuspectedCrash& other61) {
-  process = other61.process;
-  ageMs = other61.ageMs;
-  waitedMs = other61.waitedMs;
+SuspectedCrash& SuspectedCrash::operator=(const SuspectedCrash& other67) {
+  process = other67.process;
+  ageMs = other67.ageMs;
+  waitedMs = other67.waitedMs;
   return *this;
 }
 void SuspectedCrash::printTo(std::ostream& out) const {
@@ -2816,14 +2858,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->crashes.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->crashes.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->crashes[_i66].read(iprot);
+              xfer += this->crashes[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2904,10 +2946,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<SuspectedCrash> ::const_iterator _iter67;
-    for (_iter67 = this->crashes.begin(); _iter67 != this->crashes.end(); ++_iter67)
+    std::vector<SuspectedCrash> ::const_iterator _iter73;
+    for (_iter73 = this->crashes.begin(); _iter73 != this->crashes.end(); ++_iter73)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2951,27 +2993,27 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectPart::SuspectPart(const SuspectPart& other68) {
-  serviceName = other68.serviceName;
-  part = other68.part;
-  position = other68.position;
-  crashes = other68.crashes;
-  clearedAgoMs = other68.clearedAgoMs;
-  round = other68.round;
-  remainingMs = other68.remainingMs;
-  released = other68.released;
-  __isset = other68.__isset;
-}
-SuspectPart& SuspectPart::operator=(const SuspectPart& other69) {
-  serviceName = other69.serviceName;
-  part = other69.part;
-  position = other69.position;
-  crashes = other69.crashes;
-  clearedAgoMs = other69.clearedAgoMs;
-  round = other69.round;
-  remainingMs = other69.remainingMs;
-  released = other69.released;
-  __isset = other69.__isset;
+SuspectPart::SuspectPart(const SuspectPart& other74) {
+  serviceName = other74.serviceName;
+  part = other74.part;
+  position = other74.position;
+  crashes = other74.crashes;
+  clearedAgoMs = other74.clearedAgoMs;
+  round = other74.round;
+  remainingMs = other74.remainingMs;
+  released = other74.released;
+  __isset = other74.__isset;
+}
+SuspectPart& SuspectPart::operator=(const SuspectPart& other75) {
+  serviceName = other75.serviceName;
+  part = other75.part;
+  position = other75.position;
+  crashes = other75.crashes;
+  clearedAgoMs = other75.clearedAgoMs;
+  round = other75.round;
+  remainingMs = other75.remainingMs;
+  released = other75.released;
+  __isset = other75.__isset;
   return *this;
 }
 void SuspectPart::printTo(std::ostream& out) const {
@@ -3106,17 +3148,17 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendLimit::BackendLimit(const BackendLimit& other70) {
-  backend = other70.backend;
-  perSecond = other70.perSecond;
-  ageMs = other70.ageMs;
-  __isset = other70.__isset;
+BackendLimit::BackendLimit(const BackendLimit& other76) {
+  backend = other76.backend;
+  perSecond = other76.perSecond;
+  ageMs = other76.ageMs;
+  __isset = other76.__isset;
 }
-BackendLimit& BackendLimit::operator=(const BackendLimit& other71) {
-  backend = other71.backend;
-  perSecond = other71.perSecond;
-  ageMs = other71.ageMs;
-  __isset = other71.__isset;
+BackendLimit& BackendLimit::operator=(const BackendLimit& other77) {
+  backend = other77.backend;
+  perSecond = other77.perSecond;
+  ageMs = other77.ageMs;
+  __isset = other77.__isset;
   return *this;
 }
 void BackendLimit::printTo(std::ostream& out) const {
@@ -3281,14 +3323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->loads.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->loads.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->loads[_i76].read(iprot);
+              xfer += this->loads[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3301,14 +3343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->rates.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->rates.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->rates[_i81].read(iprot);
+              xfer += this->rates[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3321,14 +3363,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->weights.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->weights.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->weights[_i86].read(iprot);
+              xfer += this->weights[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3341,14 +3383,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->leaving.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->leaving.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->leaving[_i91].read(iprot);
+              xfer += this->leaving[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3385,14 +3427,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->members.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->members.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->members[_i96].read(iprot);
+              xfer += this->members[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3405,14 +3447,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->suspects.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->suspects.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->suspects[_i101].read(iprot);
+              xfer += this->suspects[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3425,14 +3467,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->limits.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->limits.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->limits[_i106].read(iprot);
+              xfer += this->limits[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3453,14 +3495,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->teams.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->teams.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->teams[_i111].read(iprot);
+              xfer += this->teams[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3473,14 +3515,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->speeds.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->speeds.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->speeds[_i116].read(iprot);
+              xfer += this->speeds[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3541,10 +3583,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<BackendLoad> ::const_iterator _iter117;
-    for (_iter117 = this->loads.begin(); _iter117 != this->loads.end(); ++_iter117)
+    std::vector<BackendLoad> ::const_iterator _iter123;
+    for (_iter123 = this->loads.begin(); _iter123 != this->loads.end(); ++_iter123)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3553,10 +3595,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<WeightRate> ::const_iterator _iter118;
-    for (_iter118 = this->rates.begin(); _iter118 != this->rates.end(); ++_iter118)
+    std::vector<WeightRate> ::const_iterator _iter124;
+    for (_iter124 = this->rates.begin(); _iter124 != this->rates.end(); ++_iter124)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3565,10 +3607,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
-    std::vector<EngineWeights> ::const_iterator _iter119;
-    for (_iter119 = this->weights.begin(); _iter119 != this->weights.end(); ++_iter119)
+    std::vector<EngineWeights> ::const_iterator _iter125;
+    for (_iter125 = this->weights.begin(); _iter125 != this->weights.end(); ++_iter125)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3577,10 +3619,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingBackend> ::const_iterator _iter120;
-    for (_iter120 = this->leaving.begin(); _iter120 != this->leaving.end(); ++_iter120)
+    std::vector<LeavingBackend> ::const_iterator _iter126;
+    for (_iter126 = this->leaving.begin(); _iter126 != this->leaving.end(); ++_iter126)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3605,10 +3647,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MemberNotice> ::const_iterator _iter121;
-      for (_iter121 = this->members.begin(); _iter121 != this->members.end(); ++_iter121)
+      std::vector<MemberNotice> ::const_iterator _iter127;
+      for (_iter127 = this->members.begin(); _iter127 != this->members.end(); ++_iter127)
       {
-        xfer += (*_iter121).write(oprot);
+        xfer += (*_iter127).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3618,10 +3660,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectPart> ::const_iterator _iter122;
-      for (_iter122 = this->suspects.begin(); _iter122 != this->suspects.end(); ++_iter122)
+      std::vector<SuspectPart> ::const_iterator _iter128;
+      for (_iter128 = this->suspects.begin(); _iter128 != this->suspects.end(); ++_iter128)
       {
-        xfer += (*_iter122).write(oprot);
+        xfer += (*_iter128).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3631,10 +3673,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<BackendLimit> ::const_iterator _iter123;
-      for (_iter123 = this->limits.begin(); _iter123 != this->limits.end(); ++_iter123)
+      std::vector<BackendLimit> ::const_iterator _iter129;
+      for (_iter129 = this->limits.begin(); _iter129 != this->limits.end(); ++_iter129)
       {
-        xfer += (*_iter123).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3649,10 +3691,10 @@
     xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->teams.size()));
-      std::vector<TeamUsage> ::const_iterator _iter124;
-      for (_iter124 = this->teams.begin(); _iter124 != this->teams.end(); ++_iter124)
+      std::vector<TeamUsage> ::const_iterator _iter130;
+      for (_iter130 = this->teams.begin(); _iter130 != this->teams.end(); ++_iter130)
       {
-        xfer += (*_iter124).write(oprot);
+        xfer += (*_iter130).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3662,10 +3704,10 @@
     xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-      std::vector<ServiceSpeed> ::const_iterator _iter125;
-      for (_iter125 = this->speeds.begin(); _iter125 != this->speeds.end(); ++_iter125)
+      std::vector<ServiceSpeed> ::const_iterator _iter131;
+      for (_iter131 = this->speeds.begin(); _iter131 != this->speeds.end(); ++_iter131)
       {
-        xfer += (*_iter125).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3698,45 +3740,45 @@
   swap(a.__isset, b.__isset);
 }
 
-GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other126) {
-  origin = other126.origin;
-  counter = other126.counter;
-  configVersion = other126.configVersion;
-  lease = other126.lease;
-  loads = other126.loads;
-  rates = other126.rates;
-  weights = other126.weights;
-  leaving = other126.leaving;
-  scope = other126.scope;
-  periodMs = other126.periodMs;
-  aggregator = other126.aggregator;
-  members = other126.members;
-  suspects = other126.suspects;
-  limits = other126.limits;
-  storeEra = other126.storeEra;
-  teams = other126.teams;
-  speeds = other126.speeds;
-  __isset = other126.__isset;
-}
-GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other127) {
-  origin = other127.origin;
-  counter = other127.counter;
-  configVersion = other127.configVersion;
-  lease = other127.lease;
-  loads = other127.loads;
-  rates = other127.rates;
-  weights = other127.weights;
-  leaving = other127.leaving;
-  scope = other127.scope;
-  periodMs = other127.periodMs;
-  aggregator = other127.aggregator;
-  members = other127.members;
-  suspects = other127.suspects;
-  limits = other127.limits;
-  storeEra = other127.storeEra;
-  teams = other127.teams;
-  speeds = other127.speeds;
-  __isset = other127.__isset;
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other132) {
+  origin = other132.origin;
+  counter = other132.counter;
+  configVersion = other132.configVersion;
+  lease = other132.lease;
+  loads = other132.loads;
+  rates = other132.rates;
+  weights = other132.weights;
+  leaving = other132.leaving;
+  scope = other132.scope;
+  periodMs = other132.periodMs;
+  aggregator = other132.aggregator;
+  members = other132.members;
+  suspects = other132.suspects;
+  limits = other132.limits;
+  storeEra = other132.storeEra;
+  teams = other132.teams;
+  speeds = other132.speeds;
+  __isset = other132.__isset;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other133) {
+  origin = other133.origin;
+  counter = other133.counter;
+  configVersion = other133.configVersion;
+  lease = other133.lease;
+  loads = other133.loads;
+  rates = other133.rates;
+  weights = other133.weights;
+  leaving = other133.leaving;
+  scope = other133.scope;
+  periodMs = other133.periodMs;
+  aggregator = other133.aggregator;
+  members = other133.members;
+  suspects = other133.suspects;
+  limits = other133.limits;
+  storeEra = other133.storeEra;
+  teams = other133.teams;
+  speeds = other133.speeds;
+  __isset = other133.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -3900,17 +3942,17 @@
   swap(a.urgent, b.urgent);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other128) {
-  backend = other128.backend;
-  perSecond = other128.perSecond;
-  count = other128.count;
-  urgent = other128.urgent;
+PermitRequest::PermitRequest(const PermitRequest& other134) {
+  backend = other134.backend;
+  perSecond = other134.perSecond;
+  count = other134.count;
+  urgent = other134.urgent;
 }
-PermitRequest& PermitRequest::operator=(const PermitRequest& other129) {
-  backend = other129.backend;
-  perSecond = other129.perSecond;
-  count = other129.count;
-  urgent = other129.urgent;
+PermitRequest& PermitRequest::operator=(const PermitRequest& other135) {
+  backend = other135.backend;
+  perSecond = other135.perSecond;
+  count = other135.count;
+  urgent = other135.urgent;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -4021,13 +4063,13 @@
   swap(a.waitMs, b.waitMs);
 }
 
-PermitGrant::PermitGrant(const PermitGrant& other130) noexcept {
-  count = other130.count;
-  waitMs = other130.waitMs;
+PermitGrant::PermitGrant(const PermitGrant& other136) noexcept {
+  count = other136.count;
+  waitMs = other136.waitMs;
 }
-PermitGrant& PermitGrant::operator=(const PermitGrant& other131) noexcept {
-  count = other131.count;
-  waitMs = other131.waitMs;
+PermitGrant& PermitGrant::operator=(const PermitGrant& other137) noexcept {
+  count = other137.count;
+  waitMs = other137.waitMs;
   return *this;
 }
 void PermitGrant::printTo(std::ostream& out) const {
@@ -4176,19 +4218,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other132) {
-  key = other132.key;
-  offset = other132.offset;
-  value = other132.value;
-  removal = other132.removal;
-  __isset = other132.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other138) {
+  key = other138.key;
+  offset = other138.offset;
+  value = other138.value;
+  removal = other138.removal;
+  __isset = other138.__isset;
 }
-BackendRecord& BackendRecord::operator=(const BackendRecord& other133) {
-  key = other133.key;
-  offset = other133.offset;
-  value = other133.value;
-  removal = other133.removal;
-  __isset = other133.__isset;
+BackendRecord& BackendRecord::operator=(const BackendRecord& other139) {
+  key = other139.key;
+  offset = other139.offset;
+  value = other139.value;
+  removal = other139.removal;
+  __isset = other139.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -4299,14 +4341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->records.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->records.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->records[_i138].read(iprot);
+              xfer += this->records[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4369,10 +4411,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter139;
-    for (_iter139 = this->records.begin(); _iter139 != this->records.end(); ++_iter139)
+    std::vector<BackendRecord> ::const_iterator _iter145;
+    for (_iter145 = this->records.begin(); _iter145 != this->records.end(); ++_iter145)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4399,23 +4441,23 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendPage::BackendPage(const BackendPage& other140) {
-  nextOffset = other140.nextOffset;
-  whole = other140.whole;
-  listReachable = other140.listReachable;
-  settingsReachable = other140.settingsReachable;
-  records = other140.records;
-  storeEra = other140.storeEra;
-  __isset = other140.__isset;
-}
-BackendPage& BackendPage::operator=(const BackendPage& other141) {
-  nextOffset = other141.nextOffset;
-  whole = other141.whole;
-  listReachable = other141.listReachable;
-  settingsReachable = other141.settingsReachable;
-  records = other141.records;
-  storeEra = other141.storeEra;
-  __isset = other141.__isset;
+BackendPage::BackendPage(const BackendPage& other146) {
+  nextOffset = other146.nextOffset;
+  whole = other146.whole;
+  listReachable = other146.listReachable;
+  settingsReachable = other146.settingsReachable;
+  records = other146.records;
+  storeEra = other146.storeEra;
+  __isset = other146.__isset;
+}
+BackendPage& BackendPage::operator=(const BackendPage& other147) {
+  nextOffset = other147.nextOffset;
+  whole = other147.whole;
+  listReachable = other147.listReachable;
+  settingsReachable = other147.settingsReachable;
+  records = other147.records;
+  storeEra = other147.storeEra;
+  __isset = other147.__isset;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -4546,17 +4588,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other142) {
-  heartbeat = other142.heartbeat;
-  settingsPull = other142.settingsPull;
-  settingsState = other142.settingsState;
-  __isset = other142.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other148) {
+  heartbeat = other148.heartbeat;
+  settingsPull = other148.settingsPull;
+  settingsState = other148.settingsState;
+  __isset = other148.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other143) {
-  heartbeat = other143.heartbeat;
-  settingsPull = other143.settingsPull;
-  settingsState = other143.settingsState;
-  __isset = other143.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other149) {
+  heartbeat = other149.heartbeat;
+  settingsPull = other149.settingsPull;
+  settingsState = other149.settingsState;
+  __isset = other149.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -4666,13 +4708,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other144) {
-  sender = other144.sender;
-  message = other144.message;
+Envelope::Envelope(const Envelope& other150) {
+  sender = other150.sender;
+  message = other150.message;
 }
-Envelope& Envelope::operator=(const Envelope& other145) {
-  sender = other145.sender;
-  message = other145.message;
+Envelope& Envelope::operator=(const Envelope& other151) {
+  sender = other151.sender;
+  message = other151.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -567,9 +567,10 @@
 std::ostream& operator<<(std::ostream& out, const BackendLoad& obj);
 
 typedef struct _WeightRate__isset {
-  _WeightRate__isset() : usualTokensPerSecond(false), queuedTokens(false) {}
+  _WeightRate__isset() : usualTokensPerSecond(false), queuedTokens(false), queuedByRank(false) {}
   bool usualTokensPerSecond :1;
   bool queuedTokens :1;
+  bool queuedByRank :1;
 } _WeightRate__isset;
 
 class WeightRate : public virtual ::apache::thrift::TBase {
@@ -597,6 +598,7 @@
   int32_t waiting;
   double usualTokensPerSecond;
   int32_t queuedTokens;
+  std::vector<int32_t>  queuedByRank;
 
   _WeightRate__isset __isset;
 
@@ -616,6 +618,8 @@
 
   void __set_queuedTokens(const int32_t val);
 
+  void __set_queuedByRank(const std::vector<int32_t> & val);
+
   bool operator == (const WeightRate & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -638,6 +642,10 @@
       return false;
     else if (__isset.queuedTokens && !(queuedTokens == rhs.queuedTokens))
       return false;
+    if (__isset.queuedByRank != rhs.__isset.queuedByRank)
+      return false;
+    else if (__isset.queuedByRank && !(queuedByRank == rhs.queuedByRank))
+      return false;
     return true;
   }
   bool operator != (const WeightRate &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -84,6 +84,9 @@
   7: optional double usualTokensPerSecond
   // Prompt tokens of requests that wait at gateways until an engine has capacity for them.
   8: optional i32 queuedTokens
+  // The same by rank of the requests, without ranks at the end for which none wait. The last
+  // of the ten ranks contains the requests that are late.
+  9: optional list<i32> queuedByRank
 }
 
 // Use of a team's allowance, in the unit of the allowance per second.
--- a/tests/auto/coordination/tst_room_policy.cpp
+++ b/tests/auto/coordination/tst_room_policy.cpp
@@ -1,8 +1,11 @@
+#include "coordination/queue_forecast.hpp"
 #include "coordination/room_policy.hpp"
+#include "coordination/weight_demand.hpp"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 namespace
@@ -145,3 +148,123 @@
     CHECK(engine_priority(9, true, false) == 9);
     CHECK(engine_priority(40, false, false) == 9);
 }
+
+// Each row is one input that decides: the others leave an idle engine and no rivals.
+TEST_CASE("a request is sent, held or refused by what waits before it")
+{
+    struct row
+    {
+        std::string name;
+        double waited_ms;
+        double left_ms;
+        double queue_ms;
+        bool is_next;
+        double others_ms;
+        double draw;
+        room_action action;
+        refusal_reason reason;
+    };
+    using enum room_action;
+    using enum refusal_reason;
+    const std::vector<row> rows{
+        {"idle engine", 0, 5000, 0, true, 0, 0.99, send, none},
+        {"another precedes it", 0, 5000, 0, false, 0, 0.0, hold, none},
+        {"queue at the limit", 0, 5000, 450, true, 0, 0.99, send, none},
+        {"queue too long", 0, 5000, 470, true, 0, 0.0, hold, none},
+        {"all that wait fit", 0, 5000, 0, true, 1500, 0.99, send, none},
+        {"its share of the room", 0, 5000, 300, true, 1000, 0.05, send, none},
+        {"the room of another", 0, 5000, 300, true, 1000, 0.99, hold, none},
+        {"late without rivals", 900, 4100, 400, true, 0, 0.99, hold, none},
+        {"late with rivals", 900, 4100, 400, true, 1800, 0.99, refuse, target},
+        {"would be late", 0, 5000, 300, true, 4000, 0.99, refuse, target},
+        {"late, but its turn comes", 900, 4100, 150, true, 100, 0.99, hold, none},
+        {"no time left", 0, 500, 470, true, 0, 0.0, refuse, deadline},
+    };
+    const auto config = config_of({{"models", 0, 800}, {"models", 2, 15000}});
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        room_request request;
+        request.urgency = class_of(config, 0, 800);
+        request.waited_ms = item.waited_ms;
+        request.left_ms = item.left_ms;
+        request.idle_ms = 145.0;
+        request.queue_ms = item.queue_ms;
+        request.is_next = item.is_next;
+        request.model = {0.0, item.others_ms, 4};
+        request.service = {0.0, item.others_ms, 60};
+        request.interval_ms = 30.0;
+        const room_decision decision = decide_room(request, item.draw);
+        CHECK(to_string(decision.action) == to_string(item.action));
+        CHECK(to_string(decision.reason) == to_string(item.reason));
+    }
+}
+
+// Guards against callers that are all sent back to the same moment, and against times
+// that callers do not honour.
+TEST_CASE("refused callers return over the time for which they would wait")
+{
+    CHECK(retry_after_ms(500.0, 6000.0, 0.0) == 500.0);
+    CHECK(retry_after_ms(500.0, 6000.0, 1.0) == 2000.0);
+    CHECK(retry_after_ms(90000.0, 6000.0, 0.0) == 1000.0);
+    CHECK(retry_after_ms(90000.0, 6000.0, 1.0) == 2000.0);
+    CHECK(retry_after_ms(0.0, 60.0, 0.5) == 200.0);
+}
+
+// Guards against gateways that all choose the engine that was idle 0.4 s ago.
+TEST_CASE("engines are chosen so that the prompts of all gateways level their queues")
+{
+    const auto count = [](const std::vector<queue_option>& options)
+    {
+        std::vector<int> result(options.size());
+        for (int i = 0; i < 100; ++i)
+            ++result[choose_by_queue(options, 100.0, i / 100.0).chosen];
+        return result;
+    };
+    // 400 ms of work arrive: the level is 300 ms, and the last engine is above it.
+    CHECK(count({{100.0, 0.5}, {200.0, 0.25}, {300.0, 0.0}, {500.0, 0.0}}) ==
+          std::vector<int>{67, 33, 0, 0});
+    const auto forecast = choose_by_queue({{100.0, 1.0}, {100.0, 1.0}}, 100.0, 0.0);
+    CHECK(forecast.change_ms == doctest::Approx(0.0));
+    // Without reports of other gateways the shortest queue is the right one.
+    const auto alone = choose_by_queue({{90.0, 0.0}, {20.0, 0.0}}, 100.0, 0.9);
+    CHECK(alone.chosen == 1);
+    CHECK(alone.change_ms == 0.0);
+}
+
+// Guards against requests that are counted twice, kept after their gateway has ended, or
+// mixed up between models.
+TEST_CASE("waiting prompt tokens of other gateways are added up by model and service")
+{
+    const state::time_point start{state::seconds(100)};
+    weight_demand demand;
+    demand.on_queued({"s", "m1", "a1"}, 0, 700);
+    demand.on_queued({"s", "m1", ""}, 2, 300);
+    demand.on_queue_left({"s", "m1", ""}, 2, 300);
+    CHECK(demand.own_rates(start).at({"s", "m1", "a1"}).queued_tokens == 700);
+    CHECK(demand.own_rates(start).count({"s", "m1", ""}) == 0);
+
+    const auto report = [](const char* model, std::size_t rank, std::uint32_t tokens)
+    {
+        weight_rate rate;
+        rate.queued_tokens = tokens;
+        rate.queued_by_rank[rank] = tokens;
+        return weight_demand::rates{{{"s", model, ""}, rate}};
+    };
+    const report_source first{protocol::load_scope::gateway, "g1"};
+    const report_source other_zone{protocol::load_scope::zone, "z2"};
+    demand.set_peer(start, first, report("m1", 0, 1000));
+    demand.set_peer(start, other_zone, report("m2", 1, 500));
+    const queued_tokens queued = demand.peer_queue(start, "s", "m1");
+    CHECK(queued.model[0] == 1000);
+    CHECK(queued.model[1] == 0);
+    CHECK(queued.service[1] == 500);
+    CHECK(demand.peer_queue(start, "t", "m1").service[0] == 0);
+    CHECK(demand.zone_queues(start).at({"s", "m1"})[0] == 1700);
+    CHECK(demand.zone_queues(start).count({"s", "m2"}) == 0);
+    CHECK(demand.all_queues(start).at({"s", "m2"})[1] == 500);
+    CHECK(demand.queues_of(start, first)->at({"s", "m1"})[0] == 1000);
+    const state::time_point later = start + state::seconds(3);
+    CHECK(demand.peer_queue(later, "s", "m1").service[0] == 0);
+    CHECK(demand.queues_of(later, first) == nullptr);
+}
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -27,7 +27,8 @@
     heartbeat.scope = protocol::load_scope::zone;
     heartbeat.period = state::milliseconds(400);
     heartbeat.loads = {{"e1@3", 4, 2000, 1, 12.5, 9000}};
-    heartbeat.rates = {{"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2, 4100}};
+    heartbeat.rates = {
+        {"models", "m1", "a1", 1.5, 3000.0, 2500.0, 2, 4100, {0, 4000, 0, 100}}};
     heartbeat.weights = {{"e1", 3, 8, {{"m1", 2, {"a1", "a2"}}}}};
     heartbeat.leaving = {{"e4", 6}};
     heartbeat.limits = {{"e1@3", 0.5, state::milliseconds(120)},
@@ -61,6 +62,7 @@
     CHECK(copy.rates[0].usual_tokens_per_s == 2500.0);
     CHECK(copy.rates[0].waiting == 2);
     CHECK(copy.rates[0].queued_tokens == 4100);
+    CHECK(copy.rates[0].queued_by_rank == protocol::tokens_by_rank{0, 4000, 0, 100});
     REQUIRE(copy.teams.size() == 1);
     CHECK(copy.teams[0].asked_per_s == 250.5);
     CHECK(copy.teams[0].admitted_per_s == 200.0);
