Let requests for rare models pass those that wait for other models

Waiting requests of the whole service held back and refused requests whose own engine was idle. They count now only if at least one prompt is ahead on the chosen engine. Heartbeats that have to be shortened keep the models with the longest queues, and requests to plain services that wait for a permit count all candidates again.

--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -132,16 +132,12 @@
     request.idle_ms = choice.idle_ms;
     request.queue_ms = choice.expected_ms - choice.idle_ms;
     request.is_next = is_next;
-    if (!this->demand.model.empty())
-    {
-        const coordination::queued_tokens queued = this->shared.demand.peer_queue(
-            now(), this->demand.service, this->demand.model);
-        request.model =
-            this->work_at_peers(queued.model, choice.idle_ms, choice.candidates);
-        request.service =
-            this->work_at_peers(queued.service, choice.idle_ms,
-                                this->shared.directory.count(this->demand.service));
-    }
+    const coordination::queued_tokens queued =
+        this->shared.demand.peer_queue(now(), this->demand.service, this->demand.model);
+    request.model = this->work_at_peers(queued.model, choice.idle_ms, choice.candidates);
+    request.service =
+        this->work_at_peers(queued.service, choice.idle_ms,
+                            this->shared.directory.count(this->demand.service));
     request.model.own_ms = own_ahead_ms;
     request.service.own_ms = own_ahead_ms;
     const bool is_first = this->decided_at == state::time_point{};
--- a/src/libs/coordination/room_policy.cpp
+++ b/src/libs/coordination/room_policy.cpp
@@ -147,16 +147,19 @@
 {
     room_decision result;
     result.limit_ms = queue_limit_ms(request.urgency, request.waited_ms, request.idle_ms);
+    // Requests for other models compete for the same engines. An engine that is idle
+    // although they wait is none of theirs.
+    const waiting_work& service =
+        request.queue_ms >= request.idle_ms ? request.service : request.model;
     result.wait_ms =
-        request.queue_ms + std::max(request.model.wait_ms(), request.service.wait_ms());
+        request.queue_ms + std::max(request.model.wait_ms(), service.wait_ms());
     const double room_ms = result.limit_ms - request.queue_ms;
     if (request.is_next && room_ms >= 0.0)
     {
-        const double probability =
-            std::min(send_probability(request.model, request.idle_ms, room_ms,
-                                      request.interval_ms),
-                     send_probability(request.service, request.idle_ms, room_ms,
-                                      request.interval_ms));
+        const double probability = std::min(
+            send_probability(request.model, request.idle_ms, room_ms,
+                             request.interval_ms),
+            send_probability(service, request.idle_ms, room_ms, request.interval_ms));
         if (draw < probability)
         {
             result.action = room_action::send;
@@ -173,8 +176,7 @@
     // room, unless its turn comes before its caller could be back.
     const double slack_ms =
         request.urgency.target_ms - request.waited_ms - request.idle_ms;
-    const bool has_rivals =
-        request.model.others_ms > 0.0 || request.service.others_ms > 0.0;
+    const bool has_rivals = request.model.others_ms > 0.0 || service.others_ms > 0.0;
     if (request.urgency.is_ranked && has_rivals &&
         result.wait_ms > std::max(slack_ms, min_retry_after_ms))
     {
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -396,8 +396,10 @@
         keep_larger_half(heartbeat.rates,
                          [](const weight_rate_entry& left, const weight_rate_entry& right)
                          {
-                             return std::tie(left.waiting, left.usual_tokens_per_s) >
-                                    std::tie(right.waiting, right.usual_tokens_per_s);
+                             return std::tie(left.waiting, left.queued_tokens,
+                                             left.usual_tokens_per_s) >
+                                    std::tie(right.waiting, right.queued_tokens,
+                                             right.usual_tokens_per_s);
                          });
     }
     else if (!heartbeat.loads.empty())
--- a/tests/auto/coordination/tst_room_policy.cpp
+++ b/tests/auto/coordination/tst_room_policy.cpp
@@ -200,6 +200,22 @@
     }
 }
 
+// Guards against requests for rare models that wait or are refused because of those for
+// models on other engines.
+TEST_CASE("work that waits for other models counts only where their engines are shared")
+{
+    const auto config = config_of({{"models", 0, 800}, {"models", 2, 15000}});
+    room_request request;
+    request.urgency = class_of(config, 0, 800);
+    request.left_ms = 5000.0;
+    request.idle_ms = 145.0;
+    request.interval_ms = 30.0;
+    request.service = {0.0, 90000.0, 60};
+    CHECK(decide_room(request, 0.99).action == room_action::send);
+    request.queue_ms = 200.0;
+    CHECK(decide_room(request, 0.99).action == room_action::refuse);
+}
+
 // Guards against callers that are all sent back to the same moment, and against times
 // that callers do not honour.
 TEST_CASE("refused callers return over the time for which they would wait")
