--- a/src/app/gateway/peers/load_exchange.hpp
+++ b/src/app/gateway/peers/load_exchange.hpp
@@ -23,6 +23,7 @@
     {
         this->cached_totals.reset();
         this->cached_speeds.reset();
+        this->cached_queues.reset();
     }
     /// Sets the loads and rates that `target` receives.
     void fill(protocol::gateway_heartbeat& heartbeat,
@@ -42,10 +43,14 @@
     void fill_speeds(protocol::gateway_heartbeat& heartbeat);
     void fill_rates(protocol::gateway_heartbeat& heartbeat,
                     const coordination::gossip_target& target) const;
+    /// Sets what waits for capacity, for receivers that do not plan the placement.
+    void fill_queues(protocol::gateway_heartbeat& heartbeat,
+                     const coordination::gossip_target& target);
 
     gateway_state& shared;
     std::optional<coordination::backend_loads::load_map> cached_totals;
     std::optional<coordination::engine_speed::speed_list> cached_speeds;
+    std::optional<coordination::weight_demand::queue_map> cached_queues;
 };
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -80,6 +80,11 @@
                           const std::optional<coordination::unanswered_call>&) {};
     /// Whether another gateway has a newer configuration that this one has not read yet.
     std::function<bool()> is_newer_config_announced = [] { return false; };
+    /// Requests that had to wait, and those of them that were sent or refused.
+    state::counter& requests_held;
+    state::counter& requests_released;
+    state::counter& refused_by_deadline;
+    state::counter& refused_by_target;
     /// Gateways that share the engines, this one included.
     std::size_t gateways = 1;
     /// A planned stop has begun; requests are still accepted.
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -112,6 +112,7 @@
         this->shared.allowances.refund(this->charged_at, this->charged_team,
                                        this->charged_cost);
     }
+    this->set_queued(std::nullopt);
     // Callbacks that are already queued must not access this request.
     this->aborted->call = nullptr;
     this->aborted->request = nullptr;
@@ -183,6 +184,13 @@
         this->demand.engine_tokens = service->engine->kv_tokens;
         this->demand.deadline = this->deadline;
     }
+    this->room.target_ms = this->demand.target_ms;
+    if (!this->demand.model.empty())
+    {
+        this->room = coordination::classify_request(
+            this->routes->config(), this->demand.service, this->route->priority,
+            this->route->target_latency);
+    }
     this->check_time_before_exit();
     this->charge_allowance();
     this->shared.budget_of(share->service)
@@ -285,8 +293,9 @@
 
 int relayed_request::rank() const
 {
-    const bool has_own = this->team != nullptr && this->team->priority;
-    return has_own ? *this->team->priority : this->route->priority;
+    return coordination::request_rank(this->team == nullptr ? std::nullopt
+                                                            : this->team->priority,
+                                      this->route->priority);
 }
 
 void relayed_request::check_time_before_exit() const
@@ -531,7 +540,8 @@
         call_metadata.team = this->team->name;
     if (!this->demand.model.empty())
     {
-        call_metadata.priority = this->rank();
+        call_metadata.priority = coordination::engine_priority(
+            this->rank(), this->is_late(choice.idle_ms), this->stream_begun);
         const state::gateway_service* const service =
             this->routes->config().find_service(this->demand.service);
         this->shared.chooser.on_sent(*choice.backend, this->demand,
