--- a/tests/auto/coordination/tst_backend_choice.cpp
+++ b/tests/auto/coordination/tst_backend_choice.cpp
@@ -93,7 +93,7 @@
 TEST_CASE("an engine without memory for the request is not chosen")
 {
     two_engines fleet;
-    backend_demand wanted = demand(2000, 200);
+    backend_demand wanted = demand(2000, 20);
     wanted.engine_tokens = 10000;
     SUBCASE("own calls fill one engine")
     {
@@ -124,7 +124,7 @@
     }
     SUBCASE("the request exceeds the memory of each engine")
     {
-        wanted.prompt_tokens = 9900;
+        wanted.prompt_tokens = 9990;
         CHECK(fleet.choose(wanted).failure == choice_failure::overloaded);
         CHECK(fleet.choose(wanted).is_too_large);
     }
