Keep the name of each backend server's process in the directory

Each choice built the name of each candidate's process twice, and the name of the weights once. Decisions are unchanged: tst_coordination and tst_platform pass, and the simulation of tst_backend_choice gives the same figures. The processor time of a choice was not measured.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -375,7 +375,7 @@
 {
     std::set<std::string, std::less<>> listed;
     for (const auto& [id, backend] : this->shared.directory.all())
-        listed.insert(coordination::backend_chooser::process_key(backend->entry));
+        listed.insert(backend->process);
     this->shared.limits.forget_old(now(), [&listed](std::string_view backend)
                                    { return listed.count(backend) > 0; });
     this->shared.chooser.speeds().retain(now(), listed);
--- a/src/app/gateway/serving/call_record.cpp
+++ b/src/app/gateway/serving/call_record.cpp
@@ -19,7 +19,7 @@
                          const coordination::backend_choice& choice,
                          const coordination::backend_demand& demand)
     : shared(gateway),
-      process(coordination::backend_chooser::process_key(choice.backend->entry)),
+      process(choice.backend->process),
       service(demand.model.empty() ? "" : demand.service),
       output_tokens(demand.output_tokens),
       tokens_in_line(choice.uncached_tokens + choice.waiting_tokens),
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -120,7 +120,7 @@
 
 std::string backend_chooser::process_key(const state::backend_entry& entry)
 {
-    return entry.id + "@" + std::to_string(entry.incarnation);
+    return coordination::process_key(entry);
 }
 
 backend_choice
@@ -133,7 +133,9 @@
     best.failure = choice_failure::no_backend;
     const engine_pace pace =
         demand.model.empty() ? engine_pace() : this->learned.of(now, demand.service);
-    const double report_age_ms = loads.report_age_ms(now) + this->speed.report_age_ms;
+    const request_context context{now, demand, demand.weights(), pace,
+                                  (loads.report_age_ms(now) + this->speed.report_age_ms) /
+                                      ms_per_s};
     std::vector<option> options;
     options.reserve(directory.all().size());
     bool has_late_option = false;
@@ -162,7 +164,7 @@
                 best.failure = choice_failure::all_tried;
             continue;
         }
-        const std::string key = process_key(entry);
+        const std::string& key = backend->process;
         const bool lacks_permit = !limits.may_send(now, key);
         state::time_point available_at = loads.paused_until(key);
         if (lacks_permit)
@@ -183,14 +185,13 @@
             continue;
         }
         const load_summary load = loads.summary(now, key);
-        const double unseen_tokens = load.peer_prompt_rate * report_age_ms / ms_per_s;
-        if (!has_memory(demand, static_cast<double>(load.memory_tokens), unseen_tokens))
+        if (!has_memory(demand, static_cast<double>(load.memory_tokens),
+                        load.peer_prompt_rate * context.report_age_s))
         {
             lacks_memory = true;
             continue;
         }
-        const option candidate =
-            this->estimate(now, backend, load, key, demand, pace, unseen_tokens);
+        const option candidate = this->estimate(context, backend, load);
         has_late_option |= !candidate.ends_in_time;
         options.push_back(candidate);
         best.failure = choice_failure::none;
@@ -228,20 +229,15 @@
     return best;
 }
 
-backend_chooser::option
-backend_chooser::estimate(state::time_point now, const known_backend_ptr& backend,
-                          const load_summary& load, const std::string& process,
-                          const backend_demand& demand, const engine_pace& pace,
-                          double unseen_tokens) const
+backend_chooser::option backend_chooser::estimate(const request_context& context,
+                                                  const known_backend_ptr& backend,
+                                                  const load_summary& load) const
 {
     option result;
     result.backend = &backend;
-    const double slots = std::max(backend->entry.slots, 1);
-    if (demand.model.empty())
-        result.cost = this->plain_cost(load, slots, result);
-    else
-        result.cost = this->engine_cost(now, load, slots, process, demand, pace,
-                                        unseen_tokens, result);
+    result.cost = context.demand.model.empty()
+                      ? this->plain_cost(*backend, load, result)
+                      : this->engine_cost(context, *backend, load, result);
     result.cost += std::max(load.overdue_ms, 0.0);
     result.cost += load.failure_share * this->speed.failure_cost_ms;
     if (load.is_full)
@@ -251,9 +247,10 @@
     return result;
 }
 
-double backend_chooser::plain_cost(const load_summary& load, double slots,
+double backend_chooser::plain_cost(const known_backend& backend, const load_summary& load,
                                    option& result) const
 {
+    const double slots = std::max(backend.entry.slots, 1);
     const double active = load.active + load.peer_active;
     double wait_ms =
         std::max(0.0, active + 1.0 - slots) * this->speed.plain_service_ms / slots;
@@ -265,15 +262,17 @@
     return result.expected_ms;
 }
 
-double backend_chooser::engine_cost(state::time_point now, const load_summary& load,
-                                    double slots, const std::string& process,
-                                    const backend_demand& demand, const engine_pace& pace,
-                                    double unseen_tokens, option& result) const
+double backend_chooser::engine_cost(const request_context& context,
+                                    const known_backend& backend,
+                                    const load_summary& load, option& result) const
 {
+    const backend_demand& demand = context.demand;
+    const engine_pace& pace = context.pace;
+    const double slots = std::max(backend.entry.slots, 1);
     std::uint32_t cached = 0;
-    const auto cache = this->caches.find(process);
+    const auto cache = this->caches.find(backend.process);
     if (cache != this->caches.end())
-        cached = cache->second.cached_tokens(demand.weights(), demand.parts);
+        cached = cache->second.cached_tokens(context.weights, demand.parts);
     result.uncached_tokens =
         demand.prompt_tokens - std::min(cached, demand.prompt_tokens);
     result.waiting_tokens = load.waiting_tokens;
@@ -291,7 +290,8 @@
     const std::uint32_t harmed =
         std::min(load.long_streams + (is_long(demand) ? 1U : 0U), max_harmed_streams);
     double cost = prompt_cost(demand, result.expected_ms, gap_ms, harmed);
-    const double unseen_ms = unseen_tokens / pace.prompt_tokens_per_ms * slow_ratio;
+    const double unseen_ms = load.peer_prompt_rate * context.report_age_s /
+                             pace.prompt_tokens_per_ms * slow_ratio;
     result.unseen_cost =
         prompt_cost(demand, result.expected_ms + unseen_ms, gap_ms + unseen_ms, harmed) -
         cost;
@@ -302,7 +302,8 @@
     if (demand.deadline != state::time_point())
     {
         const double left_ms =
-            std::chrono::duration<double, std::milli>(demand.deadline - now).count();
+            std::chrono::duration<double, std::milli>(demand.deadline - context.now)
+                .count();
         result.ends_in_time =
             result.expected_ms + stream_ms * expected_output_share <= left_ms;
     }
@@ -371,8 +372,7 @@
     if (demand.model.empty())
         return;
     const auto cache =
-        this->caches.try_emplace(process_key(backend.entry), prompt_cache(cache_tokens))
-            .first;
+        this->caches.try_emplace(backend.process, prompt_cache(cache_tokens)).first;
     cache->second.record(demand.weights(), demand.parts);
 }
 
@@ -380,7 +380,7 @@
 {
     std::set<std::string, std::less<>> process_keys;
     for (const auto& [id, backend] : directory.all())
-        process_keys.insert(process_key(backend->entry));
+        process_keys.insert(backend->process);
     for (auto item = this->caches.begin(); item != this->caches.end();)
         item = process_keys.count(item->first) == 0 ? this->caches.erase(item)
                                                     : std::next(item);
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -160,15 +160,23 @@
         bool ends_in_time = true;
     };
 
-    option estimate(state::time_point now, const known_backend_ptr& backend,
-                    const load_summary& load, const std::string& process,
-                    const backend_demand& demand, const engine_pace& pace,
-                    double unseen_tokens) const;
-    double plain_cost(const load_summary& load, double slots, option& result) const;
-    double engine_cost(state::time_point now, const load_summary& load, double slots,
-                       const std::string& process, const backend_demand& demand,
-                       const engine_pace& pace, double unseen_tokens,
-                       option& result) const;
+    /// What is the same for all backend servers in one choice.
+    struct request_context
+    {
+        state::time_point now{};
+        const backend_demand& demand;
+        std::string weights;
+        engine_pace pace;
+        /// Age of the loads that other gateways reported.
+        double report_age_s = 0.0;
+    };
+
+    option estimate(const request_context& context, const known_backend_ptr& backend,
+                    const load_summary& load) const;
+    double plain_cost(const known_backend& backend, const load_summary& load,
+                      option& result) const;
+    double engine_cost(const request_context& context, const known_backend& backend,
+                       const load_summary& load, option& result) const;
     static const option& pick(const std::vector<option>& options, double draw);
 
     std::string zone;
--- a/src/libs/coordination/backend_directory.cpp
+++ b/src/libs/coordination/backend_directory.cpp
@@ -32,6 +32,11 @@
     return name_of(change_names, change);
 }
 
+std::string process_key(const state::backend_entry& entry)
+{
+    return entry.id + "@" + std::to_string(entry.incarnation);
+}
+
 directory_change backend_directory::apply(state::time_point now,
                                           state::backend_entry entry)
 {
@@ -72,6 +77,7 @@
             next->removal = now + *entry.remaining;
     }
     next->entry = std::move(entry);
+    next->process = process_key(next->entry);
     this->backends[next->entry.id] = next;
     return change;
 }
--- a/src/libs/coordination/backend_directory.hpp
+++ b/src/libs/coordination/backend_directory.hpp
@@ -17,6 +17,8 @@
 struct known_backend
 {
     state::backend_entry entry;
+    /// Identifies the process by id and incarnation.
+    std::string process;
     /// When the entry was read or its state last changed.
     state::time_point seen{};
     /// When the holder of the placement lease last announced the loaded models.
@@ -35,6 +37,9 @@
     std::optional<state::time_point> removal;
 };
 
+/// Returns the name of a process, which consists of the id and the incarnation.
+std::string process_key(const state::backend_entry& entry);
+
 using known_backend_ptr = std::shared_ptr<const known_backend>;
 
 /// Time limits of the directory.
