Spread prompts over engines by what other gateways send meanwhile

Every gateway chose the engine that was idle in reports 0.2 to 0.6 s old, so all chose the same one.

backend_choice now chooses with queue_forecast: with the probability that levels the queues once the prompts that other gateways send until the next report have arrived, at the rates of their heartbeats. The expected time to first byte contains the same forecast, so limits and refusals use it too. Without reports of other gateways, and for plain services, nothing changes.

--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -38,6 +38,22 @@
     return failure == choice_failure::paused || failure == choice_failure::limited;
 }
 
+/// Derives another pseudo-random number in [0, 1).
+double next_draw(double draw)
+{
+    draw = draw * 7.0 + 0.137;
+    return draw - static_cast<double>(static_cast<std::int64_t>(draw));
+}
+
+/// Copies what concerns the engine itself.
+void take_engine(const backend_choice& engine, backend_choice& result)
+{
+    result.backend = engine.backend;
+    result.expected_ms = engine.expected_ms;
+    result.idle_ms = engine.idle_ms;
+    result.uncached_tokens = engine.uncached_tokens;
+}
+
 /// Returns the cost of waiting `expected_ms` for the first byte.
 double wait_cost(double expected_ms, double target_ms)
 {
@@ -77,6 +93,7 @@
     backend_choice best;
     best.failure = choice_failure::no_backend;
     double best_cost = std::numeric_limits<double>::infinity();
+    std::vector<engine_option> options;
     for (const auto& [id, backend] : directory.all())
     {
         const state::backend_entry& entry = backend->entry;
@@ -122,28 +139,31 @@
             continue;
         }
         ++best.candidates;
-        backend_choice option;
+        engine_option option;
         // Derives another pseudo-random value for each candidate to break ties.
-        draw = draw * 7.0 + 0.137;
-        draw -= static_cast<double>(static_cast<std::int64_t>(draw));
+        draw = next_draw(draw);
         const double cost = this->estimate(now, *backend, loads, demand, option) +
                             draw * tie_tolerance_ms;
-        if (cost >= best_cost)
-            continue;
-        best_cost = cost;
-        best.backend = backend;
-        best.failure = choice_failure::none;
-        best.expected_ms = option.expected_ms;
-        best.idle_ms = option.idle_ms;
-        best.uncached_tokens = option.uncached_tokens;
+        option.choice.backend = backend;
+        if (cost < best_cost)
+        {
+            best_cost = cost;
+            best.failure = choice_failure::none;
+            take_engine(option.choice, best);
+        }
+        if (!demand.model.empty())
+            options.push_back(std::move(option));
     }
+    if (!options.empty())
+        spread(options, next_draw(draw), best);
     return best;
 }
 
 double backend_chooser::estimate(state::time_point now, const known_backend& backend,
                                  const backend_loads& loads, const backend_demand& demand,
-                                 backend_choice& result) const
+                                 engine_option& option) const
 {
+    backend_choice& result = option.choice;
     const std::string key = process_key(backend.entry);
     const load_summary load = loads.summary(now, key);
     const double active = load.active + load.peer_active;
@@ -171,7 +191,11 @@
         wait_ms += std::max(0.0, active + 1.0 - slots) * this->speed.first_step_ms;
         wait_ms += active;
     }
-    result.expected_ms = (result.idle_ms + wait_ms) * std::max(load.slow_ratio, 1.0);
+    const double slow_ratio = std::max(load.slow_ratio, 1.0);
+    result.expected_ms = (result.idle_ms + wait_ms) * slow_ratio;
+    const double peer_wait_ms = (load.waiting_tokens - load.own_waiting_tokens) /
+                                this->speed.prompt_tokens_per_ms;
+    option.least_expected_ms = result.expected_ms - peer_wait_ms * slow_ratio;
     double cost = demand.model.empty() ? result.expected_ms
                                        : wait_cost(result.expected_ms, demand.target_ms);
     cost += std::max(load.overdue_ms, 0.0);
@@ -182,9 +206,37 @@
         cost += this->speed.zone_hop_ms;
     if (!demand.model.empty())
         cost += this->interference_cost(load, demand, result.uncached_tokens);
+    // The costs beside the wait, as the wait that costs as much.
+    constexpr double ms_per_s = 1000.0;
+    option.queue.cost_ms =
+        result.expected_ms +
+        (cost - wait_cost(result.expected_ms, demand.target_ms)) / low_wait_weight;
+    option.queue.peer_inflow =
+        load.peer_prompt_rate / this->speed.prompt_tokens_per_ms / ms_per_s * slow_ratio;
     return cost;
 }
 
+void backend_chooser::spread(const std::vector<engine_option>& options, double draw,
+                             backend_choice& best)
+{
+    std::vector<queue_option> queues;
+    queues.reserve(options.size());
+    double inflow = 0.0;
+    for (const engine_option& option : options)
+    {
+        queues.push_back(option.queue);
+        inflow += option.queue.peer_inflow;
+    }
+    // Without other gateways the known queues are the present ones.
+    if (inflow <= 0.0)
+        return;
+    const queue_forecast forecast = choose_by_queue(queues, best.idle_ms, draw);
+    const engine_option& chosen = options[forecast.chosen];
+    take_engine(chosen.choice, best);
+    best.expected_ms = std::max(best.expected_ms + forecast.change_ms,
+                                std::min(chosen.least_expected_ms, best.expected_ms));
+}
+
 /// Processing a prompt delays the next tokens of the streams on the same engine. This
 /// cost keeps prompts and long streams on different engines unless the alternative is
 /// much slower.
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -4,6 +4,7 @@
 #include "coordination/backend_limits.hpp"
 #include "coordination/backend_loads.hpp"
 #include "coordination/prompt_cache.hpp"
+#include "coordination/queue_forecast.hpp"
 #include "state/clock.hpp"
 
 #include <cstdint>
@@ -120,9 +121,23 @@
     static std::string process_key(const state::backend_entry& entry);
 
 private:
+    /// An engine that could serve a request.
+    struct engine_option
+    {
+        backend_choice choice;
+        /// Lower bound of `choice.expected_ms`: what the calls of this gateway alone
+        /// take.
+        double least_expected_ms = 0.0;
+        queue_option queue;
+    };
+
     double estimate(state::time_point now, const known_backend& backend,
                     const backend_loads& loads, const backend_demand& demand,
-                    backend_choice& result) const;
+                    engine_option& result) const;
+    /// Replaces the engine of `best`, which had the lowest cost, by one that is chosen in
+    /// view of what other gateways send meanwhile.
+    static void spread(const std::vector<engine_option>& options, double draw,
+                       backend_choice& best);
 
     double interference_cost(const load_summary& load, const backend_demand& demand,
                              std::uint32_t uncached_tokens) const;
--- a/src/libs/coordination/backend_loads.cpp
+++ b/src/libs/coordination/backend_loads.cpp
@@ -223,6 +223,7 @@
             if (current.has_first_byte)
                 continue;
             result.waiting_tokens += current.work.prompt_tokens;
+            result.own_waiting_tokens += current.work.prompt_tokens;
             result.overdue_ms =
                 std::max(result.overdue_ms,
                          elapsed_ms(current.started, now) - current.work.expected_ms);
@@ -239,6 +240,7 @@
         result.waiting_tokens += load->second.waiting_tokens;
         result.long_streams += load->second.long_streams;
         result.prompt_rate += load->second.prompt_rate;
+        result.peer_prompt_rate += load->second.prompt_rate;
     }
     return result;
 }
--- a/src/libs/coordination/backend_loads.hpp
+++ b/src/libs/coordination/backend_loads.hpp
@@ -64,10 +64,14 @@
     std::uint32_t peer_active = 0;
     /// Prompt tokens of calls that are waiting for their first byte.
     double waiting_tokens = 0.0;
+    /// The part of them that this process sent.
+    double own_waiting_tokens = 0.0;
     /// Streams that may generate at least `long_stream_tokens`.
     std::uint32_t long_streams = 0;
     /// Prompt tokens sent per second, averaged over the last seconds.
     double prompt_rate = 0.0;
+    /// The part of it that peers sent.
+    double peer_prompt_rate = 0.0;
     /// Longest time by which the first byte of a call is overdue.
     double overdue_ms = 0.0;
     /// Share of recent calls that failed, and mean ratio of actual to expected time to
--- a/tests/auto/coordination/tst_gateway_units.cpp
+++ b/tests/auto/coordination/tst_gateway_units.cpp
@@ -245,6 +245,47 @@
     }
 }
 
+// Guards against gateways that all send to the engine that was idle at the last reports.
+TEST_CASE("prompts that other gateways send meanwhile are spread over the engines")
+{
+    backend_directory directory;
+    directory.apply(start, entry("e1"));
+    directory.apply(start, entry("e2"));
+    backend_loads loads;
+    const backend_limits limits;
+    const backend_chooser chooser("zone-a", {});
+    const auto count_first = [&](const backend_demand& request)
+    {
+        int count = 0;
+        for (int i = 0; i < 100; ++i)
+        {
+            const auto choice =
+                chooser.choose(start, directory, loads, limits, request, {}, i / 100.0);
+            CHECK(choice.expected_ms >= choice.idle_ms);
+            count += choice.backend->entry.id == "e1" ? 1 : 0;
+        }
+        return count;
+    };
+    // One prompt of 100 ms waits at the first engine.
+    const report_source peer{protocol::load_scope::others, ""};
+    loads.set_peer(start, peer, {{key_of("e1"), {1, 2000, 0, 0.0}}});
+    CHECK(count_first(demand()) == 0);
+    // The engines get prompts of 500 ms each second, which is 400 ms until the next
+    // report: 130 ms for the first engine, whose streams cost 40 ms, and 270 ms for the
+    // other.
+    loads.set_peer(
+        start, peer,
+        {{key_of("e1"), {40, 2000, 0, 10000.0}}, {key_of("e2"), {0, 0, 0, 10000.0}}});
+    const int first = count_first(demand());
+    CHECK(first > 20);
+    CHECK(first < 50);
+    // A plain service has no prompts: the server with fewer calls is chosen.
+    backend_demand plain = demand();
+    plain.model.clear();
+    plain.adapter.clear();
+    CHECK(count_first(plain) == 0);
+}
+
 // Load pattern: requests with shared prompt parts.
 TEST_CASE("an engine that has cached the start of the prompt is preferred")
 {
