Let requests wait while the memory of all engines is occupied

Cause: a first attempt was refused as overloaded although running requests end within a moment. Change: the choice says whether waiting helps; such a request waits in the queue up to its target, like one whose weights are being loaded. A request larger than the memory of an engine is still refused at once.

--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -71,7 +71,8 @@
         co_return choice;
     const bool is_missing = choice.failure == choice_failure::model_missing ||
                             choice.failure == choice_failure::adapter_missing ||
-                            choice.failure == choice_failure::paused || is_limited;
+                            choice.failure == choice_failure::paused ||
+                            choice.is_memory_full || is_limited;
     const bool has_queue = this->shared.queue.size() > 0;
     const bool is_held =
         choice.backend && (has_queue || this->decide(choice, true, 0.0).action !=
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -203,6 +203,7 @@
         {
             best.failure = choice_failure::overloaded;
             best.is_too_large = !has_memory(demand, 0.0, 0.0);
+            best.is_memory_full = !best.is_too_large;
         }
         return best;
     }
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -91,6 +91,9 @@
     /// For `choice_failure::overloaded`: the request needs more memory than any engine
     /// has, so waiting does not help.
     bool is_too_large = false;
+    /// For `choice_failure::overloaded`: the running requests occupy the memory of all
+    /// engines, so waiting helps.
+    bool is_memory_full = false;
     std::size_t candidates = 0;
     /// For `choice_failure::paused` and `limited`: earliest time at which a backend
     /// server may accept the request.
