Test a team's allowance over three gateways with real heartbeats

Cause: the tests of allowances used virtual time and messages of their own, so a fault in the heartbeats' scopes or sums would not show.

Change: tst_teams plays three gateways on loopback, first at half of the limit, then at five times it.

--- a/tests/auto/platform/tst_teams.cpp
+++ b/tests/auto/platform/tst_teams.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -386,3 +387,95 @@
     CHECK(allowances.view("hule930").asked_per_s >= 500.0);
     CHECK(allowances.view("hule930").admitted_per_s >= 9.0);
 }
+
+TEST_SUITE_BEGIN("long_teams");
+
+// Guards against gateways that do not count one another's use, by real heartbeats.
+TEST_CASE("gateways keep an allowance together")
+{
+    constexpr double per_s = 20.0;
+    constexpr double burst = 20.0;
+    constexpr state::milliseconds window{8000};
+    // The allowance of a window and a tenth of it.
+    constexpr double allowed = (per_s * 8.0 + burst) * 1.1;
+    constexpr std::size_t gateways = 3;
+    gateway_fixture test;
+    std::vector<state::time_point> arrivals;
+    test.add_backend("s1", "plain",
+                     [&arrivals](const transport::http_request& request)
+                     {
+                         arrivals.push_back(state::now());
+                         return ok(request);
+                     });
+    boost::json::object limited = tenant("hule930", {"asnm7"});
+    limited["Unit"] = "requests";
+    limited["RatePerS"] = per_s;
+    limited["Burst"] = burst;
+    test.tenants = {limited};
+    test.put_config(1);
+    test.start();
+    std::vector<std::unique_ptr<app::gateway>> others;
+    for (std::size_t index = 1; index < gateways; ++index)
+    {
+        state::gateway_settings settings = test.settings;
+        settings.node_id = "gateway-" + std::to_string(index + 1);
+        settings.seeds = {test.gateway->own_settings().control_listen};
+        others.push_back(std::make_unique<app::gateway>(
+            test.loop, settings, test.settings_path, *test.adapter, test.counters));
+        others.back()->start();
+    }
+    const auto covers_all = [&](const app::gateway& gateway)
+    {
+        return gateway.is_ready() &&
+               gateway.shared_state().allowances.covered_gateways() == gateways;
+    };
+    test.run_until(
+        [&]
+        {
+            return covers_all(*test.gateway) &&
+                   std::all_of(others.begin(), others.end(),
+                               [&](const auto& item) { return covers_all(*item); });
+        });
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    const auto play = [&](state::milliseconds duration, state::milliseconds interval)
+    {
+        const state::time_point end = state::now() + duration;
+        for (state::time_point next = state::now(); next < end; next += interval)
+        {
+            const std::size_t index = sent++ % gateways;
+            const app::gateway& target = index == 0 ? *test.gateway : *others[index - 1];
+            const auto request = with_key(
+                test.request("/once/x", "a" + std::to_string(sent)), "Bearer asnm7");
+            const auto response = test.fetch_from(target.own_settings().listen, request);
+            REQUIRE(response);
+            const unsigned status = response->result_int();
+            CHECK((status == 200 || status == 429));
+            served += status == 200 ? 1 : 0;
+            if (next + interval > state::now())
+                test.run_until([&] { return state::now() >= next + interval; });
+        }
+    };
+    // Half of the limit, until the gateways know the use in a whole window.
+    play(window + state::milliseconds(1000), state::milliseconds(100));
+    const std::size_t sent_before = sent;
+    served = 0;
+    play(state::milliseconds(3000), state::milliseconds(100));
+    CHECK(served == sent - sent_before);
+    served = 0;
+    // Five times the limit.
+    play(window + state::milliseconds(2000), state::milliseconds(10));
+    CHECK(static_cast<double>(served) >= 0.8 * per_s * 10.0);
+    std::size_t most = 0;
+    auto first = arrivals.begin();
+    for (auto last = first; last != arrivals.end(); ++last)
+    {
+        while (*last - *first > window)
+            ++first;
+        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    CHECK(static_cast<double>(most) <= allowed);
+    MESSAGE("served ", served, " in 10 s, most in a window ", most);
+}
+
+TEST_SUITE_END();
