Compute the sum of the teams' use once for all heartbeats of a tick

Cause: an aggregator added up the reports of its zone again for each receiver, which grows with the square of the zone.

--- a/src/app/gateway/peers/load_exchange.cpp
+++ b/src/app/gateway/peers/load_exchange.cpp
@@ -95,22 +95,29 @@
 }
 
 void load_exchange::fill_teams(protocol::gateway_heartbeat& heartbeat,
-                               const coordination::gossip_target& target) const
+                               const coordination::gossip_target& target)
 {
     heartbeat.teams.clear();
     heartbeat.team_reporters = 0;
-    coordination::team_usage_report report = this->shared.allowances.own_usage();
+    coordination::team_usage_report report;
     switch (target.scope)
     {
     case load_scope::none:
         return;
     case load_scope::gateway:
+        report = this->shared.allowances.own_usage();
         break;
     case load_scope::zone:
+        report = this->shared.allowances.own_usage();
         report += this->shared.team_reports.zone(now());
         break;
     case load_scope::others:
-        report += this->shared.team_reports.others(now());
+        if (!this->cached_team_totals)
+        {
+            this->cached_team_totals = this->shared.allowances.own_usage();
+            *this->cached_team_totals += this->shared.team_reports.others(now());
+        }
+        report = *this->cached_team_totals;
         report -= this->shared.team_reports.report_of(now(),
                                                       {load_scope::gateway, target.node});
         break;
--- a/src/app/gateway/peers/load_exchange.hpp
+++ b/src/app/gateway/peers/load_exchange.hpp
@@ -18,7 +18,11 @@
 
     /// Discards the cached totals. All heartbeats filled until the next call share one
     /// set of totals, which is computed once.
-    void reset_totals() { this->cached_totals.reset(); }
+    void reset_totals()
+    {
+        this->cached_totals.reset();
+        this->cached_team_totals.reset();
+    }
     /// Sets the loads and rates that `target` receives.
     void fill(protocol::gateway_heartbeat& heartbeat,
               const coordination::gossip_target& target);
@@ -31,7 +35,7 @@
 
 private:
     void fill_teams(protocol::gateway_heartbeat& heartbeat,
-                    const coordination::gossip_target& target) const;
+                    const coordination::gossip_target& target);
     void fill_loads(protocol::gateway_heartbeat& heartbeat,
                     const coordination::gossip_target& target);
     void fill_rates(protocol::gateway_heartbeat& heartbeat,
@@ -39,6 +43,7 @@
 
     gateway_state& shared;
     std::optional<coordination::backend_loads::load_map> cached_totals;
+    std::optional<coordination::team_usage_report> cached_team_totals;
 };
 
 } // namespace pomelorouter::app
