--- a/src/app/gateway/peers/load_exchange.hpp
+++ b/src/app/gateway/peers/load_exchange.hpp
@@ -24,6 +24,7 @@
         this->cached_totals.reset();
         this->cached_speeds.reset();
         this->cached_queues.reset();
+        this->cached_team_totals.reset();
     }
     /// Sets the loads and rates that `target` receives.
     void fill(protocol::gateway_heartbeat& heartbeat,
@@ -37,7 +38,7 @@
 
 private:
     void fill_teams(protocol::gateway_heartbeat& heartbeat,
-                    const coordination::gossip_target& target) const;
+                    const coordination::gossip_target& target);
     void fill_loads(protocol::gateway_heartbeat& heartbeat,
                     const coordination::gossip_target& target);
     void fill_speeds(protocol::gateway_heartbeat& heartbeat);
@@ -51,6 +52,7 @@
     std::optional<coordination::backend_loads::load_map> cached_totals;
     std::optional<coordination::engine_speed::speed_list> cached_speeds;
     std::optional<coordination::weight_demand::queue_map> cached_queues;
+    std::optional<coordination::team_usage_report> cached_team_totals;
 };
 
 } // namespace pomelorouter::app
