Carry the prompt tokens that wait for capacity to the placement

Cause: placement sees what arrives and what waits for missing weights, but not what waits at gateways because the engines of a model are busy.

--- a/src/app/gateway/placement/placement_log.cpp
+++ b/src/app/gateway/placement/placement_log.cpp
@@ -17,6 +17,7 @@
     {
         double tokens_per_s = 0.0;
         std::uint32_t waiting = 0;
+        std::uint64_t queued_tokens = 0;
         int copies = 0;
         int loading = 0;
         double engine_active = 0.0;
@@ -26,6 +27,7 @@
     {
         models[name.model].tokens_per_s += rate.tokens_per_s;
         models[name.model].waiting += rate.waiting;
+        models[name.model].queued_tokens += rate.queued_tokens;
     }
     int busy = 0;
     for (const coordination::planned_engine& engine : engines)
@@ -54,6 +56,7 @@
                              std::to_string(model.copies) + "+" +
                              std::to_string(model.loading) + "copies," +
                              std::to_string(model.waiting) + "waiting," +
+                             std::to_string(model.queued_tokens) + "queued," +
                              std::to_string(static_cast<int>(model.engine_active /
                                                              std::max(model.copies, 1))) +
                              "active");
