Place models by the expected load of engines

Cause: balance_models compared the demand per copy with 4,000 tokens a second. Replays of tst_placement_load showed what follows from that: copies followed the noise of demand (59 to 75 loads from the weight store in 20 s of steady demand on 60 engines), models that were reserved for a load were not counted as copies, so that more engines freed memory for them than the store allows loads, every model's share of idle demand and the reserve of 3 copies grew with the number of models until they outweighed the demand, and a slot that was freed for an adapter was filled with another one. Change: demand_spread estimates the load of each engine if gateways prefer the least loaded one, by model, adapter and speed of the engine. A model is copied while even its least loaded engine has clearly more load than the target and the engines that take over the victim's requests. Queued tokens count as demand that is to be worked off in 2 s; demand that differs from its usual share by chance only does not count; steep growth is extended over the time of a load. Freed memory counts as a copy, and is freed only for loads that the store allows. A freed adapter slot is reserved; the only copy of an adapter yields to a further copy of another one only for four times the demand. Idle demand is shared by all models, reserve copies are one in eight copies at most.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -44,10 +44,14 @@
 constexpr milliseconds report_period{300};
 /// Memory freed for a model stays reserved for it for this long.
 constexpr milliseconds reservation_time{6000};
+/// The same for the slot of an adapter, including the notice to the other gateways.
+constexpr milliseconds adapter_reservation_time{1500};
 constexpr milliseconds engine_list_stable_time{2500};
 constexpr milliseconds state_log_period{1000};
 /// Models are not loaded elsewhere because of a limit that is younger than this.
 constexpr milliseconds min_limit_time{1000};
+/// Placement counts an engine as no slower than this share of the median speed.
+constexpr double min_relative_speed = 0.1;
 /// Keeps a heartbeat within the size of a datagram. Other gateways learn of further
 /// engines from the list of backend servers.
 constexpr std::size_t max_announced_engines = 150;
@@ -66,6 +70,23 @@
     return era == 0 ? lease_key : lease_key + ("/" + std::to_string(era));
 }
 
+/// Lowers the speeds of engines that are slower than the median by their measured ratios
+/// of actual to expected time. A ratio that all share comes from load, not from speed.
+void set_relative_speeds(std::vector<coordination::planned_engine>& engines,
+                         const std::vector<double>& ratios)
+{
+    if (ratios.empty())
+        return;
+    std::vector<double> sorted = ratios;
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    for (std::size_t i = 0; i < engines.size(); ++i)
+    {
+        engines[i].tokens_per_s *=
+            std::clamp(*middle / ratios[i], min_relative_speed, 1.0);
+    }
+}
+
 coordination::store_lease_timing lease_timing(const state::gateway_settings& settings)
 {
     coordination::store_lease_timing timing;
@@ -374,6 +395,7 @@
 placement_agent::planned_engines(const state::gateway_service& service)
 {
     std::vector<coordination::planned_engine> result;
+    std::vector<double> ratios;
     for (const auto& backend : this->shared.directory.of_service(service.name))
     {
         if (backend->is_leaving)
@@ -389,6 +411,7 @@
         const auto load = this->shared.loads.summary(
             now(), coordination::backend_chooser::process_key(entry));
         engine.active = load.active + load.peer_active;
+        ratios.push_back(std::max(load.slow_ratio, 1.0));
         engine.limit_per_s = this->shared.limits.lasting_limit(
             now(), coordination::backend_chooser::process_key(entry), min_limit_time);
         engine.is_busy =
@@ -396,8 +419,11 @@
         engine.loading = control.loading;
         if (now() < control.reserved_until)
             engine.reserved = control.reserved;
+        if (now() < control.adapter_reserved_until)
+            engine.reserved_adapter = control.reserved_adapter;
         result.push_back(std::move(engine));
     }
+    set_relative_speeds(result, ratios);
     return result;
 }
 
@@ -426,7 +452,12 @@
         control.loading = order.model;
         control.reserved.clear();
     }
-    if (!order.room_for.empty())
+    if (is_adapter_operation(order.operation))
+    {
+        control.reserved_adapter = order.room_for;
+        control.adapter_reserved_until = now() + adapter_reservation_time;
+    }
+    else if (!order.room_for.empty())
     {
         control.reserved = order.room_for;
         control.reserved_until = now() + reservation_time;
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -53,6 +53,9 @@
         /// A model for which memory is being freed, and when that reservation expires.
         std::string reserved;
         state::time_point reserved_until{};
+        /// The same for an adapter, as MODEL/ADAPTER, and its slot.
+        std::string reserved_adapter;
+        state::time_point adapter_reserved_until{};
         /// No order is sent before this time.
         state::time_point pause_until{};
         /// Heartbeats repeat the models of the engine until this time.
--- a/src/libs/coordination/plan_workspace.hpp
+++ b/src/libs/coordination/plan_workspace.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "coordination/demand_spread.hpp"
 #include "coordination/weight_planner.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,8 +20,20 @@
 {
     planned_engine* engine = nullptr;
     /// Model that has to be unloaded first, or null if there is enough memory, and the
-    /// demand per copy of that model after the unload.
+    /// load of the engines that take over its requests.
     const std::string* victim = nullptr;
+    double victim_load = 0.0;
+    /// Load of the engine without the victim.
+    double engine_load = 0.0;
+};
+
+/// Limits of the loads that a move may lead to.
+struct move_limits
+{
+    /// Load of the target engine without the victim, and of the engines that take over
+    /// the requests for the victim.
+    double resulting_load = 0.0;
+    /// Demand per remaining copy of the victim, as a load.
     double victim_demand = 0.0;
 };
 
@@ -37,12 +52,25 @@
     const std::map<std::string, int>& initial_copies;
     int store_loads;
     std::vector<planned_order> orders = {};
-    /// Demand that models are placed for, in prompt tokens per second.
+    /// Demand that models are placed for, in prompt tokens per second, including and
+    /// without that for their adapters.
     std::map<std::string, double> model_demand = {};
+    std::map<std::string, double> plain_demand = {};
+    /// The same for adapters.
+    std::map<weight_name, double> adapter_demand = {};
+    /// Expected loads of the engines, and the numbers of the flows of models and
+    /// adapters.
+    demand_spread spread{{}};
+    std::map<std::string_view, std::size_t> model_flows = {};
+    std::map<weight_name, std::size_t> adapter_flows = {};
+    /// Adapters for which a slot is being freed.
+    std::set<std::string> promised_adapters = {};
+    /// Models that should have some copies before there is demand for them.
+    std::set<std::string_view> reserved_models = {};
     /// Rates of requests for each model including its adapters.
     std::map<std::string, weight_rate> model_rates = {};
-    /// Number of engines that have a model loaded, that have it loaded or are loading it,
-    /// and that have an adapter of it loaded.
+    /// Number of engines that have a model loaded, that have it loaded or are about to
+    /// load it, and that have an adapter of it loaded.
     std::map<std::string, int> held = {};
     std::map<std::string, int> copies = {};
     std::map<std::string, std::map<std::string, int>> adapter_held = {};
@@ -50,21 +78,28 @@
     std::map<std::string_view, std::vector<planned_engine*>> holders = {};
     /// Number of engines that are changing their models or are about to.
     int changing = 0;
+    /// Loads from the weight store for which memory is being freed.
+    int promised_loads = 0;
     /// Models of the service by name.
     std::map<std::string_view, const state::hosted_model*> hosted = {};
 
     /// Initialize the members; must be called first and in this order.
     void count_copies();
     void estimate_demand();
+    void estimate_loads();
 
     weight_rate rate_of(const std::string& model, const std::string& adapter) const;
     /// Demand per copy of a model with `change` more copies.
     double demand_per_copy(const std::string& model, int change = 0) const;
-    /// Demand per copy of a model, or the minimum priority of a model with too few copies
-    /// if that is higher.
-    double placement_priority(const state::hosted_model& model) const;
-    /// Demand on an engine: the sum of the demand per copy of its models.
-    double engine_demand(const planned_engine& engine) const;
+    /// Lowest load among the engines of a model, or the level assumed for a model that
+    /// lacks copies if that is higher. Zero if a further copy would relieve no engine.
+    double crowding(const state::hosted_model& model) const;
+    std::size_t index_of(const planned_engine& engine) const;
+    double engine_load(const planned_engine& engine) const;
+    /// Share of the engine's load that requests for the model cause.
+    double load_share(const planned_engine& engine, const std::string& model) const;
+    /// Whether memory may be freed for one more load from the weight store.
+    bool may_promise_load() const;
     const state::hosted_model* find_model(std::string_view name) const;
     /// Returns the engines that may have the model loaded; an unload ordered in this
     /// round does not remove its engine.
@@ -77,20 +112,19 @@
     double used_mb(const planned_engine& engine) const;
     bool has_room(const planned_engine& engine, const state::hosted_model& model) const;
     std::uint32_t waiting(const std::string& model) const;
-    /// Returns the model of the engine with the lowest remaining demand per copy after an
-    /// unload, among the models that other engines also have. Returns null if none is
-    /// below `demand_limit`; otherwise sets it to the value of the returned model.
-    const std::string* find_victim(const planned_engine& engine,
-                                   double& demand_limit) const;
+    /// Sets the victim of `target` to the model whose unload adds least to the loads of
+    /// other engines, among the models that other engines also have. Returns false if
+    /// none is within `limits`.
+    bool find_victim(load_target& target, const move_limits& limits) const;
 
     void order_unload(planned_engine& engine, const std::string& model,
                       const std::string& room_for);
     void order_load(planned_engine& engine, const std::string& model,
                     std::string_view reason);
     /// Returns the target with the lowest cost of loading `wanted`; its engine is null if
-    /// there is none. The demand of a victim is less than `victim_limit`.
-    load_target cheapest_target(const state::hosted_model& wanted, double victim_limit,
-                                const load_cost& cost_of);
+    /// there is none within `limits`.
+    load_target cheapest_target(const state::hosted_model& wanted,
+                                const move_limits& limits, const load_cost& cost_of);
     /// Orders a load of `model`, or an unload that frees memory for it; returns false if
     /// `target` has no engine.
     bool order_load_at(const load_target& target, const std::string& model,
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -4,12 +4,15 @@
 #include "state/enum_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <set>
 
 namespace pomelorouter::coordination
 {
 
 using internal::load_target;
+using internal::move_limits;
 using internal::plan_workspace;
 
 namespace
@@ -22,11 +25,21 @@
     {plan_operation::unload_adapter, "unload_adapter"},
 }};
 
-/// Demand that one copy of a model can serve, in prompt tokens per second.
-constexpr double copy_capacity_tokens_per_s = 4000.0;
-/// A copy of one model replaces a copy of another if the demand per copy of the former is
-/// at least this multiple of what the demand per copy of the latter would become.
-constexpr double min_move_ratio = 1.5;
+/// A model is copied if even its least loaded engine has at least this load, as a share
+/// of the engine's time. A copy into free memory takes nothing from other models.
+constexpr double min_crowding = 0.2;
+constexpr double min_crowding_of_free_memory = 0.05;
+/// The engines of a model must have at least this multiple of the load that the engine
+/// of the new copy has, and of the load that engines get in place of that engine. A load
+/// costs the engine time, so a small difference is not worth it.
+constexpr double min_move_ratio = 1.25;
+/// Least difference of these loads.
+constexpr double min_relief = 0.05;
+/// A model is unloaded if its demand per remaining copy is below this share of the load
+/// of the engines of the model that replaces it.
+constexpr double max_victim_share = 0.67;
+/// Maximum number of models without a suitable engine in one round.
+constexpr int max_failed_moves = 6;
 /// An engine counts as limited if its limit is below this share of the requests for its
 /// models.
 constexpr double min_useful_limit_share = 0.5;
@@ -35,8 +48,17 @@
 /// Models without waiting requests are not restored while this many engines are changing
 /// their models.
 constexpr int max_changing_for_idle = 4;
-/// Penalty for a load from the weight store, as a share of the placement priority.
+/// Penalty for a load from the weight store, as a share of the load of the engines that
+/// it relieves.
 constexpr double store_load_penalty = 0.5;
+/// An adapter is copied if it puts at least this load on each of its engines.
+constexpr double min_copied_adapter_load = 0.01;
+/// Value of the only copy of an adapter, as a multiple of that of a further copy: without
+/// it, requests wait until the adapter is loaded again.
+constexpr double only_copy_ratio = 4.0;
+/// Demand that a further copy of an adapter serves, as a multiple of the demand per copy
+/// of the adapter that it replaces.
+constexpr double min_adapter_demand_ratio = 1.5;
 /// An adapter is copied to another engine if the engine that has it loaded has at least
 /// this many more requests in flight.
 constexpr double min_adapter_copy_gap = 10.0;
@@ -97,6 +119,8 @@
     plan_workspace work{profile, engines, service, demand, initial_copies, store_loads};
     work.count_copies();
     work.estimate_demand();
+    work.estimate_loads();
+    this->load_reserved_adapters(work);
     this->place_waiting_adapters(work);
     this->load_reserved_models(work);
     if (is_settled)
@@ -155,22 +179,50 @@
     }
 }
 
+/// Loads the adapters for which slots were freed.
+void weight_planner::load_reserved_adapters(plan_workspace& work) const
+{
+    for (planned_engine& engine : work.engines)
+    {
+        const std::size_t separator = engine.reserved_adapter.find('/');
+        if (separator == std::string::npos || engine.is_busy ||
+            engine.adapter_count() >= work.profile.adapter_slots)
+            continue;
+        const std::string model = engine.reserved_adapter.substr(0, separator);
+        const std::string adapter = engine.reserved_adapter.substr(separator + 1);
+        if (!engine.holds_model(model) || engine.holds_adapter(model, adapter))
+            continue;
+        engine.reserved_adapter.clear();
+        work.add_order(engine, plan_operation::load_adapter, model, adapter, false,
+                       "a slot was freed for the adapter");
+    }
+}
+
 void weight_planner::place_waiting_adapters(plan_workspace& work) const
 {
+    const auto is_better =
+        [&work](const planned_engine& engine, const planned_engine& other)
+    {
+        const bool has_slot = engine.adapter_count() < work.profile.adapter_slots;
+        const bool other_has_slot = other.adapter_count() < work.profile.adapter_slots;
+        return has_slot == other_has_slot ? engine.active < other.active : has_slot;
+    };
     for (const auto& [name, rate] : work.demand)
     {
         if (name.service != work.service || name.adapter.empty() || rate.waiting == 0 ||
-            work.adapter_copies(name.model, name.adapter) > 0)
+            work.adapter_copies(name.model, name.adapter) > 0 ||
+            work.promised_adapters.count(name.weights()) > 0)
             continue;
         planned_engine* best = nullptr;
         for (planned_engine* const engine : work.holders_of(name.model))
         {
             if (engine->is_busy || !engine->holds_model(name.model))
                 continue;
-            if (best == nullptr || engine->active < best->active)
+            if (best == nullptr || is_better(*engine, *best))
                 best = engine;
         }
-        if (best != nullptr && ensure_adapter_slot(work, *best))
+        const double no_limit = std::numeric_limits<double>::infinity();
+        if (best != nullptr && ensure_adapter_slot(work, *best, name, no_limit))
         {
             work.add_order(*best, plan_operation::load_adapter, name.model, name.adapter,
                            false, "requests are waiting for the adapter");
@@ -179,21 +231,26 @@
 }
 
 /// Returns whether the engine has a free adapter slot. If not, the adapter with the least
-/// demand is unloaded, and the slot is free in a later planning round.
-bool weight_planner::ensure_adapter_slot(plan_workspace& work, planned_engine& engine)
+/// demand is unloaded if that is worth it for `requests_per_copy` of the wanted adapter,
+/// and the slot is free in a later planning round.
+bool weight_planner::ensure_adapter_slot(plan_workspace& work, planned_engine& engine,
+                                         const weight_name& wanted,
+                                         double requests_per_copy)
 {
+    // A free slot may be reserved for another adapter.
     if (engine.adapter_count() < work.profile.adapter_slots)
-        return true;
+        return engine.reserved_adapter.empty();
     const std::string* model = nullptr;
     const std::string* adapter = nullptr;
-    double lowest = std::numeric_limits<double>::infinity();
+    double lowest = requests_per_copy / min_adapter_demand_ratio;
     for (const state::loaded_model& item : engine.models)
     {
         for (const std::string& candidate : item.adapters)
         {
             const weight_rate rate = work.rate_of(item.name, candidate);
             const int copies = std::max(work.adapter_copies(item.name, candidate), 1);
-            const double value = (rate.per_s + rate.waiting) / copies;
+            const double requests = rate.per_s + rate.waiting;
+            const double value = requests / copies * (copies == 1 ? only_copy_ratio : 1);
             if (value >= lowest)
                 continue;
             lowest = value;
@@ -205,6 +262,7 @@
     {
         work.add_order(engine, plan_operation::unload_adapter, *model, *adapter, false,
                        "another adapter needs the slot");
+        work.orders.back().room_for = wanted.weights();
     }
     return false;
 }
@@ -258,78 +316,124 @@
                (target.victim == nullptr ? 0.0 : victim_cost);
     };
     const double no_limit = std::numeric_limits<double>::infinity();
-    return work.order_load_at(work.cheapest_target(wanted, no_limit, cost_of),
-                              wanted.name, "no engine has the model loaded");
+    return work.order_load_at(
+        work.cheapest_target(wanted, move_limits{no_limit, no_limit}, cost_of),
+        wanted.name, "no engine has the model loaded");
 }
 
-/// Adds copies of the models with the highest placement priority on the engines where
-/// that costs least, if necessary in place of copies of models with less demand.
+/// Adds copies of the models whose engines are the most loaded on the engines where that
+/// costs least, if necessary in place of copies of models with less demand.
 void weight_planner::balance_models(plan_workspace& work) const
 {
     const auto max_changing =
         static_cast<int>(max_changing_share * static_cast<double>(work.engines.size()));
-    while (work.changing < max_changing)
+    std::set<const state::hosted_model*> failed;
+    while (work.changing < max_changing && failed.size() < max_failed_moves)
     {
         const state::hosted_model* wanted = nullptr;
+        double highest = 0.0;
+        double highest_demand = 0.0;
         for (const state::hosted_model& model : work.profile.models)
         {
             const int copies = work.model_copies(model.name);
-            const bool is_candidate =
-                copies > 0 && copies < static_cast<int>(work.engines.size());
-            if (is_candidate &&
-                (wanted == nullptr ||
-                 work.placement_priority(model) > work.placement_priority(*wanted)))
-                wanted = &model;
+            if (copies == 0 || copies >= static_cast<int>(work.engines.size()) ||
+                failed.count(&model) > 0)
+                continue;
+            const double crowding = work.crowding(model);
+            const double demand = work.demand_per_copy(model.name);
+            // Models of the same engines are equally crowded; the larger one moves.
+            const bool is_equal = std::abs(crowding - highest) < min_relief;
+            if (is_equal ? demand <= highest_demand : crowding < highest)
+                continue;
+            wanted = &model;
+            highest = crowding;
+            highest_demand = demand;
         }
-        if (wanted == nullptr || !move_copy(work, *wanted))
+        if (wanted == nullptr || highest < min_crowding_of_free_memory)
             return;
+        if (!move_copy(work, *wanted, highest))
+            failed.insert(wanted);
     }
 }
 
 /// Orders a load of `wanted`, or an unload that frees memory for it. Returns whether an
 /// order was added.
-bool weight_planner::move_copy(plan_workspace& work, const state::hosted_model& wanted)
+bool weight_planner::move_copy(plan_workspace& work, const state::hosted_model& wanted,
+                               double crowding)
 {
-    const double priority = work.placement_priority(wanted);
-    if (priority < copy_capacity_tokens_per_s)
-        return false;
-    const auto cost_of = [&work, priority](const planned_engine& engine,
-                                           const load_target& target, bool from_store)
+    const auto cost_of =
+        [crowding](const planned_engine&, const load_target& target, bool from_store)
     {
-        return target.victim_demand + work.engine_demand(engine) +
-               (from_store ? priority * store_load_penalty : 0.0);
+        return target.victim_load + target.engine_load +
+               (from_store ? crowding * store_load_penalty : 0.0);
     };
-    return work.order_load_at(
-        work.cheapest_target(wanted, priority / min_move_ratio, cost_of), wanted.name,
-        "the demand per copy of the model is high");
+    move_limits limits;
+    limits.resulting_load = (crowding - min_relief) / min_move_ratio;
+    limits.victim_demand = crowding < min_crowding ? 0.0 : crowding * max_victim_share;
+    return work.order_load_at(work.cheapest_target(wanted, limits, cost_of), wanted.name,
+                              "the engines of the model have too much work");
 }
 
 /// Loads an adapter on another engine if the engines that have it loaded have far more
-/// requests than one that only has the model.
+/// requests, or are expected to have far more work, than one that only has the model.
 void weight_planner::copy_busy_adapters(plan_workspace& work) const
 {
-    for (const auto& [name, rate] : work.demand)
+    std::vector<std::pair<double, const weight_name*>> wanted;
+    for (const auto& [name, tokens] : work.adapter_demand)
     {
-        if (name.service != work.service || name.adapter.empty())
-            continue;
-        double min_holder_load = std::numeric_limits<double>::infinity();
+        const int copies = std::max(work.adapter_copies(name.model, name.adapter), 1);
+        if (work.spread.load_of(tokens / copies) >= min_copied_adapter_load &&
+            work.promised_adapters.count(name.weights()) == 0)
+            wanted.emplace_back(tokens / copies, &name);
+    }
+    std::stable_sort(wanted.begin(), wanted.end(),
+                     [](const auto& left, const auto& right)
+                     { return left.first > right.first; });
+    const auto is_better =
+        [&work](const planned_engine& engine, const planned_engine& other)
+    {
+        const bool has_slot = engine.adapter_count() < work.profile.adapter_slots;
+        const bool other_has_slot = other.adapter_count() < work.profile.adapter_slots;
+        return has_slot == other_has_slot
+                   ? work.engine_load(engine) < work.engine_load(other)
+                   : has_slot;
+    };
+    for (const auto& [tokens_per_copy, name] : wanted)
+    {
+        double min_holder_active = std::numeric_limits<double>::infinity();
+        for (planned_engine* const engine : work.holders_of(name->model))
+        {
+            if (engine->holds_adapter(name->model, name->adapter))
+                min_holder_active = std::min(min_holder_active, engine->active);
+        }
+        const double level = work.spread.level(work.adapter_flows.at(*name));
+        const auto is_relief = [&](const planned_engine& engine)
+        {
+            const bool is_crowded =
+                level >= min_crowding &&
+                level >= work.engine_load(engine) * min_move_ratio + min_relief;
+            return is_crowded ||
+                   (std::isfinite(min_holder_active) &&
+                    engine.active + min_adapter_copy_gap <= min_holder_active);
+        };
         planned_engine* best = nullptr;
-        for (planned_engine* const engine : work.holders_of(name.model))
+        for (planned_engine* const engine : work.holders_of(name->model))
         {
-            if (engine->holds_adapter(name.model, name.adapter))
-                min_holder_load = std::min(min_holder_load, engine->active);
-            else if (!engine->is_busy && engine->holds_model(name.model) &&
-                     (best == nullptr || engine->active < best->active))
+            if (engine->is_busy || !engine->holds_model(name->model) ||
+                engine->holds_adapter(name->model, name->adapter) || !is_relief(*engine))
+                continue;
+            if (best == nullptr || is_better(*engine, *best))
                 best = engine;
         }
-        const bool is_held = min_holder_load < std::numeric_limits<double>::infinity();
-        if (!is_held || best == nullptr ||
-            best->active + min_adapter_copy_gap > min_holder_load)
+        if (best == nullptr)
             continue;
-        if (ensure_adapter_slot(work, *best))
+        const weight_rate rate = work.rate_of(name->model, name->adapter);
+        const int copies = work.adapter_copies(name->model, name->adapter) + 1;
+        if (ensure_adapter_slot(work, *best, *name, (rate.per_s + rate.waiting) / copies))
         {
-            work.add_order(*best, plan_operation::load_adapter, name.model, name.adapter,
-                           false, "the engine with the adapter has far more requests");
+            work.add_order(*best, plan_operation::load_adapter, name->model,
+                           name->adapter, false,
+                           "the engines with the adapter have far more work");
         }
     }
 }
@@ -347,6 +451,7 @@
             for (planned_engine* const engine : holders)
             {
                 if (engine->is_busy || !engine->holds_model(model.name) ||
+                    !engine->reserved_adapter.empty() ||
                     engine->adapter_count() >= work.profile.adapter_slots)
                     continue;
                 if (best == nullptr || engine->adapter_count() < best->adapter_count())
--- a/src/libs/coordination/weight_planner.hpp
+++ b/src/libs/coordination/weight_planner.hpp
@@ -19,6 +19,9 @@
 struct plan_workspace;
 }
 
+/// Reading speed that is assumed of an engine until it is measured.
+inline constexpr double default_engine_tokens_per_s = 20000.0;
+
 /// State of one engine as input for the planner.
 struct planned_engine
 {
@@ -28,6 +31,8 @@
     std::set<std::string, std::less<>> cached;
     /// Requests in flight at the engine from all gateways.
     double active = 0.0;
+    /// Prompt tokens that the engine can read per second.
+    double tokens_per_s = default_engine_tokens_per_s;
     /// Requests per second that the engine accepts from all gateways together.
     std::optional<double> limit_per_s;
     /// An order is in progress or about to be sent.
@@ -36,6 +41,9 @@
     std::string loading;
     /// Model for which memory is being freed or has just been freed; may be empty.
     std::string reserved;
+    /// Adapter, as MODEL/ADAPTER, for which a slot is being freed or has just been freed;
+    /// may be empty.
+    std::string reserved_adapter;
 
     bool holds_model(std::string_view name) const;
     bool holds_adapter(std::string_view model, std::string_view adapter) const;
@@ -60,7 +68,8 @@
     plan_operation operation = plan_operation::load_model;
     std::string model;
     std::string adapter;
-    /// For an unload: the model that is to be loaded in its place.
+    /// For an unload: the model, or the adapter as MODEL/ADAPTER, that is to be loaded in
+    /// its place.
     std::string room_for;
     /// Whether the load reads from the weight store.
     bool from_store = false;
@@ -89,6 +98,7 @@
     static void set_limited_aside(std::vector<planned_engine>& engines,
                                   const std::string& service,
                                   const weight_demand::rates& demand);
+    void load_reserved_adapters(internal::plan_workspace& work) const;
     void place_waiting_adapters(internal::plan_workspace& work) const;
     void load_reserved_models(internal::plan_workspace& work) const;
     void place_missing_models(internal::plan_workspace& work, bool only_waiting) const;
@@ -96,9 +106,10 @@
     void copy_busy_adapters(internal::plan_workspace& work) const;
     void balance_models(internal::plan_workspace& work) const;
     static bool ensure_adapter_slot(internal::plan_workspace& work,
-                                    planned_engine& engine);
+                                    planned_engine& engine, const weight_name& wanted,
+                                    double requests_per_copy);
     static bool move_copy(internal::plan_workspace& work,
-                          const state::hosted_model& wanted);
+                          const state::hosted_model& wanted, double crowding);
     static bool load_missing(internal::plan_workspace& work,
                              const state::hosted_model& wanted);
 };
