--- a/src/libs/coordination/demand_spread.hpp
+++ b/src/libs/coordination/demand_spread.hpp
@@ -11,6 +11,13 @@
 class demand_spread
 {
 public:
+    /// Load that a flow puts on one of its engines.
+    struct flow_share
+    {
+        std::size_t engine = 0;
+        double load = 0.0;
+    };
+
     /// `speeds` holds what each engine processes per second.
     explicit demand_spread(std::vector<double> speeds);
 
@@ -28,15 +35,14 @@
     double level(std::size_t flow) const;
     /// Load that the flow puts on the engine.
     double share(std::size_t flow, std::size_t engine) const;
+    const std::vector<flow_share>& shares(std::size_t flow) const
+    {
+        return this->flows[flow].shares;
+    }
     /// Load of one engine of mean speed that serves `demand`.
     double load_of(double demand) const { return demand / this->mean_speed; }
 
 private:
-    struct flow_share
-    {
-        std::size_t engine = 0;
-        double load = 0.0;
-    };
     struct flow_state
     {
         double demand = 0.0;
--- a/src/libs/coordination/plan_workspace.cpp
+++ b/src/libs/coordination/plan_workspace.cpp
@@ -245,6 +245,12 @@
             this->plain_demand[model.name], std::move(model_engines[model.name]));
     }
     this->spread.balance();
+    this->adapter_loads.resize(this->engines.size());
+    for (const auto& [name, flow] : this->adapter_flows)
+    {
+        for (const auto& item : this->spread.shares(flow))
+            this->adapter_loads[item.engine][name.model] += item.load;
+    }
 }
 
 double plan_workspace::demand_per_copy(const std::string& model, int change) const
@@ -286,18 +292,9 @@
     const auto flow = this->model_flows.find(model);
     double sum =
         flow == this->model_flows.end() ? 0.0 : this->spread.share(flow->second, index);
-    for (const state::loaded_model& item : engine.models)
-    {
-        if (item.name != model)
-            continue;
-        for (const std::string& adapter : item.adapters)
-        {
-            const auto found = this->adapter_flows.find({this->service, model, adapter});
-            if (found != this->adapter_flows.end())
-                sum += this->spread.share(found->second, index);
-        }
-    }
-    return sum;
+    const auto& by_model = this->adapter_loads[index];
+    const auto found = by_model.find(model);
+    return found == by_model.end() ? sum : sum + found->second;
 }
 
 const state::hosted_model* plan_workspace::find_model(std::string_view name) const
@@ -415,8 +412,11 @@
     this->promised_loads += engine.cached.count(room_for) == 0 ? 1 : 0;
     ++this->copies[room_for];
     const std::size_t index = this->index_of(engine);
-    this->spread.remove_engine(this->model_flows[victim], index);
-    this->spread.add_engine(this->model_flows[room_for], index);
+    // An engine may hold a model that the operator has removed.
+    const auto flow = this->model_flows.find(victim);
+    if (flow != this->model_flows.end())
+        this->spread.remove_engine(flow->second, index);
+    this->spread.add_engine(this->model_flows.at(room_for), index);
     // The copy is not available for the rest of the planning round.
     const auto unloaded = std::find_if(engine.models.begin(), engine.models.end(),
                                        [&victim](const state::loaded_model& item)
@@ -443,7 +443,7 @@
     else
     {
         ++this->copies[model];
-        this->spread.add_engine(this->model_flows[model], this->index_of(engine));
+        this->spread.add_engine(this->model_flows.at(model), this->index_of(engine));
     }
     engine.reserved.clear();
 }
--- a/src/libs/coordination/plan_workspace.hpp
+++ b/src/libs/coordination/plan_workspace.hpp
@@ -63,6 +63,8 @@
     demand_spread spread{{}};
     std::map<std::string_view, std::size_t> model_flows = {};
     std::map<weight_name, std::size_t> adapter_flows = {};
+    /// Load of each engine by the adapters of each of its models.
+    std::vector<std::map<std::string_view, double>> adapter_loads = {};
     /// Adapters for which a slot is being freed.
     std::set<std::string> promised_adapters = {};
     /// Models that should have some copies before there is demand for them.
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
 
 namespace pomelorouter::coordination
 {
@@ -39,7 +38,7 @@
 /// of the engines of the model that replaces it.
 constexpr double max_victim_share = 0.67;
 /// Maximum number of models without a suitable engine in one round.
-constexpr int max_failed_moves = 6;
+constexpr std::size_t max_failed_moves = 2;
 /// An engine counts as limited if its limit is below this share of the requests for its
 /// models.
 constexpr double min_useful_limit_share = 0.5;
@@ -327,32 +326,53 @@
 {
     const auto max_changing =
         static_cast<int>(max_changing_share * static_cast<double>(work.engines.size()));
-    std::set<const state::hosted_model*> failed;
-    while (work.changing < max_changing && failed.size() < max_failed_moves)
+    struct candidate
     {
-        const state::hosted_model* wanted = nullptr;
-        double highest = 0.0;
-        double highest_demand = 0.0;
-        for (const state::hosted_model& model : work.profile.models)
+        const state::hosted_model* model = nullptr;
+        double crowding = 0.0;
+        double demand = 0.0;
+    };
+    const auto candidate_of = [&work](const state::hosted_model& model)
+    {
+        const int copies = work.model_copies(model.name);
+        const bool may_grow =
+            copies > 0 && copies < static_cast<int>(work.engines.size());
+        return candidate{&model, may_grow ? work.crowding(model) : 0.0,
+                         work.demand_per_copy(model.name)};
+    };
+    std::vector<candidate> candidates;
+    candidates.reserve(work.profile.models.size());
+    for (const state::hosted_model& model : work.profile.models)
+        candidates.push_back(candidate_of(model));
+    std::size_t failed = 0;
+    while (work.changing < max_changing && failed < max_failed_moves)
+    {
+        candidate* wanted = nullptr;
+        for (candidate& item : candidates)
         {
-            const int copies = work.model_copies(model.name);
-            if (copies == 0 || copies >= static_cast<int>(work.engines.size()) ||
-                failed.count(&model) > 0)
-                continue;
-            const double crowding = work.crowding(model);
-            const double demand = work.demand_per_copy(model.name);
             // Models of the same engines are equally crowded; the larger one moves.
-            const bool is_equal = std::abs(crowding - highest) < min_relief;
-            if (is_equal ? demand <= highest_demand : crowding < highest)
-                continue;
-            wanted = &model;
-            highest = crowding;
-            highest_demand = demand;
+            const bool is_equal = wanted != nullptr &&
+                                  std::abs(item.crowding - wanted->crowding) < min_relief;
+            if (wanted == nullptr || (is_equal ? item.demand > wanted->demand
+                                               : item.crowding > wanted->crowding))
+                wanted = &item;
         }
-        if (wanted == nullptr || highest < min_crowding_of_free_memory)
+        if (wanted == nullptr || wanted->crowding < min_crowding_of_free_memory)
             return;
-        if (!move_copy(work, *wanted, highest))
-            failed.insert(wanted);
+        const candidate present = candidate_of(*wanted->model);
+        if (present.crowding + min_relief < wanted->crowding)
+        {
+            // Another move of this round has relieved its engines.
+            *wanted = present;
+            continue;
+        }
+        if (move_copy(work, *wanted->model, wanted->crowding))
+            *wanted = candidate_of(*wanted->model);
+        else
+        {
+            wanted->crowding = 0.0;
+            ++failed;
+        }
     }
 }
 
