Decide when a request leaves its availability zone

Cause: a backend server of another zone cost a constant 3 ms of estimated waiting. Neither the price of traffic between zones nor the room that is left in the own zone entered. Change: zone_balance adds a price for the bytes of the request and its response (zone_traffic_cost_ms_per_mb, 2000 by default), which also counts for a server of the own zone that would answer after the target, so that the price never keeps a request from a zone that can serve it in time.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -363,12 +363,42 @@
         this->client.drop_expired(now());
         this->shared.loads.forget_idle(now());
         this->forget_old_limits();
+        this->update_zone_balance();
         this->crashes.forget_old(now());
         this->shared.chooser.retain(this->shared.directory);
         this->settings_file.reload_if_changed();
     }
 }
 
+void gateway::update_zone_balance()
+{
+    std::map<std::string, coordination::zone_balance::load_map> services;
+    for (const auto& [id, backend] : this->shared.directory.all())
+    {
+        if (backend->is_leaving)
+            continue;
+        const state::backend_entry& entry = backend->entry;
+        const coordination::load_summary load = this->shared.loads.summary(
+            now(), coordination::backend_chooser::process_key(entry));
+        coordination::zone_load& sum = services[entry.service][entry.zone];
+        sum.active += load.active + load.peer_active;
+        sum.slots += std::max(entry.slots, 1);
+    }
+    coordination::zone_balance& zones = this->shared.chooser.zones();
+    for (const auto& [service, loads] : services)
+    {
+        const double before = zones.share(service);
+        zones.update(now(), service, loads);
+        const double share = zones.share(service);
+        if ((before > 0.0) != (share > 0.0))
+        {
+            state::log_event(state::log_level::info, "zone_share")
+                .field("service", service)
+                .field("share", share);
+        }
+    }
+}
+
 void gateway::forget_old_limits()
 {
     std::set<std::string, std::less<>> listed;
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -56,6 +56,8 @@
     void on_crash(const coordination::backend_crash& crash);
     /// Applies the decisions about prompt parts that crash backend servers, and saves
     /// them if this gateway does so for the others.
+    /// Compares the loads of the availability zones.
+    void update_zone_balance();
     void update_quarantine(bool may_save = true);
     void forget_old_limits();
     /// Restores the saved quarantines after the store has returned from an older copy.
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -176,6 +176,7 @@
     this->demand.output_tokens = this->metadata.output_tokens;
     this->demand.parts = this->metadata.parts;
     this->demand.target_ms = static_cast<double>(this->route->target_latency.count());
+    this->demand.zone_draw = this->shared.random.unit();
     this->check_time_before_exit();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
@@ -337,6 +338,21 @@
     this->aborted->call->abort();
 }
 
+void relayed_request::count_zone_traffic(const state::backend_entry& entry)
+{
+    if (this->shared.chooser.zones().is_own(entry.zone))
+        return;
+    this->shared.counters
+        .count("zone_leaving_requests_total",
+               "calls to backend servers in other availability zones")
+        .add();
+    this->shared.counters
+        .count("zone_leaving_bytes_total",
+               "bytes of these calls and their responses, estimated from their tokens")
+        .add(static_cast<std::int64_t>(coordination::request_bytes(
+            this->demand.prompt_tokens, this->demand.output_tokens)));
+}
+
 asio::awaitable<call_end> relayed_request::call(const backend_choice& choice)
 {
     const state::backend_entry& entry = choice.backend->entry;
@@ -347,6 +363,7 @@
     this->answer_begun = false;
     this->shared.quarantine.on_sent(now(), this->demand.service, this->shared_parts());
     this->shared.limits.on_sent(now(), coordination::backend_chooser::process_key(entry));
+    this->count_zone_traffic(entry);
     call_record record(this->shared, choice, this->demand.output_tokens);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -141,6 +141,7 @@
     void apply_rate_limit(const state::backend_entry& entry,
                           const response_metadata& response);
     void on_answer_begun();
+    void count_zone_traffic(const state::backend_entry& entry);
     /// Reports a call whose connection the backend server's side ended.
     void report_lost_call(const state::backend_entry& entry,
                           const transport::http_error& failure);
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -58,8 +58,11 @@
     return name_of(failure_names, failure);
 }
 
-backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds)
-    : zone(std::move(own_zone)), speed(speeds)
+backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds,
+                                 double zone_cost_ms_per_mb)
+    : zone(std::move(own_zone)),
+      speed(speeds),
+      balance(this->zone, zone_prices{speeds.zone_hop_ms, zone_cost_ms_per_mb})
 {
 }
 
@@ -178,8 +181,9 @@
     cost += load.failure_share * this->speed.failure_cost_ms;
     if (load.is_full)
         cost += this->speed.refusal_cost_ms;
-    if (backend.entry.zone != this->zone)
-        cost += this->speed.zone_hop_ms;
+    cost += this->balance.cost_ms(
+        now, demand.service, backend.entry.zone, result.expected_ms, demand.target_ms,
+        request_bytes(demand.prompt_tokens, demand.output_tokens), demand.zone_draw);
     if (!demand.model.empty())
         cost += this->interference_cost(load, demand, result.uncached_tokens);
     return cost;
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -4,6 +4,7 @@
 #include "coordination/backend_limits.hpp"
 #include "coordination/backend_loads.hpp"
 #include "coordination/prompt_cache.hpp"
+#include "coordination/zone_balance.hpp"
 #include "state/clock.hpp"
 
 #include <cstdint>
@@ -28,6 +29,9 @@
     std::vector<prompt_part> parts;
     /// Target time to first byte that the operator configured.
     double target_ms = 1000.0;
+    /// Random number in [0, 1): requests below the share of `zone_balance` may leave the
+    /// availability zone without regard to the price.
+    double zone_draw = 0.5;
 
     /// Returns a key for the pair of model and adapter.
     std::string weights() const;
@@ -103,7 +107,10 @@
 class backend_chooser
 {
 public:
-    backend_chooser(std::string own_zone, const speed_model& speed);
+    /// `zone_cost_ms_per_mb` is the waiting time that avoiding a megabyte of traffic
+    /// between availability zones is worth.
+    backend_chooser(std::string own_zone, const speed_model& speed,
+                    double zone_cost_ms_per_mb = zone_prices{}.ms_per_mb);
 
     /// `tried` holds the ids of backend servers that the request was already sent to.
     /// `draw` is a random number in [0, 1) that breaks ties.
@@ -117,6 +124,9 @@
     /// Drops the prompt caches of processes that are no longer in `directory`.
     void retain(const backend_directory& directory);
 
+    zone_balance& zones() { return this->balance; }
+    const zone_balance& zones() const { return this->balance; }
+
     static std::string process_key(const state::backend_entry& entry);
 
 private:
@@ -129,6 +139,7 @@
 
     std::string zone;
     speed_model speed;
+    zone_balance balance;
     std::map<std::string, prompt_cache, std::less<>> caches;
 };
 
--- a/src/libs/state/gateway_settings.cpp
+++ b/src/libs/state/gateway_settings.cpp
@@ -54,6 +54,8 @@
     result.retry_percent = reader.get_int("retry_percent", 0, 100, result.retry_percent);
     result.load_rate_factor =
         reader.get_double("load_rate_factor", 0.0, 1.0, result.load_rate_factor);
+    result.zone_traffic_cost_ms_per_mb = reader.get_double(
+        "zone_traffic_cost_ms_per_mb", 0.0, 1.0e6, result.zone_traffic_cost_ms_per_mb);
     result.minimum_log_level = read_log_level(reader, "log_level");
     result.log_lines_per_s =
         reader.get_int("log_lines_per_s", 0, 1'000'000, result.log_lines_per_s);
--- a/src/libs/state/gateway_settings.hpp
+++ b/src/libs/state/gateway_settings.hpp
@@ -51,6 +51,9 @@
     milliseconds address_ttl{2000};
     /// Share of the weight store's load rate that is used, from 0 to 1.
     double load_rate_factor = 1.0;
+    /// Waiting time that avoiding a megabyte of traffic between availability zones is
+    /// worth, in milliseconds.
+    double zone_traffic_cost_ms_per_mb = 2000.0;
     log_level minimum_log_level = log_level::info;
     /// Maximum number of log lines per second; further lines are dropped and counted.
     std::int64_t log_lines_per_s = 200;
--- a/tests/auto/state/tst_gateway_settings.cpp
+++ b/tests/auto/state/tst_gateway_settings.cpp
@@ -51,6 +51,8 @@
         {complete + R"(,"lease_duration_ms":0})", "/lease_duration_ms"},
         {complete + R"(,"retry_percent":101})", "/retry_percent"},
         {complete + R"(,"load_rate_factor":1.5})", "/load_rate_factor"},
+        {complete + R"(,"zone_traffic_cost_ms_per_mb":-1})",
+         "/zone_traffic_cost_ms_per_mb"},
         {complete + R"(,"processor_share":0})", "/processor_share"},
         {complete + R"(,"link_mbit_per_s":"fast"})", "/link_mbit_per_s"},
         {complete + R"(,"log_level":"loud"})", "/log_level"},
