--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -372,6 +372,7 @@
         this->shared.loads.forget_idle(now());
         this->forget_ended_processes();
         this->speed_report.update();
+        this->update_zone_balance();
         this->crashes.forget_old(now());
         this->shared.chooser.retain(this->shared.directory);
         this->update_team_metrics();
@@ -400,6 +401,35 @@
     }
 }
 
+void gateway::update_zone_balance()
+{
+    std::map<std::string, coordination::zone_balance::load_map> services;
+    for (const auto& [id, backend] : this->shared.directory.all())
+    {
+        if (backend->is_leaving)
+            continue;
+        const state::backend_entry& entry = backend->entry;
+        const coordination::load_summary load = this->shared.loads.summary(
+            now(), coordination::backend_chooser::process_key(entry));
+        coordination::zone_load& sum = services[entry.service][entry.zone];
+        sum.active += load.active + load.peer_active;
+        sum.slots += std::max(entry.slots, 1);
+    }
+    coordination::zone_balance& zones = this->shared.chooser.zones();
+    for (const auto& [service, loads] : services)
+    {
+        const double before = zones.share(service);
+        zones.update(now(), service, loads);
+        const double share = zones.share(service);
+        if ((before > 0.0) != (share > 0.0))
+        {
+            state::log_event(state::log_level::info, "zone_share")
+                .field("service", service)
+                .field("share", share);
+        }
+    }
+}
+
 void gateway::forget_ended_processes()
 {
     std::set<std::string, std::less<>> listed;
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -191,6 +191,7 @@
             this->routes->config(), this->demand.service, this->route->priority,
             this->route->target_latency);
     }
+    this->demand.zone_draw = this->shared.random.unit();
     this->check_time_before_exit();
     this->charge_allowance();
     this->shared.budget_of(share->service)
@@ -464,6 +465,21 @@
     this->aborted->call->abort();
 }
 
+void relayed_request::count_zone_traffic(const state::backend_entry& entry)
+{
+    if (this->shared.chooser.zones().is_own(entry.zone))
+        return;
+    this->shared.counters
+        .count("zone_leaving_requests_total",
+               "calls to backend servers in other availability zones")
+        .add();
+    this->shared.counters
+        .count("zone_leaving_bytes_total",
+               "bytes of these calls and their responses, estimated from their tokens")
+        .add(static_cast<std::int64_t>(coordination::request_bytes(
+            this->demand.prompt_tokens, this->demand.output_tokens)));
+}
+
 asio::awaitable<call_end> relayed_request::call(const backend_choice& choice)
 {
     const state::backend_entry& entry = choice.backend->entry;
@@ -475,6 +491,7 @@
     this->answer_begun = false;
     this->shared.quarantine.on_sent(now(), this->demand.service, this->shared_parts());
     this->shared.limits.on_sent(now(), coordination::backend_chooser::process_key(entry));
+    this->count_zone_traffic(entry);
     call_record record(this->shared, choice, this->demand);
     std::unique_ptr<transport::http_call> backend;
     call_end end = call_end::not_run;
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -113,8 +113,12 @@
     return name_of(failure_names, failure);
 }
 
-backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds)
-    : zone(std::move(own_zone)), speed(speeds), learned(speeds.engines)
+backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds,
+                                 double zone_cost_ms_per_mb)
+    : zone(std::move(own_zone)),
+      speed(speeds),
+      learned(speeds.engines),
+      balance(this->zone, zone_prices{speeds.zone_hop_ms, zone_cost_ms_per_mb})
 {
 }
 
@@ -243,8 +247,11 @@
     result.cost += load.failure_share * this->speed.failure_cost_ms;
     if (load.is_full)
         result.cost += this->speed.refusal_cost_ms;
-    if (backend->entry.zone != this->zone)
-        result.cost += this->speed.zone_hop_ms;
+    result.cost += this->balance.cost_ms(
+        context.now, context.demand.service, backend->entry.zone, result.expected_ms,
+        context.demand.target_ms,
+        request_bytes(context.demand.prompt_tokens, context.demand.output_tokens),
+        context.demand.zone_draw);
     return result;
 }
 
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -5,6 +5,7 @@
 #include "coordination/backend_loads.hpp"
 #include "coordination/engine_speed.hpp"
 #include "coordination/prompt_cache.hpp"
+#include "coordination/zone_balance.hpp"
 #include "state/clock.hpp"
 
 #include <cstdint>
@@ -39,6 +40,9 @@
     state::time_point deadline{};
     /// The request was sent before, so it is sent again even if it may end too late.
     bool is_retry = false;
+    /// Random number in [0, 1): requests below the share of `zone_balance` may leave the
+    /// availability zone without regard to the price.
+    double zone_draw = 0.5;
 
     /// Returns a key for the pair of model and adapter.
     std::string weights() const;
@@ -126,7 +130,10 @@
 class backend_chooser
 {
 public:
-    backend_chooser(std::string own_zone, const speed_model& speed);
+    /// `zone_cost_ms_per_mb` is the waiting time that avoiding a megabyte of traffic
+    /// between availability zones is worth.
+    backend_chooser(std::string own_zone, const speed_model& speed,
+                    double zone_cost_ms_per_mb = zone_prices{}.ms_per_mb);
 
     /// `tried` holds the ids of backend servers that the request was already sent to.
     /// `draw` is a random number in [0, 1) that decides among backend servers of similar
@@ -143,6 +150,8 @@
 
     engine_speed& speeds() { return this->learned; }
     const engine_speed& speeds() const { return this->learned; }
+    zone_balance& zones() { return this->balance; }
+    const zone_balance& zones() const { return this->balance; }
 
     static std::string process_key(const state::backend_entry& entry);
 
@@ -185,6 +194,7 @@
     std::string zone;
     speed_model speed;
     engine_speed learned;
+    zone_balance balance;
     std::map<std::string, prompt_cache, std::less<>> caches;
 };
 
--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -20,6 +20,11 @@
     std::string model;
     std::string adapter;
 
+    /// Returns the name without the service, as MODEL or MODEL/ADAPTER.
+    std::string weights() const
+    {
+        return this->adapter.empty() ? this->model : this->model + "/" + this->adapter;
+    }
     bool operator==(const weight_name&) const = default;
     bool operator<(const weight_name& other) const
     {
