Give no part of an allowance to gateways that ended long ago

Cause: the store lists a gateway for good, and aggregators read the list every 20 s. Each gateway that was ever replaced would have kept its part of every allowance.

Change: a gateway has a part for 60 s after it was last alive or first named, however long it is listed.

The new case was not run against the code before.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -164,9 +164,12 @@
 
 void peer_gossip::update_allowances()
 {
-    std::vector<std::string> gateways;
+    std::vector<coordination::known_gateway> gateways;
     for (protocol::gateway_member& member : this->table.known())
-        gateways.push_back(std::move(member.node));
+    {
+        const bool is_alive = this->table.is_alive(now(), member.node);
+        gateways.push_back({std::move(member.node), is_alive});
+    }
     coordination::team_allowances& allowances = this->shared.allowances;
     allowances.set_known(now(), gateways);
     allowances.set_is_list_read(this->members_read || !gateways.empty());
--- a/src/libs/coordination/team_allowances.cpp
+++ b/src/libs/coordination/team_allowances.cpp
@@ -29,7 +29,7 @@
 /// Levels grow for this long at most between two updates, so that a process that was
 /// suspended does not accumulate.
 constexpr milliseconds max_elapsed{500};
-/// A gateway keeps its part for this long after it was last named.
+/// A gateway keeps its part for this long after it was last alive, or first named.
 constexpr milliseconds known_time{60000};
 /// Part of the room that all gateways may use before they know of one another's use.
 /// They may use it twice: once from their levels, and once again from what these grow by
@@ -99,12 +99,23 @@
 }
 
 void team_allowances::set_known(state::time_point now,
-                                const std::vector<std::string>& gateways)
+                                const std::vector<known_gateway>& gateways)
 {
-    for (const std::string& gateway : gateways)
-        this->known[gateway] = now;
-    std::erase_if(this->known,
-                  [now](const auto& item) { return now - item.second > known_time; });
+    for (const known_gateway& gateway : gateways)
+    {
+        // The store may list gateways for good that ended long ago.
+        gateway_times& times =
+            this->known.try_emplace(gateway.name, gateway_times{now, now}).first->second;
+        times.last_named = now;
+        if (gateway.is_alive)
+            times.last_alive = now;
+    }
+    std::erase_if(this->known, [now](const auto& item)
+                  { return now - item.second.last_named > known_time; });
+    const auto has_part = [now](const auto& item)
+    { return now - item.second.last_alive <= known_time; };
+    this->counted = static_cast<std::size_t>(
+        std::count_if(this->known.begin(), this->known.end(), has_part));
 }
 
 void team_allowances::set_others(state::time_point now, team_usage_report report)
--- a/src/libs/coordination/team_allowances.hpp
+++ b/src/libs/coordination/team_allowances.hpp
@@ -24,6 +24,13 @@
     state::milliseconds retry_after{0};
 };
 
+/// Another gateway that is known.
+struct known_gateway
+{
+    std::string name;
+    bool is_alive = true;
+};
+
 /// Figures of a team's allowance as one gateway knows them, in units of the allowance.
 struct allowance_view
 {
@@ -47,9 +54,9 @@
     /// Replaces the teams. New teams begin without a known history, and a lowered limit
     /// holds at once.
     void set_teams(state::time_point now, const std::vector<state::team>& teams);
-    /// Names the gateways that are known, alive or not, this one excluded. A gateway that
-    /// is not named any more keeps its part for a while.
-    void set_known(state::time_point now, const std::vector<std::string>& gateways);
+    /// Names the gateways that are known, this one excluded. A gateway keeps its part for
+    /// a while after it was last alive, or first named.
+    void set_known(state::time_point now, const std::vector<known_gateway>& gateways);
     /// Whether the list of gateways has been read. Before, nothing is admitted, since the
     /// own part is not known.
     void set_is_list_read(bool is_read) { this->is_list_read = is_read; }
@@ -69,7 +76,7 @@
     team_usage_report own_usage() const;
     allowance_view view(std::string_view team) const;
     /// Gateways among which allowances are divided, this one included.
-    std::size_t known_gateways() const { return this->known.size() + 1; }
+    std::size_t known_gateways() const { return this->counted + 1; }
     /// Gateways that the reports cover, this one included.
     std::size_t covered_gateways() const { return this->covered; }
 
@@ -124,8 +131,15 @@
     state::milliseconds time_until_room(const team_state& team, double cost) const;
 
     std::map<std::string, team_state, std::less<>> teams;
-    /// When each known gateway was last named.
-    std::map<std::string, state::time_point, std::less<>> known;
+    struct gateway_times
+    {
+        state::time_point last_alive{};
+        state::time_point last_named{};
+    };
+
+    std::map<std::string, gateway_times, std::less<>> known;
+    /// Number of known gateways that have a part.
+    std::size_t counted = 0;
     team_usage_report others;
     std::size_t covered = 1;
     bool is_list_read = false;
--- a/tests/auto/coordination/tst_team_allowances.cpp
+++ b/tests/auto/coordination/tst_team_allowances.cpp
@@ -213,13 +213,13 @@
     /// Names only the gateways that are reached; others were named before.
     void set_known(gateway& node)
     {
-        std::vector<std::string> names;
+        std::vector<coordination::known_gateway> names;
         for (const auto& other : this->nodes)
         {
             const bool is_new = this->now < start + seconds(1);
             if (other.get() != &node && this->options.has_shares &&
                 (is_new || other->group == node.group))
-                names.push_back(other->name);
+                names.push_back({other->name, true});
         }
         node.allowances.set_known(this->now, names);
     }
@@ -628,6 +628,24 @@
         CHECK(allowances.admit(now, "t", 1.0, 0.5).is_admitted);
 }
 
+// Guards against parts that are kept for good for gateways that ended, since the store
+// goes on to list them.
+TEST_CASE("a gateway that is listed and not alive keeps its part for a minute")
+{
+    team_allowances allowances;
+    for (int second = 0; second < 200; ++second)
+    {
+        const state::time_point now = start + seconds(second);
+        allowances.set_known(now,
+                             {{"alive", true}, {"never", false}, {"ended", second < 50}});
+        CAPTURE(second);
+        const bool counts_never = second <= 60;
+        const bool counts_ended = second <= 49 + 60;
+        CHECK(allowances.known_gateways() ==
+              2U + (counts_never ? 1U : 0U) + (counts_ended ? 1U : 0U));
+    }
+}
+
 // Guards against a Retry-After that brings callers back before there is room.
 TEST_CASE("a refused request finds room at the time that it is told")
 {
