--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -45,10 +45,10 @@
 constexpr std::size_t first_large_reservation_bytes = 256 * 1024;
 constexpr double ms_per_s = 1000.0;
 
-/// Memory that a body of the given size takes.
+/// Memory that a body of the given size and the buffer for its reads take.
 std::size_t body_cost(std::size_t bytes)
 {
-    return bytes + read_buffer_bytes;
+    return bytes + std::min(bytes, read_buffer_bytes);
 }
 
 /// Rejects ambiguous framing, which two HTTP implementations may parse differently.
@@ -262,7 +262,8 @@
 asio::awaitable<void> http_session::receive(boost::system::error_code& failure)
 {
     this->stream.expires_never();
-    co_await this->reserve(this->request_memory, request_bytes);
+    if (!this->request_memory.resize(request_bytes))
+        co_await this->reserve(this->request_memory, request_bytes);
     if (this->refused)
         co_return;
     request_parser parser;
@@ -336,20 +337,8 @@
     return {failure, protocol::status_of(failure.code()), std::nullopt};
 }
 
-asio::awaitable<void> http_session::reserve_body(const request_parser& parser)
-{
-    const std::size_t length =
-        parser.content_length_remaining().value_or(small_body_bytes);
-    if (length <= small_body_bytes)
-        co_await this->reserve(this->request_memory, request_bytes + body_cost(length));
-    else
-        co_await this->reserve(this->body_memory, body_cost(length));
-}
-
 asio::awaitable<void> http_session::extend_body(request_parser& parser)
 {
-    if (!parser.chunked())
-        co_return;
     std::string& body = parser.get().body();
     const std::size_t needed = body.size() + read_buffer_bytes;
     const bool is_small = needed <= small_body_bytes + read_buffer_bytes;
@@ -366,7 +355,13 @@
 asio::awaitable<void> http_session::read_body(request_parser& parser,
                                               boost::system::error_code& failure)
 {
-    co_await this->reserve_body(parser);
+    const std::size_t length =
+        parser.content_length_remaining().value_or(small_body_bytes);
+    const bool is_small = length <= small_body_bytes;
+    memory_reservation& memory = is_small ? this->request_memory : this->body_memory;
+    const std::size_t cost = body_cost(length) + (is_small ? request_bytes : 0);
+    if (!memory.resize(cost))
+        co_await this->reserve(memory, cost);
     if (this->refused)
         co_return;
     const milliseconds limit = this->shared->limits.io_timeout;
@@ -376,7 +371,8 @@
         co_await this->send_continue(failure);
     while (!failure && !this->gave_way && !parser.is_done())
     {
-        co_await this->extend_body(parser);
+        if (parser.chunked())
+            co_await this->extend_body(parser);
         if (this->refused)
             co_return;
         const std::size_t size = co_await http::async_read_some(
@@ -399,8 +395,6 @@
 asio::awaitable<void> http_session::reserve(memory_reservation& reservation,
                                             std::size_t bytes)
 {
-    if (reservation.resize(bytes))
-        co_return;
     const state::time_point deadline = now() + memory_wait;
     this->waits_for_memory = true;
     while (!this->try_reserve(reservation, bytes))
--- a/src/libs/transport/http_session.hpp
+++ b/src/libs/transport/http_session.hpp
@@ -129,11 +129,10 @@
                                            boost::system::error_code& failure);
     /// Refuses a request because of its head. Sets `refused`.
     void check_head(const request_parser& parser);
-    /// Reserves the memory of a body before it is read. Sets `refused` if that fails.
-    boost::asio::awaitable<void> reserve_body(const request_parser& parser);
     /// Reserves more memory for a body of unknown size. Sets `refused` if that fails.
     boost::asio::awaitable<void> extend_body(request_parser& parser);
-    /// Waits for a short time until a reservation has room. Sets `refused` if it has
+    /// Waits for a short time until a reservation has room, for requests that did not get
+    /// it at once. Sets `refused` if it has
     /// none.
     boost::asio::awaitable<void> reserve(memory_reservation& reservation,
                                          std::size_t bytes);
