Bound what a client may send besides header and body

Cause: found by the review of the memory budget. The parser does not limit chunk extensions and trailers, so a client could fill the read buffer for 10 s without a reservation, and fields of a trailer bypassed the checks of the header. One large body without room closed all idle connections in vain. A request that had waited for memory counted as standing still. An unexpected error of a handler said that the request had not run. Change: the read buffer has a maximum, a trailer with fields is refused with 400, idle connections are closed only if that can help, the pace of a sender is counted from the end of a wait, and such an error names the run as unknown. Result: four new rows of tst_http_server_limits.

--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -45,6 +45,11 @@
 constexpr std::size_t first_large_reservation_bytes = 256 * 1024;
 constexpr double ms_per_s = 1000.0;
 
+std::size_t count_fields(const http_request& request)
+{
+    return static_cast<std::size_t>(std::distance(request.begin(), request.end()));
+}
+
 /// Memory that a body of the given size and the buffer for its reads take.
 std::size_t body_cost(std::size_t bytes)
 {
@@ -270,6 +275,8 @@
     parser.header_limit(
         static_cast<std::uint32_t>(this->shared->limits.max_header_bytes));
     parser.body_limit(this->shared->limits.max_body_bytes);
+    // The parser itself does not limit chunk extensions and trailers.
+    this->buffer.max_size(this->shared->limits.max_header_bytes + read_buffer_bytes);
     co_await this->read_head(parser, failure);
     if (!failure && !this->gave_way)
         this->check_head(parser);
@@ -304,8 +311,7 @@
 void http_session::check_head(const request_parser& parser)
 {
     const http_request& head = parser.get();
-    const auto fields = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
-    if (fields > this->shared->limits.max_header_fields)
+    if (count_fields(head) > this->shared->limits.max_header_fields)
     {
         constexpr unsigned header_fields_too_large = 431;
         this->refused.emplace(refused_request{
@@ -364,6 +370,7 @@
         co_await this->reserve(memory, cost);
     if (this->refused)
         co_return;
+    const std::size_t fields = count_fields(parser.get());
     const milliseconds limit = this->shared->limits.io_timeout;
     this->received.start(now(), parser.content_length_remaining().value_or(0), limit);
     this->start_read_timeout(limit);
@@ -380,13 +387,22 @@
             asio::redirect_error(asio::use_awaitable, failure));
         this->received.on_received(now(), size);
     }
+    // Fields of a trailer have not passed the checks of the header.
+    if (!failure && parser.is_done() && count_fields(parser.get()) != fields)
+        failure = http::error::bad_field;
 }
 
 bool http_session::try_reserve(memory_reservation& reservation, std::size_t bytes)
 {
     while (!reservation.resize(bytes))
     {
-        if (!this->shared->close_longest_idle())
+        const memory_budget& budget = *this->shared->memory;
+        // Idle connections hold memory of their own use, so closing them does not help a
+        // use whose own part is full.
+        const bool has_own_part =
+            budget.held(reservation.use()) - reservation.bytes() + bytes <=
+            budget.limit(reservation.use());
+        if (!has_own_part || !this->shared->close_longest_idle())
             return false;
     }
     return true;
@@ -410,6 +426,8 @@
         co_await this->shared->memory_released.wait(std::min(left, room_check_period));
     }
     this->waits_for_memory = false;
+    // The sender could not send while the server did not read.
+    this->received.resume(now());
 }
 
 http_session::refused_request
@@ -455,6 +473,7 @@
 asio::awaitable<bool> http_session::call_handler()
 {
     std::optional<state::error> failed;
+    protocol::run_state run = protocol::run_state::not_run;
     try
     {
         co_await this->shared->handler.handle(*this);
@@ -472,6 +491,7 @@
         // An unexpected error of one request must not affect the others.
         log_current_exception("request");
         failed.emplace(state::error_code::internal, "request", "no internal error");
+        run = protocol::run_state::unknown;
     }
     if (!failed)
         co_return this->responded;
@@ -480,6 +500,7 @@
     if (this->responded)
         co_return false;
     this->refused = make_refusal(*failed);
+    this->refused->run = run;
     co_return co_await this->respond_error(*this->refused);
 }
 
@@ -489,6 +510,7 @@
     {
         protocol::refusal body(refusal.error);
         body.retry_after = refusal.retry_after;
+        body.run = refusal.run;
         http_response response =
             json_response(static_cast<http::status>(refusal.status), body.to_json());
         if (refusal.retry_after)
--- a/src/libs/transport/http_session.hpp
+++ b/src/libs/transport/http_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/refusal.hpp"
 #include "transport/http_server.hpp"
 #include "transport/http_server_state.hpp"
 #include "transport/memory_budget.hpp"
@@ -114,6 +115,7 @@
         state::error error;
         unsigned status = 0;
         std::optional<state::milliseconds> retry_after;
+        protocol::run_state run = protocol::run_state::not_run;
     };
 
     /// Serves one request. Returns whether the connection stays open for another one.
--- a/src/libs/transport/receive_progress.cpp
+++ b/src/libs/transport/receive_progress.cpp
@@ -24,6 +24,11 @@
     this->received += bytes;
 }
 
+void receive_progress::resume(state::time_point now)
+{
+    this->last_received = now;
+}
+
 milliseconds standstill(const receive_progress& progress, state::time_point now)
 {
     const auto pause =
--- a/src/libs/transport/receive_progress.hpp
+++ b/src/libs/transport/receive_progress.hpp
@@ -21,6 +21,8 @@
     void start(state::time_point now, std::size_t expected_bytes,
                state::milliseconds limit);
     void on_received(state::time_point now, std::size_t bytes);
+    /// Continues after a time in which the server did not read.
+    void resume(state::time_point now);
 };
 
 /// A sender that is later than this may lose its connection if another request needs the
--- a/tests/auto/transport/tst_http_server_limits.cpp
+++ b/tests/auto/transport/tst_http_server_limits.cpp
@@ -138,6 +138,8 @@
         std::string bytes;
         std::string expected_status;
     };
+    const std::string chunked_head =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::vector<row> rows{
         {"within the limits", request(16, max_body_bytes), " 200 "},
         {"header", request(2 * max_header_bytes, 0), " 431 "},
@@ -148,6 +150,13 @@
         {"fields", with_fields(max_header_fields + 1), " 431 "},
         {"announced body that is not sent",
          "POST / HTTP/1.1\r\nContent-Length: 513\r\n\r\n", " 413 "},
+        {"chunk extension without end",
+         chunked_head + "5;" + std::string(256 * 1024, 'x'), " 400 "},
+        {"trailer without end",
+         chunked_head + "0\r\nX-Long: " + std::string(256 * 1024, 'x'), " 400 "},
+        {"field in a trailer", chunked_head + "1\r\nx\r\n0\r\nAuthorization: a\r\n\r\n",
+         " 400 "},
+        {"chunked within the limits", chunked_head + "1\r\nx\r\n0\r\n\r\n", " 200 "},
     };
     for (const row& item : rows)
     {
