Let callers of a new route come back while the configuration is read

Cause: found by review. Large and chunked requests on a route that is not known got 404 from the head, also while a newer configuration was announced; small ones got 503 with Retry-After. Change: the head is not refused then, and the handler answers. Result: covered by the cases of tst_teams for small bodies only.

--- a/src/app/gateway/serving/request_relay.cpp
+++ b/src/app/gateway/serving/request_relay.cpp
@@ -27,7 +27,9 @@
         return std::nullopt;
     const std::string_view host = head[transport::field::host];
     const std::string_view path = transport::target_path(head.target());
-    if (this->shared.routes->find(host, path) != nullptr)
+    // The handler refuses it too, but in a way that lets the caller come back.
+    if (this->shared.routes->find(host, path) != nullptr ||
+        this->shared.is_newer_config_announced())
         return std::nullopt;
     return state::error(state::error_code::not_found,
                         std::string(host) + std::string(path),
