Require keys also when the last team was removed

Cause: an empty list of teams was read as no list, so that a version that removes the last team would have let all requests through and passed their withdrawn keys on. Change: the configuration says whether it lists teams. Result: a case of tst_documents.

--- a/src/libs/coordination/team_directory.cpp
+++ b/src/libs/coordination/team_directory.cpp
@@ -4,7 +4,7 @@
 {
 
 team_directory::team_directory(const state::gateway_config& config)
-    : is_in_use(!config.teams.empty())
+    : is_in_use(config.requires_keys)
 {
     for (const state::team& team : config.teams)
     {
--- a/src/libs/coordination/team_directory.hpp
+++ b/src/libs/coordination/team_directory.hpp
@@ -17,7 +17,7 @@
 
     /// Returns the team that holds `key`, or null.
     const state::team* find(std::string_view key) const;
-    /// Whether the configuration has teams, so that requests need a key.
+    /// Whether the configuration lists teams, so that requests need a key.
     bool has_teams() const { return this->is_in_use; }
 
 private:
--- a/src/libs/state/gateway_config.hpp
+++ b/src/libs/state/gateway_config.hpp
@@ -152,7 +152,8 @@
     std::int64_t version = 0;
     std::vector<gateway_route> routes;
     std::vector<gateway_service> services;
-    /// If there are teams, requests need a key of one of them.
+    /// Whether requests need the key of a team. A list of teams may be empty.
+    bool requires_keys = false;
     std::vector<team> teams;
     client_limits limits;
 
--- a/tests/auto/platform/tst_documents.cpp
+++ b/tests/auto/platform/tst_documents.cpp
@@ -78,6 +78,12 @@
     for (const char* const none : {R"({"Version":1})", R"({"Version":1,"Tenants":[]})",
                                    R"({"Version":1,"Tenants":null})"})
         CHECK(adapter->documents().read_config(none).teams.empty());
+    // A version that removes the last team must not open the gateway to all.
+    const auto requires_keys = [&adapter](const char* text)
+    { return adapter->documents().read_config(text).requires_keys; };
+    CHECK(requires_keys(R"({"Version":1,"Tenants":[]})"));
+    CHECK_FALSE(requires_keys(R"({"Version":1,"Tenants":null})"));
+    CHECK_FALSE(requires_keys(R"({"Version":1})"));
 }
 
 // Guards against a wrong allowance or an ambiguous key that comes into force.
