Mend the findings of the review of the choice of engines and the queue

A retry was dropped when the memory of all engines seemed occupied. The queue compared expected minus idle time, which also holds the pace of running streams and the slowness of the engine, with limits meant for waiting prompts. The end of a stream was estimated in two ways. A request that no engine can complete in time waited up to its target once it was in the queue. A held request of one team kept urgent ones of another from being sent. Change: backend_choice returns queue_ms and stream_ms, which the queue uses; a retry takes the engine with the least memory in use; held requests do not block their group; engines get the priority of the team, else that of the route. relayed_request.cpp is split by the team and the response.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -44,9 +44,6 @@
 
 constexpr milliseconds connect_limit{400};
 constexpr milliseconds deadline_margin{1000};
-/// Responses up to this size are read completely before they are forwarded, so that the
-/// request can still be retried if the response breaks off.
-constexpr std::size_t max_buffered_bytes = 256 * 1024;
 /// Maximum size of a response that is forwarded in pieces.
 constexpr std::size_t max_forwarded_bytes = 64 * 1024 * 1024;
 /// A repeatable call without a response after this multiple of the expected time may be
@@ -62,12 +59,6 @@
 /// A stream is resumed at another backend server after the time that callers wait divided
 /// by this; the rest is left to the other server.
 constexpr int stall_divisor = 2;
-/// Maximum size of the body of an error response or refusal.
-constexpr std::size_t max_error_body_bytes = 64 * 1024;
-/// A larger event is treated as an endless response, and ends the call with an error.
-constexpr std::size_t max_event_bytes = 256 * 1024;
-/// Smaller incomplete events are part of the memory of each request.
-constexpr std::size_t small_event_bytes = 16 * 1024;
 /// A request is not sent again after this many calls that were lost before their answer
 /// began, since it may be what ends the backend servers.
 constexpr int max_unanswered_calls = 2;
@@ -222,86 +213,6 @@
     }
 }
 
-void relayed_request::identify_team()
-{
-    this->team_source = this->shared.routes;
-    this->team = this->team_source->teams().find(this->metadata.key);
-    if (this->team != nullptr || !this->team_source->teams().has_teams() ||
-        this->route->anonymous)
-        return;
-    this->shared.counters
-        .count("team_requests_unauthorized_total", "requests without the key of a team")
-        .add();
-    this->refuse_by_config(error_code::unauthorized, "Authorization",
-                           this->metadata.key.empty() ? "expected Bearer and a key"
-                                                      : "expected the key of a team");
-}
-
-std::optional<state::error> relayed_request::check_key_again()
-{
-    // A stream that has begun was accepted by the configuration of its time.
-    if (this->stream_begun || this->team_source == this->shared.routes)
-        return std::nullopt;
-    try
-    {
-        this->identify_team();
-    }
-    catch (const state::error& failure)
-    {
-        return failure;
-    }
-    return std::nullopt;
-}
-
-void relayed_request::refuse_by_config(error_code code, const std::string& place,
-                                       const std::string& expected) const
-{
-    if (this->shared.is_newer_config_announced())
-    {
-        throw state::error(error_code::settings_unknown, place,
-                           expected +
-                               ", and the gateway has not read the newest configuration");
-    }
-    throw state::error(code, place, expected);
-}
-
-void relayed_request::charge_allowance()
-{
-    if (this->team == nullptr || !this->team->allowance.is_limited())
-        return;
-    const double cost = coordination::team_allowances::cost(
-        this->team->allowance, this->metadata.has_token_count,
-        std::uint64_t{this->metadata.prompt_tokens} + this->metadata.output_tokens);
-    const coordination::allowance_decision decision = this->shared.allowances.admit(
-        now(), this->team->name, cost, this->shared.random.unit());
-    if (decision.is_admitted)
-    {
-        this->charged_cost = cost;
-        this->charged_team = this->team->name;
-        this->charged_at = now();
-        return;
-    }
-    this->shared.counters
-        .count("team_requests_refused_total",
-               "requests beyond the allowance of their team")
-        .add();
-    this->allowance_wait = decision.retry_after;
-    const coordination::allowance_view view =
-        this->shared.allowances.view(this->team->name);
-    const auto text = [](double value) { return std::to_string(std::llround(value)); };
-    throw state::error(error_code::rate_limited, "team " + this->team->name,
-                       "limit " + text(view.limit_per_s) + "/s, asked " +
-                           text(view.asked_per_s) + "/s, admitted " +
-                           text(view.admitted_per_s) + "/s");
-}
-
-int relayed_request::rank() const
-{
-    return coordination::request_rank(this->team == nullptr ? std::nullopt
-                                                            : this->team->priority,
-                                      this->route->priority);
-}
-
 void relayed_request::check_time_before_exit() const
 {
     if (!this->shared.is_stopping)
@@ -353,13 +264,8 @@
         {
             this->last_failure = choice.failure;
             this->available_at = choice.available_at;
-            if (choice.failure == coordination::choice_failure::overloaded &&
-                this->last_problem.empty())
-            {
-                this->last_problem = choice.is_too_large
-                                         ? "the request exceeds the memory of an engine"
-                                         : "no engine can complete the request in time";
-            }
+            if (choice.failure == coordination::choice_failure::overloaded)
+                this->on_overloaded(choice);
             break;
         }
         refused = this->check_key_again();
@@ -389,6 +295,20 @@
     co_await this->finish(last);
 }
 
+void relayed_request::on_overloaded(const backend_choice& choice)
+{
+    // The queue has estimated the time already.
+    if (!this->last_problem.empty())
+        return;
+    this->queue_time = milliseconds(static_cast<std::int64_t>(choice.expected_ms));
+    if (choice.is_too_large)
+        this->last_problem = "the request exceeds the memory of an engine";
+    else if (choice.is_memory_full)
+        this->last_problem = "the memory of all engines is occupied";
+    else
+        this->last_problem = "no engine can complete the request in time";
+}
+
 bool relayed_request::may_try_again(call_end last) const
 {
     if (this->is_aborted() || this->attempts >= this->route->max_attempts ||
@@ -561,7 +481,7 @@
     if (!this->demand.model.empty())
     {
         call_metadata.priority = coordination::engine_priority(
-            this->rank(), this->is_late(choice.idle_ms), this->stream_begun);
+            this->priority(), this->is_late(choice.idle_ms), this->stream_begun);
         const state::gateway_service* const service =
             this->routes->config().find_service(this->demand.service);
         this->shared.chooser.on_sent(*choice.backend, this->demand,
@@ -642,163 +562,4 @@
            type.substr(0, event_stream_type.size()) == event_stream_type;
 }
 
-void relayed_request::apply_backend_notices(const state::backend_entry& entry,
-                                            const response_metadata& response)
-{
-    if (response.pause)
-    {
-        this->shared.loads.on_pause(
-            now(), coordination::backend_chooser::process_key(entry), *response.pause);
-        state::log_event(state::log_level::info, "backend_paused")
-            .field("request", this->metadata.attempt_id)
-            .field("backend", entry.id)
-            .field("pause_ms", response.pause->count());
-    }
-    this->apply_rate_limit(entry, response);
-    if (!response.is_leaving ||
-        !this->shared.directory.on_leaving_answer(now(), entry.id, entry.incarnation))
-        return;
-    state::log_event(state::log_level::info, "backend_changed")
-        .field("request", this->metadata.attempt_id)
-        .field("backend", entry.id)
-        .field("change", "leaving");
-    this->shared.backends_changed.notify();
-    this->shared.on_backend_leaving();
-}
-
-void relayed_request::apply_rate_limit(const state::backend_entry& entry,
-                                       const response_metadata& response)
-{
-    if (response.is_rate_limit_unreadable)
-    {
-        state::log_event(state::log_level::warning, "backend_limit_unreadable")
-            .field("request", this->metadata.attempt_id)
-            .field("backend", entry.id);
-        return;
-    }
-    // A response without an id may be an earlier one that is repeated, and another
-    // process may answer at the address.
-    const bool is_from_other =
-        !response.backend_id.empty() && response.backend_id != entry.id;
-    if (response.attempt_id.empty() || is_from_other)
-        return;
-    if (!this->shared.limits.on_response(
-            now(), coordination::backend_chooser::process_key(entry),
-            response.rate_limit))
-        return;
-    state::log_event(state::log_level::info, "backend_limit_changed")
-        .field("request", this->metadata.attempt_id)
-        .field("backend", entry.id)
-        .field("per_s", response.rate_limit ? std::to_string(*response.rate_limit)
-                                            : std::string("none"));
-    this->shared.loads_changed.notify();
-    this->shared.on_limit_changed();
-}
-
-/// Reads and discards the rest of a response so that its connection can be reused. A
-/// failure does not change the result, which the header determines.
-asio::awaitable<void> relayed_request::discard_rest(transport::http_call& backend)
-{
-    try
-    {
-        co_await backend.read_all(max_error_body_bytes);
-    }
-    catch (const transport::http_error& failure)
-    {
-        this->last_problem += "; " + std::string(failure.what());
-    }
-}
-
-asio::awaitable<call_end> relayed_request::relay_whole(transport::http_call& backend)
-{
-    std::string body;
-    while (auto piece = co_await backend.read_some())
-    {
-        body += *piece;
-        // Without memory to keep it, the response is passed on as it comes.
-        if (body.size() > max_buffered_bytes ||
-            !this->response_memory.resize(body.size()))
-            co_return co_await this->relay_chunks(backend, std::move(body));
-    }
-    this->on_answer_begun();
-    if (this->is_aborted())
-        co_return call_end::failed;
-    transport::http_response response = backend.head();
-    this->dialect.remove_connection_fields(response);
-    response.body() = std::move(body);
-    co_await this->exchange.respond(std::move(response));
-    co_return call_end::completed;
-}
-
-asio::awaitable<call_end> relayed_request::relay_chunks(transport::http_call& backend,
-                                                        std::string first)
-{
-    co_await this->begin_stream(backend.head());
-    co_await this->exchange.write_piece(std::move(first));
-    this->response_memory.release();
-    while (auto piece = co_await backend.read_some())
-        co_await this->exchange.write_piece(std::move(*piece));
-    co_await this->exchange.end_stream();
-    co_return call_end::completed;
-}
-
-asio::awaitable<call_end> relayed_request::relay_events(transport::http_call& backend,
-                                                        call_record& record)
-{
-    const bool can_resume = this->route->may_retry();
-    const bool is_whole = !this->stream_begun;
-    this->watch_progress(this->stall_limit());
-    this->events.discard_incomplete_event();
-    while (auto piece = co_await backend.read_some())
-    {
-        if (this->is_aborted())
-            co_return call_end::broken_off;
-        std::string complete = this->events.feed(*piece);
-        if (!complete.empty())
-        {
-            this->on_progress();
-            this->on_answer_begun();
-        }
-        const std::size_t event_bytes = this->events.incomplete_event().size();
-        const std::size_t counted = event_bytes > small_event_bytes ? event_bytes : 0;
-        if (event_bytes > max_event_bytes || !this->response_memory.resize(counted))
-        {
-            throw transport::http_error(
-                error_code::too_large, this->last_backend,
-                "an event exceeds " + std::to_string(max_event_bytes) +
-                    " bytes, or the memory for responses is in use",
-                true);
-        }
-        // If the stream cannot be resumed, incomplete events are forwarded immediately.
-        std::string output = can_resume ? std::move(complete) : std::move(*piece);
-        if (output.empty())
-            continue;
-        if (!this->stream_begun)
-            co_await this->begin_stream(backend.head());
-        co_await this->exchange.write_piece(std::move(output));
-    }
-    if (!this->events.incomplete_event().empty())
-    {
-        this->last_problem = "the stream ended inside an event";
-        record.set_result(call_result::failed);
-        co_return this->stream_begun ? call_end::broken_off : call_end::failed;
-    }
-    if (!this->stream_begun)
-        co_await this->begin_stream(backend.head());
-    if (is_whole)
-        record.on_stream_end(this->events.events());
-    co_await this->exchange.end_stream();
-    co_return call_end::completed;
-}
-
-asio::awaitable<void> relayed_request::begin_stream(const transport::http_response& head)
-{
-    this->stream_begun = true;
-    transport::http_response response;
-    response.base() = head.base();
-    this->dialect.remove_connection_fields(response);
-    response.erase(transport::field::content_length);
-    co_await this->exchange.begin_stream(std::move(response));
-}
-
 } // namespace pomelorouter::app
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -72,6 +72,9 @@
     void on_exit() { abort(*this->aborted, abort_reason::stopping); }
 
 private:
+    /// Maximum size of the body of an error response or refusal.
+    static constexpr std::size_t max_error_body_bytes = 64 * 1024;
+
     /// State for callbacks that may run after the request was destroyed.
     struct abort_state
     {
@@ -101,6 +104,8 @@
     /// Order among the waiting requests of this gateway: by the priority of the team,
     /// then by that of the route. 0 is the highest.
     int rank() const;
+    /// Priority at engines: that of the team, else that of the route. 0 is the highest.
+    int priority() const;
     /// Throws `state::error` (`draining`) if a planned stop leaves too little time.
     void check_time_before_exit() const;
     void watch();
@@ -133,6 +138,8 @@
     /// Without a chosen backend server: whether one may become available in time.
     bool may_become_available(const coordination::backend_choice& choice) const;
     state::milliseconds stream_time() const;
+    /// Notes why no engine has room, and for how long.
+    void on_overloaded(const coordination::backend_choice& choice);
     bool may_try_again(call_end last) const;
     /// Sends the request to one backend server and forwards its response.
     boost::asio::awaitable<call_end> call(const coordination::backend_choice& choice);
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -38,10 +38,10 @@
         return choice;
     const bool is_urgent =
         !choice.backend ||
-        choice.expected_ms - choice.idle_ms >
-            coordination::queue_limit_ms(
-                this->room, static_cast<double>(since(this->started).count()),
-                choice.idle_ms);
+        choice.queue_ms > coordination::queue_limit_ms(
+                              this->room,
+                              static_cast<double>(since(this->started).count()),
+                              choice.idle_ms);
     for (const std::string& backend : wanted)
         this->shared.limits.on_wanted(backend, is_urgent);
     this->shared.on_permits_wanted();
@@ -126,10 +126,9 @@
     coordination::room_request request;
     request.urgency = this->room;
     request.waited_ms = static_cast<double>(since(this->started).count());
-    request.left_ms =
-        static_cast<double>((this->time_left() - this->stream_time()).count());
+    request.left_ms = static_cast<double>(this->time_left().count()) - choice.stream_ms;
     request.idle_ms = choice.idle_ms;
-    request.queue_ms = choice.expected_ms - choice.idle_ms;
+    request.queue_ms = choice.queue_ms;
     request.is_next = is_next;
     const coordination::queued_tokens queued =
         this->shared.demand.peer_queue(now(), this->demand.service, this->demand.model);
@@ -170,6 +169,8 @@
 
 bool relayed_request::may_become_available(const backend_choice& choice) const
 {
+    if (choice.failure == choice_failure::overloaded && !choice.is_memory_full)
+        return false;
     if (choice.failure == choice_failure::paused)
         return choice.available_at + this->stream_time() < this->deadline;
     const auto longest = std::chrono::duration_cast<milliseconds>(
@@ -185,6 +186,7 @@
     switch (decision.reason)
     {
     case coordination::refusal_reason::none:
+        // The choice names the reason.
         this->last_problem = "";
         return;
     case coordination::refusal_reason::deadline:
@@ -249,6 +251,8 @@
             choice.backend = nullptr;
             break;
         }
+        this->shared.queue.set_held(ticket, !choice.backend || this->engine_queue_ms >
+                                                                   this->queue_limit_ms);
         const bool waits_for_room = choice.backend && !this->demand.model.empty();
         this->set_queued(
             waits_for_room ? std::optional<std::size_t>(this->queue_rank(choice.idle_ms))
--- a/src/libs/coordination/admission_queue.cpp
+++ b/src/libs/coordination/admission_queue.cpp
@@ -17,6 +17,11 @@
     this->entries.erase(number);
 }
 
+void admission_queue::set_held(ticket number, bool is_held)
+{
+    this->entries.at(number).is_held = is_held;
+}
+
 bool admission_queue::precedes(state::time_point now, const queue_entry& left,
                                ticket left_number, const queue_entry& right,
                                ticket right_number)
@@ -32,7 +37,7 @@
     const queue_entry& own = this->entries.at(number);
     for (const auto& [other, entry] : this->entries)
     {
-        if (other != number && entry.engine_group == own.engine_group &&
+        if (other != number && entry.engine_group == own.engine_group && !entry.is_held &&
             precedes(now, entry, other, own, number))
             return false;
     }
--- a/src/libs/coordination/admission_queue.hpp
+++ b/src/libs/coordination/admission_queue.hpp
@@ -22,6 +22,9 @@
     state::time_point latest_start{};
     /// Time that an engine takes to process the prompt.
     double work_ms = 0.0;
+    /// The engines have no room for this request by its own limits, so it does not keep
+    /// others from being sent.
+    bool is_held = false;
 };
 
 /// Queue that decides the order in which a gateway forwards waiting requests. Requests
@@ -35,7 +38,8 @@
 
     ticket enter(queue_entry entry);
     void leave(ticket number);
-    /// Whether no other request of the same group precedes this one.
+    void set_held(ticket number, bool is_held);
+    /// Whether no other request of the same group that could be sent precedes this one.
     bool is_next(state::time_point now, ticket number) const;
     /// Whether the request can still be answered in time.
     bool is_in_time(state::time_point now, ticket number) const;
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <optional>
 
 namespace pomelorouter::coordination
 {
@@ -144,6 +146,8 @@
     options.reserve(directory.all().size());
     bool has_late_option = false;
     bool lacks_memory = false;
+    std::optional<option> roomiest;
+    double least_memory = std::numeric_limits<double>::infinity();
     for (const auto& [id, backend] : directory.all())
     {
         const state::backend_entry& entry = backend->entry;
@@ -193,6 +197,13 @@
                         load.peer_prompt_rate * context.report_age_s))
         {
             lacks_memory = true;
+            // A retry has been delayed already, so it is sent although the engine may
+            // preempt it.
+            if (demand.is_retry && load.memory_tokens < least_memory)
+            {
+                least_memory = load.memory_tokens;
+                roomiest = this->estimate(context, backend, load);
+            }
             continue;
         }
         const option candidate = this->estimate(context, backend, load);
@@ -200,6 +211,12 @@
         options.push_back(candidate);
         best.failure = choice_failure::none;
     }
+    if (options.empty() && roomiest && !is_temporary(best.failure) &&
+        has_memory(demand, 0.0, 0.0))
+    {
+        options.push_back(*roomiest);
+        best.failure = choice_failure::none;
+    }
     best.candidates = options.size();
     if (options.empty())
     {
@@ -221,6 +238,11 @@
         else if (!demand.is_retry)
         {
             best.failure = choice_failure::overloaded;
+            best.expected_ms =
+                std::min_element(options.begin(), options.end(),
+                                 [](const option& left, const option& right)
+                                 { return left.expected_ms < right.expected_ms; })
+                    ->expected_ms;
             return best;
         }
     }
@@ -228,7 +250,9 @@
     best.backend = *chosen.backend;
     best.expected_ms = chosen.expected_ms;
     best.idle_ms = chosen.idle_ms;
+    best.queue_ms = chosen.queue_ms;
     best.usual_ms = chosen.usual_ms;
+    best.stream_ms = chosen.stream_ms;
     best.uncached_tokens = chosen.uncached_tokens;
     best.waiting_tokens = chosen.waiting_tokens;
     return best;
@@ -267,6 +291,7 @@
     result.idle_ms = this->speed.plain_service_ms;
     result.usual_ms = result.idle_ms + wait_ms;
     result.expected_ms = result.usual_ms * std::max(load.slow_ratio, 1.0);
+    result.queue_ms = result.expected_ms - result.idle_ms;
     return result.expected_ms;
 }
 
@@ -289,9 +314,10 @@
     const double own_prompt_ms = result.uncached_tokens / pace.prompt_tokens_per_ms;
     const double waiting_ms = load.waiting_tokens / pace.prompt_tokens_per_ms;
     result.idle_ms = pace.first_step_ms + own_prompt_ms;
-    result.usual_ms = result.idle_ms + waiting_ms +
-                      std::max(0.0, active + 1.0 - slots) * pace.first_step_ms +
-                      active * this->speed.running_request_ms;
+    const double line_ms =
+        waiting_ms + std::max(0.0, active + 1.0 - slots) * pace.first_step_ms;
+    result.queue_ms = line_ms * slow_ratio;
+    result.usual_ms = result.idle_ms + line_ms + active * this->speed.running_request_ms;
     result.expected_ms = result.usual_ms * slow_ratio;
     const double step_ms = pace.ms_per_output_token(active) * slow_ratio;
     const double gap_ms = step_ms + (waiting_ms + own_prompt_ms) * slow_ratio;
@@ -307,13 +333,13 @@
     const double prompt_share = pace.prompt_share(load.prompt_rate * slow_ratio);
     const double alone_ms = step_ms * demand.output_tokens;
     const double stream_ms = alone_ms / (1.0 - prompt_share);
+    result.stream_ms = stream_ms * expected_output_share;
     if (demand.deadline != state::time_point())
     {
         const double left_ms =
             std::chrono::duration<double, std::milli>(demand.deadline - context.now)
                 .count();
-        result.ends_in_time =
-            result.expected_ms + stream_ms * expected_output_share <= left_ms;
+        result.ends_in_time = result.expected_ms + result.stream_ms <= left_ms;
     }
     if (!is_long(demand))
         return cost;
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -86,9 +86,14 @@
     double expected_ms = 0.0;
     /// Estimated time to first byte on the same backend server when idle.
     double idle_ms = 0.0;
+    /// Part of `expected_ms` in which the backend server works on other prompts or has no
+    /// free slot.
+    double queue_ms = 0.0;
     /// Estimated time to first byte if the backend server is as fast as others of its
     /// service.
     double usual_ms = 0.0;
+    /// Estimated time from the first byte of a stream to its end.
+    double stream_ms = 0.0;
     std::uint32_t uncached_tokens = 0;
     /// Prompt tokens of calls that wait for their first byte there.
     double waiting_tokens = 0.0;
@@ -163,7 +168,9 @@
         double cost = 0.0;
         double expected_ms = 0.0;
         double idle_ms = 0.0;
+        double queue_ms = 0.0;
         double usual_ms = 0.0;
+        double stream_ms = 0.0;
         std::uint32_t uncached_tokens = 0;
         double waiting_tokens = 0.0;
         /// Increase of the cost by the prompts that other gateways have sent since their
--- a/tests/auto/coordination/tst_backend_choice.cpp
+++ b/tests/auto/coordination/tst_backend_choice.cpp
@@ -104,6 +104,11 @@
         fleet.add_running("e2", {0, 20, 0.0, 8000});
         CHECK(fleet.choose(wanted).failure == choice_failure::overloaded);
         CHECK_FALSE(fleet.choose(wanted).is_too_large);
+        CHECK(fleet.choose(wanted).is_memory_full);
+        // A stream that is resumed must not break off because the figures are high.
+        wanted.is_retry = true;
+        CHECK(fleet.choose(wanted).backend);
+        wanted.is_retry = false;
         // A smaller request still fits.
         backend_demand small = demand(1500, 200);
         small.engine_tokens = wanted.engine_tokens;
--- a/tests/auto/coordination/tst_gateway_units.cpp
+++ b/tests/auto/coordination/tst_gateway_units.cpp
@@ -401,3 +401,20 @@
     CHECK(members.tick(start + state::seconds(60)).size() == 1);
     CHECK(members.known().empty());
 }
+
+// Guards against a patient request that waits for room and keeps an urgent one of a team
+// with a lower priority from being sent.
+TEST_CASE("a request without room does not keep others of its group waiting")
+{
+    coordination::admission_queue queue;
+    const state::time_point now{};
+    const state::time_point later = now + state::seconds(10);
+    const auto first = queue.enter({"m1", 0, now, later, 10.0});
+    const auto second = queue.enter({"m1", 3, now, later, 10.0});
+    CHECK(!queue.is_next(now, second));
+    queue.set_held(first, true);
+    CHECK(queue.is_next(now, second));
+    CHECK(queue.is_next(now, first));
+    queue.set_held(first, false);
+    CHECK(!queue.is_next(now, second));
+}
