--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -42,9 +42,7 @@
 /// An engine counts as limited if its limit is below this share of the requests for its
 /// models.
 constexpr double min_useful_limit_share = 0.5;
-/// Maximum share of the engines that change their models at the same time, for models
-/// whose engines are fully loaded. Models with less loaded engines may use a part of it
-/// in proportion, since an engine that loads for seconds is missing when demand rises.
+/// Maximum share of the engines that change their models at the same time.
 constexpr double max_changing_share = 0.6;
 /// Models without waiting requests are not restored while this many engines are changing
 /// their models.
@@ -326,11 +324,8 @@
 /// costs least, if necessary in place of copies of models with less demand.
 void weight_planner::balance_models(plan_workspace& work) const
 {
-    const auto max_changing = [&work](double crowding)
-    {
-        return max_changing_share * std::min(crowding, 1.0) *
-               static_cast<double>(work.engines.size());
-    };
+    const auto max_changing =
+        static_cast<int>(max_changing_share * static_cast<double>(work.engines.size()));
     struct candidate
     {
         const state::hosted_model* model = nullptr;
@@ -350,7 +345,7 @@
     for (const state::hosted_model& model : work.profile.models)
         candidates.push_back(candidate_of(model));
     std::size_t failed = 0;
-    while (failed < max_failed_moves)
+    while (work.changing < max_changing && failed < max_failed_moves)
     {
         candidate* wanted = nullptr;
         for (candidate& item : candidates)
@@ -362,8 +357,7 @@
                                                : item.crowding > wanted->crowding))
                 wanted = &item;
         }
-        if (wanted == nullptr || wanted->crowding < min_crowding_of_free_memory ||
-            work.changing >= max_changing(wanted->crowding))
+        if (wanted == nullptr || wanted->crowding < min_crowding_of_free_memory)
             return;
         const candidate present = candidate_of(*wanted->model);
         if (present.crowding + min_relief < wanted->crowding)
