--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -394,9 +394,6 @@
 std::vector<coordination::planned_engine>
 placement_agent::planned_engines(const state::gateway_service& service)
 {
-    constexpr double ms_per_s = 1000.0;
-    const coordination::engine_pace pace =
-        this->shared.chooser.speeds().of(now(), service.name);
     std::vector<coordination::planned_engine> result;
     std::vector<double> ratios;
     for (const auto& backend : this->shared.directory.of_service(service.name))
@@ -407,7 +404,6 @@
         engine_control& control = this->control_of(entry);
         coordination::planned_engine engine;
         engine.id = entry.id;
-        engine.tokens_per_s = pace.prompt_tokens_per_ms * ms_per_s;
         const bool is_reported = control.is_known || !control.unloading.empty();
         engine.models = is_reported ? control.models : entry.models;
         engine.cached.insert(entry.in_memory.begin(), entry.in_memory.end());
