Rank waiting requests over the fleet only where teams compete

Cause: what is new is to take effect only where a configuration calls for it. Change: services of a configuration without teams keep the queue of each gateway and its limits, without the paced release and the refusal for the target.

--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -136,6 +136,13 @@
     request.service =
         this->work_at_peers(queued.service, choice.idle_ms,
                             this->shared.directory.count(this->demand.service));
+    if (!this->room.is_ranked)
+    {
+        // Assumes that the other gateways have equally long queues.
+        request.model.others_ms =
+            own_ahead_ms * static_cast<double>(this->shared.gateways - 1);
+        request.service = request.model;
+    }
     request.model.own_ms = own_ahead_ms;
     request.service.own_ms = own_ahead_ms;
     const bool is_first = this->decided_at == state::time_point{};
--- a/src/libs/coordination/room_policy.cpp
+++ b/src/libs/coordination/room_policy.cpp
@@ -105,7 +105,7 @@
                         { return share.service == service && share.weight > 0.0; });
         if (!leads_there || route.priority == rank)
             continue;
-        result.is_ranked = true;
+        result.is_ranked = config.requires_keys;
         if (route.priority > rank)
             continue;
         more_urgent.insert(route.priority);
@@ -166,11 +166,10 @@
     const double room_ms = result.limit_ms - request.queue_ms;
     if (request.is_next && room_ms >= 0.0)
     {
-        const double probability = std::min(
-            send_probability(request.model, request.idle_ms, room_ms,
-                             request.interval_ms),
-            send_probability(service, request.idle_ms, room_ms, request.interval_ms));
-        if (draw < probability)
+        const auto probability = [&](const waiting_work& work)
+        { return send_probability(work, request.idle_ms, room_ms, request.interval_ms); };
+        if (!request.urgency.is_ranked ||
+            draw < std::min(probability(request.model), probability(service)))
         {
             result.action = room_action::send;
             return result;
--- a/src/libs/coordination/room_policy.hpp
+++ b/src/libs/coordination/room_policy.hpp
@@ -12,7 +12,8 @@
 /// Urgency of a request compared with the other routes of its service.
 struct room_class
 {
-    /// The routes of the service have different ranks.
+    /// Teams compete for the service, whose routes have different ranks. Otherwise each
+    /// gateway decides by its own queue.
     bool is_ranked = false;
     /// Number of ranks that are more urgent.
     int more_urgent_ranks = 0;
--- a/tests/auto/coordination/tst_room_policy.cpp
+++ b/tests/auto/coordination/tst_room_policy.cpp
@@ -25,6 +25,7 @@
 state::gateway_config config_of(const std::vector<route_row>& rows)
 {
     state::gateway_config result;
+    result.requires_keys = true;
     for (const route_row& row : rows)
     {
         state::gateway_route route;
@@ -137,6 +138,28 @@
     }
 }
 
+// Guards against services without competing teams that are served in another way than by
+// the queue of each gateway.
+TEST_CASE("without teams only the own queue counts")
+{
+    auto config = config_of({{"models", 0, 800}, {"models", 2, 15000}});
+    config.requires_keys = false;
+    room_request request;
+    request.urgency = class_of(config, 2, 15000);
+    CHECK(queue_limit_ms(request.urgency, 0.0, 145.0) == 450.0);
+    CHECK(queue_limit_ms(request.urgency, 15000.0, 145.0) == 300.0);
+    request.left_ms = 20000.0;
+    request.idle_ms = 145.0;
+    request.queue_ms = 440.0;
+    request.interval_ms = 30.0;
+    request.model = {0.0, 60000.0, 4};
+    request.service = request.model;
+    CHECK(decide_room(request, 0.99).action == room_action::send);
+    // A long wait is no reason to refuse while the deadline can be met.
+    request.queue_ms = 460.0;
+    CHECK(decide_room(request, 0.99).action == room_action::hold);
+}
+
 // Guards against late and patient prompts that preempt streams in the middle.
 TEST_CASE("the priority at an engine follows rank and urgency")
 {
--- a/tests/auto/coordination/tst_room_replay.cpp
+++ b/tests/auto/coordination/tst_room_replay.cpp
@@ -116,6 +116,7 @@
           results(this->kinds.size())
     {
         state::gateway_config config;
+        config.requires_keys = this->known.ranks;
         for (const request_kind& kind : this->kinds)
         {
             state::gateway_route& route = config.routes.emplace_back();
