--- a/src/libs/coordination/team_allowances.cpp
+++ b/src/libs/coordination/team_allowances.cpp
@@ -76,7 +76,7 @@
         const auto found = this->teams.find(item.name);
         team_state& team = kept[item.name];
         if (found != this->teams.end())
-            team = std::move(found->second);
+            team = found->second;
         const double before = window_limit(team.allowance);
         const bool is_same_unit = team.allowance.unit == item.allowance.unit;
         const double ratio = before > 0.0 && is_same_unit
