--- a/tests/auto/coordination/fleet_replay.cpp
+++ b/tests/auto/coordination/fleet_replay.cpp
@@ -101,8 +101,8 @@
 {
     std::vector<int> list(static_cast<std::size_t>(this->options.models));
     std::iota(list.begin(), list.end(), 0);
-    const auto places =
-        static_cast<std::size_t>(this->options.engines * this->options.models_per_engine);
+    const std::size_t places = static_cast<std::size_t>(this->options.engines) *
+                               static_cast<std::size_t>(this->options.models_per_engine);
     double total = 0.0;
     for (int model = 0; model < this->options.busy_models; ++model)
         total += this->popularity(model);
--- a/tests/auto/coordination/tst_backend_choice.cpp
+++ b/tests/auto/coordination/tst_backend_choice.cpp
@@ -347,6 +347,7 @@
             }
             const time_point now = at(tick_end);
             std::vector<backend_loads::load_map> reports;
+            reports.reserve(loads.size());
             for (const backend_loads& own : loads)
                 reports.push_back(own.own_loads(now));
             history.push_back(std::move(reports));
