--- a/tests/auto/coordination/tst_placement_load.cpp
+++ b/tests/auto/coordination/tst_placement_load.cpp
@@ -15,7 +15,6 @@
 using coordination::planned_engine;
 using coordination::planned_order;
 using coordination::weight_demand;
-using coordination::weight_rate;
 using state::seconds;
 using test::fleet_options;
 using test::fleet_replay;
