--- a/tests/auto/platform/tst_teams.cpp
+++ b/tests/auto/platform/tst_teams.cpp
@@ -62,8 +62,8 @@
                                         std::optional<transport::http_response>& response)
 {
     const transport::http_call_options options;
-    response = co_await test.client.fetch(test.gateway->own_settings().listen,
-                                          std::move(request), options);
+    response =
+        co_await test.client.fetch(test.gateway->own_settings().listen, request, options);
 }
 
 } // namespace
