Give the key of a waiting model a name of its own

Cause: order_ledger.hpp and weight_demand.hpp both defined coordination::model_key, one with three members, one with two. The linker kept one of the two operators, which read past the end of the smaller key; the node and the gateway are in one binary. Change: the newer one is queued_model.

--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -52,12 +52,12 @@
 
 /// A model whose requests wait for capacity. The model is empty for the sum over models
 /// that are not listed.
-struct model_key
+struct queued_model
 {
     std::string service;
     std::string model;
 
-    bool operator<(const model_key& other) const
+    bool operator<(const queued_model& other) const
     {
         return std::tie(this->service, this->model) <
                std::tie(other.service, other.model);
@@ -99,7 +99,7 @@
     rates zone_rates(state::time_point now, const std::string& receiver) const;
     /// Whether the last report of `peer` contains requests that wait for weights.
     bool had_waiting(const report_source& peer) const;
-    using queue_map = std::map<model_key, protocol::tokens_by_rank>;
+    using queue_map = std::map<queued_model, protocol::tokens_by_rank>;
 
     /// Waiting requests of this gateway and of the gateways in its availability zone.
     queue_map zone_queues(state::time_point now) const;
