--- a/tests/auto/memory/client_crowd.cpp
+++ b/tests/auto/memory/client_crowd.cpp
@@ -38,6 +38,15 @@
     }
 }
 
+void client_crowd::close()
+{
+    for (asio::ip::tcp::socket& socket : this->sockets)
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+}
+
 asio::awaitable<void> client_crowd::send(asio::ip::tcp::socket& socket)
 {
     boost::system::error_code failure;
--- a/tests/auto/memory/client_crowd.hpp
+++ b/tests/auto/memory/client_crowd.hpp
@@ -33,6 +33,8 @@
     client_crowd(const client_crowd&) = delete;
     client_crowd& operator=(const client_crowd&) = delete;
 
+    /// Closes all connections.
+    void close();
     /// Time since a client could last send something.
     state::milliseconds rest_time() const { return state::since(this->last_progress); }
 
--- a/tests/auto/memory/gateway_child.cpp
+++ b/tests/auto/memory/gateway_child.cpp
@@ -46,7 +46,8 @@
 gateway_child::gateway_child(const boost::json::object& settings,
                              std::size_t max_descriptors)
     : settings_path((std::filesystem::temp_directory_path() /
-                     ("memory-test-" + std::to_string(::getpid()) + ".json"))
+                     ("gateway-child-" + std::to_string(::getpid()) + "-" +
+                      std::string(settings.at("node_id").as_string()) + ".json"))
                         .string())
 {
     std::ofstream(this->settings_path) << boost::json::serialize(settings);
@@ -74,6 +75,12 @@
     return !this->has_ended;
 }
 
+void gateway_child::send_signal(int number)
+{
+    if (this->is_running())
+        ::kill(this->child, number);
+}
+
 std::size_t gateway_child::peak_bytes() const
 {
     std::ifstream status("/proc/" + std::to_string(this->child) + "/status");
--- a/tests/auto/memory/gateway_child.hpp
+++ b/tests/auto/memory/gateway_child.hpp
@@ -21,6 +21,7 @@
     gateway_child& operator=(const gateway_child&) = delete;
 
     bool is_running();
+    void send_signal(int number);
     /// Peak of the resident memory.
     std::size_t peak_bytes() const;
     std::size_t open_descriptors() const;
