Run the crowd tests under the sanitizers without their bound of memory

The address sanitizer keeps freed blocks (256 MB by default) and its own shadow in the resident memory: with that list 404 to 447 MB, or a peak that still grew after 60 s, so that no crowd was at rest; with a list of 1 MB still 168 and 199 MB. The bound of 120 MB is about the gateway.

Crowds, descriptors, the life of the process and the ordinary request are checked as before.

--- a/tests/auto/memory/tst_client_memory.cpp
+++ b/tests/auto/memory/tst_client_memory.cpp
@@ -22,6 +22,13 @@
 
 /// Default of `memory_limit_mb`, which is the memory of the smallest machines.
 constexpr std::size_t memory_limit_bytes = 120 * 1024 * 1024;
+/// The address sanitizer's shadow memory, padding and list of freed blocks are resident
+/// too, so the bound says nothing about the gateway there.
+#ifdef POMELOROUTER_SANITIZE
+constexpr bool is_memory_comparable = false;
+#else
+constexpr bool is_memory_comparable = true;
+#endif
 constexpr std::size_t body_bytes = 4 * 1024 * 1024;
 constexpr std::size_t crowd_size = 60;
 constexpr std::size_t max_descriptors = 1024;
@@ -88,7 +95,8 @@
     {
         CHECK(this->ask("/again/ordinary") == 200);
         REQUIRE(this->gateway->is_running());
-        CHECK(this->gateway->peak_bytes() <= memory_limit_bytes);
+        if (is_memory_comparable)
+            CHECK(this->gateway->peak_bytes() <= memory_limit_bytes);
         CHECK(this->gateway->open_descriptors() <= descriptors);
         MESSAGE("peak of resident memory: " << this->gateway->peak_bytes() / 1024 / 1024
                                             << " MB, descriptors: "
