Suspect the last part of a prompt of crashes that no shared part explains

Cause: the last part belongs to a request or to its session, so several harmful requests can have the same one. Change: a crash is held against the last parts of its unanswered calls as well. They count only for crashes of which no shared part is suspected, and one is quarantined only if no other last part fits its crashes as well. Requests are checked with all their parts. Last parts with one crash are the first to be left out of the 256 suspects and of the reports, and a crash is added to known suspects first. Answered parts, now one more for each request, are bounded (recent_answers). Changed tests: the random fleets of tst_prompt_quarantine have last parts and requests that are sent again, and are played with a harmful last part besides; the limits are as before.

--- a/src/app/gateway/serving/crash_detector.cpp
+++ b/src/app/gateway/serving/crash_detector.cpp
@@ -89,10 +89,13 @@
 {
     for (const coordination::unanswered_call& call : crash.unanswered)
     {
+        std::vector<std::uint64_t> parts = call.parts;
+        if (call.own_part)
+            parts.push_back(*call.own_part);
         state::log_event(state::log_level::warning, "unanswered_call")
             .field("request", call.request)
             .field("backend", crash.process)
-            .field("parts", coordination::format_part_ids(call.parts));
+            .field("parts", coordination::format_part_ids(parts));
     }
     state::log_event(state::log_level::warning, "backend_crashed")
         .field("backend", crash.process)
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -412,7 +412,7 @@
     this->last_backend = entry.id;
     this->sent_at = now();
     this->answer_begun = false;
-    this->shared.quarantine.on_sent(now(), this->demand.service, this->shared_parts());
+    this->shared.quarantine.on_sent(now(), this->demand.service, this->all_parts());
     this->shared.limits.on_sent(now(), coordination::backend_chooser::process_key(entry));
     this->count_zone_traffic(entry);
     call_record record(this->shared, choice, this->demand);
@@ -458,7 +458,7 @@
             .field("end", to_string(end))
             .field("aborted", to_string(this->aborted->reason))
             .field("answer_begun", this->answer_begun)
-            .field("parts", coordination::format_part_ids(this->shared_parts()))
+            .field("parts", coordination::format_part_ids(this->all_parts()))
             .field("problem", this->last_problem)
             .field("expected_ms", static_cast<std::int64_t>(choice.expected_ms))
             .field("elapsed_ms", since(this->started).count());
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -182,6 +182,8 @@
                           const transport::http_error& failure);
     /// Ids of the prompt parts that other requests may share: all but the last.
     std::vector<std::uint64_t> shared_parts() const;
+    /// Ids of all prompt parts.
+    std::vector<std::uint64_t> all_parts() const;
     /// Updates `quarantine`, and returns whether the request must not be sent.
     bool is_quarantined();
     state::milliseconds
--- a/src/app/gateway/serving/relayed_request_quarantine.cpp
+++ b/src/app/gateway/serving/relayed_request_quarantine.cpp
@@ -18,10 +18,18 @@
     return result;
 }
 
+std::vector<std::uint64_t> relayed_request::all_parts() const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto& part : this->demand.parts)
+        result.push_back(part.id);
+    return result;
+}
+
 bool relayed_request::is_quarantined()
 {
     this->quarantine = this->shared.quarantine.find(
-        now(), this->demand.service, this->shared_parts(), this->shared.is_strongest);
+        now(), this->demand.service, this->all_parts(), this->shared.is_strongest);
     return this->quarantine.has_value();
 }
 
@@ -38,7 +46,7 @@
 {
     if (std::exchange(this->answer_begun, true))
         return;
-    this->shared.quarantine.on_answer(now(), this->demand.service, this->shared_parts());
+    this->shared.quarantine.on_answer(now(), this->demand.service, this->all_parts());
 }
 
 void relayed_request::report_lost_call(const state::backend_entry& entry,
@@ -54,9 +62,11 @@
     else
     {
         ++this->unanswered_calls;
-        this->shared.on_call_lost(
-            entry, coordination::unanswered_call{this->metadata.attempt_id,
-                                                 this->shared_parts(), this->sent_at});
+        coordination::unanswered_call call{this->metadata.attempt_id,
+                                           this->shared_parts(), this->sent_at};
+        if (!this->demand.parts.empty())
+            call.own_part = this->demand.parts.back().id;
+        this->shared.on_call_lost(entry, std::move(call));
     }
 }
 
--- a/src/libs/coordination/backend_crash.hpp
+++ b/src/libs/coordination/backend_crash.hpp
@@ -3,6 +3,7 @@
 #include "state/clock.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     /// Ids of the prompt parts that other requests may share, in the order of the prompt.
     std::vector<std::uint64_t> parts;
     state::time_point sent_at{};
+    /// Id of the last prompt part, which belongs to the request or to its session.
+    std::optional<std::uint64_t> own_part = std::nullopt;
 };
 
 /// The end of a backend server's process while calls to it were in progress.
--- a/src/libs/coordination/prompt_quarantine.cpp
+++ b/src/libs/coordination/prompt_quarantine.cpp
@@ -31,8 +31,6 @@
 constexpr seconds crash_ttl{300};
 /// A cleared part is reported for this long, so that all gateways learn of it.
 constexpr seconds cleared_part_ttl{5};
-/// Begins of answers are remembered for this long, for crashes that are reported late.
-constexpr seconds answer_ttl{2};
 constexpr std::size_t max_records = 256;
 constexpr std::size_t max_crashes_per_record = 16;
 constexpr std::size_t max_reports = protocol::max_suspect_parts;
@@ -44,11 +42,6 @@
 
 } // namespace
 
-bool part_key::operator<(const part_key& other) const
-{
-    return std::tie(this->part, this->service) < std::tie(other.part, other.service);
-}
-
 seconds quarantine_length(int round)
 {
     seconds length = first_quarantine;
@@ -66,18 +59,33 @@
     return text;
 }
 
-/// Orders records by their importance for other gateways.
-std::tuple<bool, std::size_t, time_point> prompt_quarantine::strength(const record& item)
+time_point prompt_quarantine::record::last_seen() const
 {
-    return {item.round > 0, item.crashes.size(), item.cleared_at};
+    return this->crashes.empty()
+               ? this->cleared_at
+               : std::max(this->cleared_at, this->crashes.back().crashed_at);
 }
 
-prompt_quarantine::record* prompt_quarantine::find_or_add(const part_key& key,
-                                                          int position)
+/// Each request has a last part of its own, so one crash tells least of these.
+prompt_quarantine::record_strength prompt_quarantine::strength(const record& item)
+{
+    int kind = item.is_own_part() ? 0 : 1;
+    if (item.crashes.size() > 1)
+        kind = 2;
+    if (item.round > 0)
+        kind = 3;
+    return {kind, item.crashes.size(), item.last_seen()};
+}
+
+prompt_quarantine::record*
+prompt_quarantine::find_or_add(time_point now, const part_key& key, int position)
 {
     const auto found = this->records.find(key);
     if (found != this->records.end())
+    {
+        found->second.position = std::max(found->second.position, position);
         return &found->second;
+    }
     if (this->records.size() >= max_records)
     {
         const auto is_weaker =
@@ -85,7 +93,10 @@
         { return strength(left.second) < strength(right.second); };
         const auto weakest =
             std::min_element(this->records.begin(), this->records.end(), is_weaker);
-        if (weakest->second.crashes.size() > 1 || weakest->second.round > 0)
+        record added;
+        added.position = position;
+        added.crashes.push_back({"", now, now});
+        if (strength(weakest->second) > strength(added))
             return nullptr;
         this->records.erase(weakest);
     }
@@ -133,30 +144,60 @@
                        });
 }
 
-bool prompt_quarantine::on_crash(time_point now, const backend_crash& crash)
+std::vector<prompt_quarantine::suspicion>
+prompt_quarantine::suspicions_of(const backend_crash& crash) const
 {
-    bool is_new = false;
+    std::vector<suspicion> result;
     for (const unanswered_call& call : crash.unanswered)
     {
         for (std::size_t i = 0; i < call.parts.size(); ++i)
         {
-            const part_key key{crash.service, call.parts[i]};
-            const auto answer = this->answers.find(key);
-            if (answer != this->answers.end() && answer->second > crash.crashed_at)
-                continue;
-            record* const target = this->find_or_add(key, static_cast<int>(i));
-            if (target == nullptr)
-                continue;
-            const bool was_trial =
-                target->is_quarantined() && call.sent_at > target->until;
-            is_new |= this->add_crash(key, *target,
-                                      {crash.process, crash.crashed_at, call.sent_at});
-            if (!was_trial)
-                continue;
-            const int round = target->round + 1;
-            this->begin_quarantine(key, *target, round, now + quarantine_length(round));
+            result.push_back(
+                {{crash.service, call.parts[i]}, static_cast<int>(i), call.sent_at});
+        }
+        if (call.own_part)
+        {
+            result.push_back(
+                {{crash.service, *call.own_part}, own_part_position, call.sent_at});
         }
     }
+    // New records may displace others, which must have this crash by then.
+    const auto rank = [this](const suspicion& item)
+    {
+        const int own = item.position == own_part_position ? 1 : 0;
+        return this->records.count(item.key) > 0 ? -1 : own;
+    };
+    std::stable_sort(result.begin(), result.end(),
+                     [&rank](const suspicion& left, const suspicion& right)
+                     { return rank(left) < rank(right); });
+    return result;
+}
+
+bool prompt_quarantine::on_crash(time_point now, const backend_crash& crash)
+{
+    bool is_new = false;
+    for (const suspicion& item : this->suspicions_of(crash))
+        is_new |= this->suspect(now, crash, item);
+    return is_new;
+}
+
+bool prompt_quarantine::suspect(time_point now, const backend_crash& crash,
+                                const suspicion& item)
+{
+    const auto answer = this->answers.find(item.key);
+    if (answer && *answer > crash.crashed_at)
+        return false;
+    record* const target = this->find_or_add(now, item.key, item.position);
+    if (target == nullptr)
+        return false;
+    const bool was_trial = target->is_quarantined() && item.sent_at > target->until;
+    const bool is_new = this->add_crash(item.key, *target,
+                                        {crash.process, crash.crashed_at, item.sent_at});
+    if (was_trial)
+    {
+        const int round = target->round + 1;
+        this->begin_quarantine(item.key, *target, round, now + quarantine_length(round));
+    }
     return is_new;
 }
 
@@ -178,7 +219,7 @@
     for (const std::uint64_t part : parts)
     {
         const part_key key{service, part};
-        this->answers[key] = now;
+        this->answers.add(now, key);
         const auto found = this->records.find(key);
         if (found != this->records.end())
             this->clear(now, key, found->second);
@@ -248,7 +289,7 @@
     suspect_counts result;
     for (const auto& [key, item] : this->records)
     {
-        if (item.is_quarantined())
+        if (item.is_quarantined() || item.is_own_part())
             continue;
         for (const part_crash& crash : item.crashes)
             ++result[{key.service, crash.process}];
@@ -264,13 +305,18 @@
     time_point last{};
     for (const part_crash& crash : suspect.crashes)
     {
+        const auto found = suspects.find({key.service, crash.process});
+        const int shared_suspects = found == suspects.end() ? 0 : found->second;
+        // Each request has a last part, so a part that others share explains more.
+        if (suspect.is_own_part() && shared_suspects > 0)
+            continue;
         // Crashes at the same time may have one cause outside of the requests.
         if (crash.sent_at <= last)
             continue;
         last = crash.crashed_at;
         if (result.successive++ == 0)
             result.first = crash.crashed_at;
-        if (suspects.at({key.service, crash.process}) == 1)
+        if (suspect.is_own_part() || shared_suspects == 1)
             ++result.unshared;
     }
     return result;
@@ -287,6 +333,30 @@
     return answer != this->service_answers.end() && answer->second > found.first;
 }
 
+bool prompt_quarantine::is_distinct(const part_key& key, const record& suspect,
+                                    const evidence& found,
+                                    const suspect_counts& suspects) const
+{
+    const auto is_common = [&suspect](const part_crash& crash)
+    {
+        return std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                           [&crash](const part_crash& other)
+                           { return other.process == crash.process; });
+    };
+    return std::none_of(
+        this->records.begin(), this->records.end(),
+        [&](const record_map::value_type& item)
+        {
+            const auto& [other_key, other] = item;
+            if (other_key == key || other_key.service != key.service ||
+                other.is_quarantined() || !other.is_own_part())
+                return false;
+            return std::any_of(other.crashes.begin(), other.crashes.end(), is_common) &&
+                   evidence_against(other_key, other, suspects).successive >=
+                       found.successive;
+        });
+}
+
 void prompt_quarantine::forget_old(time_point now)
 {
     for (auto& [key, item] : this->records)
@@ -305,8 +375,7 @@
                       return value.crashes.empty() &&
                              now - value.cleared_at > cleared_part_ttl;
                   });
-    std::erase_if(this->answers,
-                  [now](const auto& item) { return now - item.second > answer_ttl; });
+    this->answers.forget_old(now);
 }
 
 void prompt_quarantine::tick(time_point now)
@@ -320,7 +389,8 @@
         if (item.is_quarantined())
             continue;
         const evidence found = evidence_against(key, item, suspects);
-        if (!this->is_convicted(now, key, found))
+        if (!this->is_convicted(now, key, found) ||
+            (item.is_own_part() && !this->is_distinct(key, item, found, suspects)))
             continue;
         const std::tuple strength(found.unshared, found.successive, item.position);
         if (suspect != nullptr && strength <= strongest)
@@ -380,7 +450,8 @@
         const bool is_cleared = report.crashes.empty() && report.round == 0;
         if (is_cleared && this->records.find(key) == this->records.end())
             continue;
-        record* const target = this->find_or_add(key, report.position);
+        record* const target =
+            this->find_or_add(now, key, std::max(report.position, own_part_position));
         if (target != nullptr)
             is_new |= this->merge(now, key, *target, report);
     }
@@ -406,8 +477,8 @@
     if (report.cleared_ago)
         cleared_at = std::max(cleared_at, now - *report.cleared_ago);
     const auto answer = this->answers.find(key);
-    if (answer != this->answers.end())
-        cleared_at = std::max(cleared_at, answer->second);
+    if (answer)
+        cleared_at = std::max(cleared_at, *answer);
     const bool is_later_answer =
         target.is_quarantined() &&
         (target.crashes.empty() || cleared_at > target.crashes.back().crashed_at);
--- a/src/libs/coordination/prompt_quarantine.hpp
+++ b/src/libs/coordination/prompt_quarantine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/backend_crash.hpp"
+#include "coordination/recent_answers.hpp"
 #include "protocol/gateway_heartbeat.hpp"
 #include "state/clock.hpp"
 
@@ -17,16 +18,6 @@
 namespace pomelorouter::coordination
 {
 
-/// A prompt part of the requests to one service.
-struct part_key
-{
-    std::string service;
-    std::uint64_t part = 0;
-
-    bool operator==(const part_key&) const = default;
-    bool operator<(const part_key& other) const;
-};
-
 /// A crash that a part may have caused: a request with the part was waiting for the begin
 /// of its answer.
 struct part_crash
@@ -62,6 +53,8 @@
 /// left. When the quarantine ends, one gateway sends single requests with the part to
 /// find out whether it still crashes backend servers. Gateways exchange their
 /// observations, so that crashes and answers seen by different gateways count together.
+/// The last part of a prompt, which belongs to the request or to its session, is
+/// suspected of the crashes for which no part is suspected that other requests share.
 class prompt_quarantine
 {
 public:
@@ -106,7 +99,7 @@
     struct record
     {
         /// Position of the part in the prompt; parts at the begin are shared by more
-        /// requests.
+        /// requests. `own_part_position` if it was seen as the last part only.
         int position = 0;
         /// Crashes for which the part is still suspected, oldest first.
         std::vector<part_crash> crashes;
@@ -119,6 +112,18 @@
         state::time_point tried_at{};
 
         bool is_quarantined() const { return this->round > 0 && !this->is_released; }
+        bool is_own_part() const { return this->position == own_part_position; }
+        /// When the last crash or answer was seen.
+        state::time_point last_seen() const;
+    };
+    /// Importance of a record for other gateways, larger first: its kind, the number of
+    /// its crashes, and the time of the last observation.
+    using record_strength = std::tuple<int, std::size_t, state::time_point>;
+    struct suspicion
+    {
+        part_key key;
+        int position = 0;
+        state::time_point sent_at{};
     };
     struct evidence
     {
@@ -130,11 +135,17 @@
         state::time_point first{};
     };
     using record_map = std::map<part_key, record>;
-    /// Number of parts that are suspected of the crash of a service's process.
+    /// Number of shared parts that are suspected of the crash of a service's process.
     using suspect_counts = std::map<std::pair<std::string, std::string>, int>;
 
+    static constexpr int own_part_position = -1;
+
     /// Returns the record of a part, which it creates if there is room.
-    record* find_or_add(const part_key& key, int position);
+    record* find_or_add(state::time_point now, const part_key& key, int position);
+    /// Returns the parts that are suspected of a crash, those with a record first.
+    std::vector<suspicion> suspicions_of(const backend_crash& crash) const;
+    bool suspect(state::time_point now, const backend_crash& crash,
+                 const suspicion& item);
     bool add_crash(const part_key& key, record& target, part_crash crash);
     bool is_explained(const part_key& key, const std::string& process) const;
     suspect_counts count_suspects() const;
@@ -142,18 +153,22 @@
                                      const suspect_counts& suspects);
     bool is_convicted(state::time_point now, const part_key& key,
                       const evidence& found) const;
+    /// Whether a last part explains its crashes better than any other last part that is
+    /// suspected of some of them.
+    bool is_distinct(const part_key& key, const record& suspect, const evidence& found,
+                     const suspect_counts& suspects) const;
     void begin_quarantine(const part_key& key, record& target, int round,
                           state::time_point until);
     void clear(state::time_point time, const part_key& key, record& target);
     bool merge(state::time_point now, const part_key& key, record& target,
                const protocol::suspect_part& report);
     void forget_old(state::time_point now);
-    static std::tuple<bool, std::size_t, state::time_point> strength(const record& item);
+    static record_strength strength(const record& item);
     static quarantined_part describe(const part_key& key, const record& source);
 
     record_map records;
-    /// When an answer on a part last began, for parts answered a moment ago.
-    std::map<part_key, state::time_point> answers;
+    /// Begins of answers, for crashes that are reported late.
+    recent_answers answers;
     /// When any answer of a service last began.
     std::map<std::string, state::time_point, std::less<>> service_answers;
     std::vector<quarantined_part> new_quarantines;
--- a/tests/auto/coordination/tst_prompt_quarantine.cpp
+++ b/tests/auto/coordination/tst_prompt_quarantine.cpp
@@ -294,6 +294,15 @@
 namespace
 {
 
+/// Which part of the harmful requests of a fleet crashes engines.
+enum class harm
+{
+    none,
+    shared_part,
+    /// The last one, while all others are those of sound requests.
+    last_part,
+};
+
 /// Random fleet: gateways that exchange lossy reports, engines that crash by themselves
 /// and under harmful requests.
 class fleet
@@ -301,13 +310,13 @@
 public:
     explicit fleet(std::uint32_t seed) : random(seed), gateways(2 + this->below(10)) {}
 
-    void play(bool has_harmful_requests)
+    void play(harm kind)
     {
         const int period_ms = 20 + static_cast<int>(this->below(400));
         for (int ms = 0; ms < 20000; ms += 10)
         {
-            if (has_harmful_requests && ms % period_ms < 10)
-                this->send_harmful(ms);
+            if (kind != harm::none && ms % period_ms < 10)
+                this->send_harmful(ms, kind);
             for (std::size_t i = 0; i < 2; ++i)
                 this->answer_sound(ms);
             if (this->below(150) == 0)
@@ -327,14 +336,55 @@
         return std::uniform_int_distribution<std::size_t>(0, limit - 1)(this->random);
     }
 
-    /// Parts of a sound request; each caller has few requests.
-    parts sound_parts() { return {system_part, 100 + this->below(60)}; }
+    /// A request without its last part, and the last part.
+    struct request
+    {
+        parts shared;
+        std::uint64_t own = 0;
 
-    void send_harmful(int ms)
+        parts prompt() const
+        {
+            parts result = this->shared;
+            result.push_back(this->own);
+            return result;
+        }
+    };
+
+    /// Returns a sound request: a new one, also of a session that has had some before, or
+    /// one that lost a call and is sent again. Each caller has few requests.
+    request sound_request()
+    {
+        if (!this->lost.empty() && this->below(2) == 0)
+        {
+            const auto chosen = this->lost.begin() + static_cast<std::ptrdiff_t>(
+                                                         this->below(this->lost.size()));
+            request result = *chosen;
+            this->lost.erase(chosen);
+            return result;
+        }
+        const std::uint64_t own =
+            this->below(3) == 0 ? 1000 + this->below(50) : ++this->last_own;
+        return {{system_part, 100 + this->below(60)}, own};
+    }
+
+    /// Adds a sound request that waits at a crashing engine.
+    void add_waiting(backend_crash& crash, int ms)
+    {
+        const request sound = this->sound_request();
+        crash.unanswered.push_back({"r", sound.shared, at(ms - 50), sound.own});
+        this->lost.push_back(sound);
+    }
+
+    void send_harmful(int ms, harm kind)
     {
         prompt_quarantine& gateway = this->gateways[this->below(this->gateways.size())];
-        const parts prompt{system_part, 100 + this->below(60), harmful_part};
-        if (is_refused(gateway, ms, prompt))
+        request harmful{{system_part, 100 + this->below(60)}, harmful_part};
+        if (kind == harm::shared_part)
+        {
+            harmful.shared.push_back(harmful_part);
+            harmful.own = ++this->last_own;
+        }
+        if (is_refused(gateway, ms, harmful.prompt()))
             return;
         ++this->harmful_sends;
         if (this->harmful_sends == 5)
@@ -342,17 +392,18 @@
         if (this->harmful_sends > 5 && ms > this->fifth_crash_ms + 3000)
             ++this->late_harmful_sends;
         backend_crash crash =
-            crash_of("h" + std::to_string(++this->processes), ms, prompt);
+            crash_of("h" + std::to_string(++this->processes), ms, harmful.shared);
+        crash.unanswered[0].own_part = harmful.own;
         // Sound requests wait at the same engine.
         for (std::size_t i = this->below(3); i > 0; --i)
-            crash.unanswered.push_back({"r", this->sound_parts(), at(ms - 50)});
+            this->add_waiting(crash, ms);
         gateway.on_crash(at(ms), crash);
     }
 
     void answer_sound(int ms)
     {
         prompt_quarantine& gateway = this->gateways[this->below(this->gateways.size())];
-        const parts prompt = this->sound_parts();
+        const parts prompt = this->sound_request().prompt();
         if (is_refused(gateway, ms, prompt))
             ++this->refused_sound;
         else
@@ -369,7 +420,9 @@
             {
                 prompt_quarantine& gateway =
                     this->gateways[this->below(this->gateways.size())];
-                gateway.on_crash(at(ms), crash_of(process, ms, this->sound_parts()));
+                backend_crash crash{service, process, at(ms), {}, 0};
+                this->add_waiting(crash, ms);
+                gateway.on_crash(at(ms), crash);
             }
         }
     }
@@ -390,6 +443,9 @@
 
     std::mt19937 random;
     std::vector<prompt_quarantine> gateways;
+    /// Sound requests that lost a call and were not answered yet.
+    std::vector<request> lost;
+    std::uint64_t last_own = 1000000;
     int processes = 0;
     int fifth_crash_ms = 0;
 };
@@ -403,12 +459,16 @@
     for (std::uint32_t seed = 1; seed <= 50; ++seed)
     {
         CAPTURE(seed);
-        fleet harmful(seed);
-        harmful.play(true);
-        CHECK(harmful.late_harmful_sends <= 3);
-        CHECK(harmful.refused_sound == 0);
+        for (const harm kind : {harm::shared_part, harm::last_part})
+        {
+            CAPTURE(static_cast<int>(kind));
+            fleet harmful(seed);
+            harmful.play(kind);
+            CHECK(harmful.late_harmful_sends <= 3);
+            CHECK(harmful.refused_sound == 0);
+        }
         fleet sound(seed);
-        sound.play(false);
+        sound.play(harm::none);
         CHECK(sound.refused_sound == 0);
     }
 }
--- a/tests/auto/platform/tst_crashing_prompts.cpp
+++ b/tests/auto/platform/tst_crashing_prompts.cpp
@@ -89,11 +89,15 @@
     }
 
     std::optional<transport::http_response> send(const std::string& prompt)
+    {
+        return this->send_whole(prompt + "," + std::to_string(1001 + this->sent) + ":40");
+    }
+
+    std::optional<transport::http_response> send_whole(const std::string& prompt)
     {
         const std::string attempt = "a" + std::to_string(++this->sent);
         transport::http_request request = this->test.request("/stream/x", attempt, "m1");
-        request.set("X-Pomelorouter-Prompt-Prefix",
-                    prompt + "," + std::to_string(1000 + this->sent) + ":40");
+        request.set("X-Pomelorouter-Prompt-Prefix", prompt);
         const app::gateway& target =
             this->sent % 2 == 0 ? *this->test.gateway : *this->second;
         return this->test.fetch_from(target.own_settings().listen, request);
@@ -104,7 +108,10 @@
         const state::time_point time = state::now();
         const int before = this->harmful_arrivals;
         this->last_refusal =
-            this->send(std::string("5c1e07a2:60,") + harmful_part + ":30");
+            this->harmful_part_is_last
+                ? this->send_whole(std::string("5c1e07a2:60,900d:30,") + harmful_part +
+                                   ":40")
+                : this->send(std::string("5c1e07a2:60,") + harmful_part + ":30");
         this->harmful.push_back({time, this->harmful_arrivals - before});
     }
 
@@ -134,6 +141,8 @@
     /// Harmful requests that reached engines.
     int arrivals() const { return this->harmful_arrivals; }
 
+    /// Harmful requests have the same last part, and share all others with sound ones.
+    bool harmful_part_is_last = false;
     std::optional<transport::http_response> last_refusal;
     gateway_fixture test;
 
@@ -218,6 +227,21 @@
     CHECK(late.counted <= 3);
 }
 
+// Guards against harmful requests that differ from sound ones in their last part only,
+// which requests of one session share.
+TEST_CASE("requests with a last prompt part that crashes engines stop reaching engines")
+{
+    crashing_day day;
+    day.harmful_part_is_last = true;
+    day.play(milliseconds(8000));
+    const crashing_day::summary late = day.late_harmful(contact_time);
+    REQUIRE(late.sent >= 20);
+    CHECK(late.counted <= 3);
+    const crashing_day::summary sound = day.late_sound(contact_time);
+    REQUIRE(sound.sent >= 20);
+    CHECK(sound.counted * 2 >= sound.sent);
+}
+
 // Guards against callers that are refused because engines crash under requests of others.
 TEST_CASE("requests that share other prompt parts are served beside crashing ones")
 {
