Bound the tables whose keys clients choose

Cause: weight_demand kept a meter for each model and adapter that a request named, also for names that the configuration does not have, and never dropped one; names that wait were reported to other gateways before those in use. prompt_cache was bounded by the tokens of its parts only, so that parts of no or few tokens grew it without end or to one entry for each token of an engine, and prompt_quarantine remembered each part that was answered within 2 s, up to thousands for each prompt.

Change: only models and adapters of the configuration count as demand or as awaited; weight_demand keeps 4,096 names and drops those out of use, prompt_cache 1,024 parts for each engine, prompt_quarantine 16,384 answered parts. Beyond a bound, estimates are less exact; nothing is refused.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -166,6 +166,8 @@
     {
         this->demand.model = this->metadata.model;
         this->demand.adapter = this->metadata.adapter;
+        this->can_be_loaded =
+            service->engine->can_load(this->demand.model, this->demand.adapter);
     }
     this->demand.prompt_tokens = this->metadata.prompt_tokens;
     this->demand.output_tokens = this->metadata.output_tokens;
@@ -190,7 +192,8 @@
     this->charge_allowance();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
-    if (!this->demand.model.empty())
+    // Clients can invent names without end.
+    if (this->can_be_loaded)
     {
         this->shared.demand.on_request(
             this->started,
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -206,6 +206,8 @@
     std::optional<state::milliseconds> allowance_wait;
     request_metadata metadata;
     coordination::backend_demand demand;
+    /// Whether the configuration has the model and adapter of the request.
+    bool can_be_loaded = false;
     coordination::room_class room;
     /// Expected queue of the engine chosen last, and the limit of this request.
     double engine_queue_ms = 0.0;
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -219,9 +219,12 @@
          this->started + this->route->target_latency -
              milliseconds(static_cast<std::int64_t>(choice.idle_ms)),
          choice.idle_ms});
-    const bool is_missing = choice.failure == choice_failure::model_missing ||
-                            choice.failure == choice_failure::adapter_missing;
-    if (is_missing)
+    // Names that the configuration does not have would take the place of others in the
+    // reports to other gateways.
+    const bool is_awaited =
+        this->can_be_loaded && (choice.failure == choice_failure::model_missing ||
+                                choice.failure == choice_failure::adapter_missing);
+    if (is_awaited)
     {
         this->shared.demand.on_wait(name);
         this->shared.backends_changed.notify();
@@ -270,7 +273,7 @@
         choice = this->choose_now();
     }
     this->set_queued(std::nullopt);
-    if (is_missing)
+    if (is_awaited)
         this->shared.demand.on_wait_ended(name);
     this->shared.queue.leave(ticket);
     this->shared.loads_changed.notify();
--- a/src/libs/coordination/prompt_cache.cpp
+++ b/src/libs/coordination/prompt_cache.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+/// An engine caches fewer parts unless they have under 100 tokens each (100,000 tokens in
+/// all). The table would take 100 KB for each engine.
+constexpr std::size_t max_parts = 1024;
+
 std::uint64_t chain_hash(std::uint64_t before, const prompt_part& part)
 {
     return XXH3_64bits_withSeed(&part.id, sizeof part.id, before);
@@ -46,7 +50,8 @@
         this->items[key] = this->order.begin();
         this->kept_tokens += part.tokens;
     }
-    while (this->kept_tokens > this->max_tokens && !this->order.empty())
+    while (!this->order.empty() &&
+           (this->kept_tokens > this->max_tokens || this->items.size() > max_parts))
     {
         this->kept_tokens -= this->order.back().tokens;
         this->items.erase(this->order.back().key);
--- a/src/libs/coordination/prompt_cache.hpp
+++ b/src/libs/coordination/prompt_cache.hpp
@@ -16,7 +16,8 @@
     std::uint32_t tokens = 0;
 };
 
-/// Estimates from the requests sent to an engine which prompt parts it has cached.
+/// Estimates from the requests sent to an engine which prompt parts it has cached. Keeps
+/// a bounded number of parts, whatever their size.
 class prompt_cache
 {
 public:
@@ -32,6 +33,8 @@
     /// parts.
     void record(std::string_view weights, const std::vector<prompt_part>& parts);
     void clear();
+    /// Number of parts that are considered cached.
+    std::size_t size() const { return this->items.size(); }
 
 private:
     struct item
--- a/src/libs/coordination/prompt_quarantine.cpp
+++ b/src/libs/coordination/prompt_quarantine.cpp
@@ -33,6 +33,8 @@
 constexpr seconds cleared_part_ttl{5};
 /// Begins of answers are remembered for this long, for crashes that are reported late.
 constexpr seconds answer_ttl{2};
+/// Answers within `answer_ttl` to prompts of ten parts, at 800 of them per second.
+constexpr std::size_t max_answers = 16'384;
 constexpr std::size_t max_records = 256;
 constexpr std::size_t max_crashes_per_record = 16;
 constexpr std::size_t max_reports = protocol::max_suspect_parts;
@@ -178,7 +180,10 @@
     for (const std::uint64_t part : parts)
     {
         const part_key key{service, part};
-        this->answers[key] = now;
+        // Without it, only a crash that is reported late may wrongly count against the
+        // part, until its next answer begins.
+        if (this->answers.size() < max_answers || this->answers.count(key) > 0)
+            this->answers[key] = now;
         const auto found = this->records.find(key);
         if (found != this->records.end())
             this->clear(now, key, found->second);
--- a/src/libs/coordination/prompt_quarantine.hpp
+++ b/src/libs/coordination/prompt_quarantine.hpp
@@ -98,6 +98,8 @@
     std::vector<quarantined_part> take_quarantined();
     std::vector<part_key> take_released();
     std::size_t quarantined_parts() const;
+    /// Number of parts that were answered a moment ago.
+    std::size_t answered_parts() const { return this->answers.size(); }
     /// Return all parts that are quarantined, and those whose quarantine has ended.
     std::vector<quarantined_part> quarantined() const;
     std::vector<part_key> released() const;
--- a/src/libs/coordination/weight_demand.cpp
+++ b/src/libs/coordination/weight_demand.cpp
@@ -18,6 +18,10 @@
 constexpr state::milliseconds peer_report_ttl{2000};
 /// Models and adapters with a lower long-term rate are not reported.
 constexpr double min_tokens_per_s = 5.0;
+/// Several times the models and adapters of the largest deployment (310 models).
+constexpr std::size_t max_names = 4096;
+/// A full table is searched for names out of use at most this often.
+constexpr state::milliseconds drop_interval{1000};
 
 double decay(state::time_point from, state::time_point to, double time_constant_s)
 {
@@ -62,6 +66,18 @@
 void weight_demand::on_request(state::time_point now, const weight_name& name,
                                double tokens)
 {
+    const bool is_full =
+        this->meters.size() >= max_names && this->meters.count(name) == 0;
+    if (is_full)
+    {
+        if (now - this->dropped_unused < drop_interval)
+            return;
+        this->dropped_unused = now;
+        std::erase_if(this->meters, [now](const auto& entry)
+                      { return usual_rate(entry.second, now) < min_tokens_per_s; });
+        if (this->meters.size() >= max_names)
+            return;
+    }
     meter& item = this->meters[name];
     const double share = decay(item.updated, now, recent_window_s);
     item.requests = item.requests * share + 1.0;
@@ -71,6 +87,11 @@
     item.updated = now;
 }
 
+double weight_demand::usual_rate(const meter& item, state::time_point now)
+{
+    return item.usual_tokens * decay(item.updated, now, usual_window_s) / usual_window_s;
+}
+
 void weight_demand::on_wait(const weight_name& name)
 {
     ++this->waiting[name];
@@ -106,9 +127,7 @@
     for (const auto& [name, item] : this->meters)
     {
         const double share = decay(item.updated, now, recent_window_s) / recent_window_s;
-        const double usual_share =
-            decay(item.updated, now, usual_window_s) / usual_window_s;
-        const double usual = item.usual_tokens * usual_share;
+        const double usual = usual_rate(item, now);
         if (usual >= min_tokens_per_s)
             result[name] = {item.requests * share, item.tokens * share, usual, 0, 0, {}};
     }
--- a/src/libs/coordination/weight_demand.hpp
+++ b/src/libs/coordination/weight_demand.hpp
@@ -79,6 +79,7 @@
 public:
     using rates = std::map<weight_name, weight_rate>;
 
+    /// Names beyond a bounded number are not measured while all others are in use.
     void on_request(state::time_point now, const weight_name& name, double tokens);
     /// Count the requests that wait for the weights.
     void on_wait(const weight_name& name);
@@ -87,6 +88,8 @@
     void on_queued(const weight_name& name, std::size_t rank, std::uint32_t tokens);
     void on_queue_left(const weight_name& name, std::size_t rank, std::uint32_t tokens);
     bool has_waiting() const { return !this->waiting.empty(); }
+    /// Number of models and adapters whose demand is measured here.
+    std::size_t measured() const { return this->meters.size(); }
 
     /// Demand from the requests of this process.
     rates own_rates(state::time_point now) const;
@@ -128,9 +131,13 @@
         queue_map queues;
     };
 
+    /// Long-term rate of a meter.
+    static double usual_rate(const meter& item, state::time_point now);
     queue_map own_queues() const;
 
     std::map<weight_name, meter> meters;
+    /// When the names out of use were last dropped from the full table.
+    state::time_point dropped_unused{};
     std::map<weight_name, std::uint32_t> waiting;
     std::map<weight_name, protocol::tokens_by_rank> queued;
     std::map<report_source, peer_rates> peers;
--- a/src/libs/state/gateway_config.cpp
+++ b/src/libs/state/gateway_config.cpp
@@ -47,6 +47,14 @@
     return find_named(this->models, name);
 }
 
+bool engine_profile::can_load(std::string_view model, std::string_view adapter) const
+{
+    const hosted_model* const hosted = this->find_model(model);
+    return hosted != nullptr &&
+           (adapter.empty() || std::find(hosted->adapters.begin(), hosted->adapters.end(),
+                                         adapter) != hosted->adapters.end());
+}
+
 const gateway_service* gateway_config::find_service(std::string_view name) const
 {
     return find_named(this->services, name);
--- a/src/libs/state/gateway_config.hpp
+++ b/src/libs/state/gateway_config.hpp
@@ -91,6 +91,9 @@
 
     /// Returns the model, or null if there is none of that name.
     const hosted_model* find_model(std::string_view name) const;
+    /// Whether the engines can load the model and, unless `adapter` is empty, the
+    /// adapter.
+    bool can_load(std::string_view model, std::string_view adapter) const;
 };
 
 /// A group of interchangeable backend servers.
