Pass a large event on in pieces if there is no memory to hold it

Cause: relay_events() threw too_large when an incomplete event beyond 16 KiB got no memory. A running stream was broken off, or repeated at another engine, and the call counted as a failure of its engine, though memory-budget.md says that running requests are never broken off for memory. That happened to streams that cannot be resumed too, whose bytes are passed on at once and need no memory.

Change: without room, what is held of the event is passed on and the splitter keeps only the start of the current line, for its id and the end of the event. Until that event is complete, the stream is not resumed and not moved to a faster backend server, since another one could only begin the event again. An event over 256 KiB still ends the call.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -321,7 +321,8 @@
         return true;
     if (!this->route->may_retry() || this->unanswered_calls >= max_unanswered_calls)
         return false;
-    return last != call_end::broken_off || this->events.last_id().has_value();
+    return last != call_end::broken_off ||
+           (this->events.last_id().has_value() && !this->events.has_taken_part());
 }
 
 milliseconds relayed_request::first_byte_timeout(const backend_choice& choice) const
@@ -375,6 +376,12 @@
         this->arm_progress_timer(this->stall_timeout - pause + milliseconds(1));
         return;
     }
+    if (this->events.has_taken_part())
+    {
+        // Another backend server could not continue inside the event.
+        this->arm_progress_timer(this->stall_timeout);
+        return;
+    }
     const backend_choice other = this->shared.chooser.choose(
         now(), this->shared.directory, this->shared.loads, this->shared.limits,
         this->demand, this->tried, this->shared.random.unit());
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -152,6 +152,9 @@
                                                   std::string first);
     boost::asio::awaitable<call_end> relay_events(transport::http_call& backend,
                                                   call_record& record);
+    /// Adds a piece of a stream and returns what may be passed on now: complete events,
+    /// and without memory to hold it, the incomplete one.
+    std::string split_events(const std::string& piece);
     boost::asio::awaitable<void> begin_stream(const transport::http_response& head);
     /// Whether a response to a resumed call consists of the next events of the stream.
     bool continues_stream(const transport::http_response& head,
--- a/src/app/gateway/serving/relayed_request_response.cpp
+++ b/src/app/gateway/serving/relayed_request_response.cpp
@@ -130,6 +130,24 @@
     co_return call_end::completed;
 }
 
+std::string relayed_request::split_events(const std::string& piece)
+{
+    std::string result = this->events.feed(piece);
+    if (this->events.incomplete_size() > max_event_bytes)
+    {
+        throw transport::http_error(
+            error_code::too_large, this->last_backend,
+            "an event exceeds " + std::to_string(max_event_bytes) + " bytes", true);
+    }
+    const std::size_t held = this->events.incomplete_event().size();
+    if (this->response_memory.resize(held > small_event_bytes ? held : 0))
+        return result;
+    // Without memory to hold it, the event is passed on as it comes. The stream can then
+    // not be resumed before the event is complete.
+    this->response_memory.release();
+    return result + this->events.take_incomplete_event();
+}
+
 asio::awaitable<call_end> relayed_request::relay_events(transport::http_call& backend,
                                                         call_record& record)
 {
@@ -141,24 +159,14 @@
     {
         if (this->is_aborted())
             co_return call_end::broken_off;
-        std::string complete = this->events.feed(*piece);
-        if (!complete.empty())
+        std::string known = this->split_events(*piece);
+        if (!known.empty())
         {
             this->on_progress();
             this->on_answer_begun();
         }
-        const std::size_t event_bytes = this->events.incomplete_event().size();
-        const std::size_t counted = event_bytes > small_event_bytes ? event_bytes : 0;
-        if (event_bytes > max_event_bytes || !this->response_memory.resize(counted))
-        {
-            throw transport::http_error(
-                error_code::too_large, this->last_backend,
-                "an event exceeds " + std::to_string(max_event_bytes) +
-                    " bytes, or the memory for responses is in use",
-                true);
-        }
         // If the stream cannot be resumed, incomplete events are forwarded immediately.
-        std::string output = can_resume ? std::move(complete) : std::move(*piece);
+        std::string output = can_resume ? std::move(known) : std::move(*piece);
         if (output.empty())
             continue;
         if (!this->stream_begun)
--- a/src/libs/protocol/sse_event_splitter.cpp
+++ b/src/libs/protocol/sse_event_splitter.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Longer lines have no id.
+constexpr std::size_t max_id_line_bytes = 64;
+
 /// Returns the end of the event that begins at `from`, after its terminating blank line,
 /// or `npos` if the event is incomplete.
 std::size_t event_end(std::string_view text, std::size_t from)
@@ -32,24 +35,68 @@
         const std::size_t end = event_end(this->pending, complete);
         if (end == std::string::npos)
             break;
-        this->read_event(
-            std::string_view(this->pending).substr(complete, end - complete));
+        this->end_event(std::string_view(this->pending).substr(complete, end - complete));
         complete = end;
     }
-    std::string result = this->pending.substr(0, complete);
+    if (complete == 0)
+        return {};
+    std::string result =
+        this->pending.substr(this->known_bytes, complete - this->known_bytes);
     this->pending.erase(0, complete);
+    this->known_bytes = 0;
+    return result;
+}
+
+/// Keeps the start of the current line, which may be that of an id or the end of the
+/// event.
+std::string sse_event_splitter::take_incomplete_event()
+{
+    std::string result = this->pending.substr(this->known_bytes);
+    const std::size_t newline = this->pending.rfind('\n');
+    const bool has_newline = newline != std::string::npos;
+    if (has_newline)
+    {
+        const auto found =
+            find_id(std::string_view(this->pending).substr(0, newline + 1));
+        if (found)
+            this->taken_id = found;
+        this->pending.erase(0, newline);
+    }
+    // Any text stands for a line without an id.
+    if (this->pending.size() > max_id_line_bytes)
+        this->pending = has_newline ? "\n:" : ":";
+    this->known_bytes = this->pending.size();
+    this->taken_bytes += result.size();
     return result;
 }
 
-void sse_event_splitter::read_event(std::string_view event)
+void sse_event_splitter::discard_incomplete_event()
+{
+    this->pending.clear();
+    this->known_bytes = 0;
+    this->taken_bytes = 0;
+    this->taken_id.reset();
+}
+
+void sse_event_splitter::end_event(std::string_view event)
 {
     ++this->count;
+    const auto found = find_id(event);
+    if (found || this->taken_id)
+        this->id = found ? found : this->taken_id;
+    this->taken_bytes = 0;
+    this->taken_id.reset();
+}
+
+std::optional<std::uint64_t> sse_event_splitter::find_id(std::string_view lines)
+{
     constexpr std::string_view id_prefix = "id:";
+    std::optional<std::uint64_t> result;
     std::size_t begin = 0;
-    while (begin < event.size())
+    while (begin < lines.size())
     {
-        const std::size_t end = std::min(event.find('\n', begin), event.size());
-        std::string_view line = event.substr(begin, end - begin);
+        const std::size_t end = std::min(lines.find('\n', begin), lines.size());
+        std::string_view line = lines.substr(begin, end - begin);
         begin = end + 1;
         if (line.substr(0, id_prefix.size()) != id_prefix)
             continue;
@@ -60,8 +107,9 @@
         const auto parsed =
             std::from_chars(line.data(), line.data() + line.size(), value);
         if (parsed.ec == std::errc())
-            this->id = value;
+            result = value;
     }
+    return result;
 }
 
 } // namespace pomelorouter::protocol
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <vector>
@@ -208,6 +209,49 @@
     CHECK_FALSE(none.last_id().has_value());
 }
 
+TEST_CASE("a stream whose incomplete events are taken has the same bytes, events and ids")
+{
+    // Guards against bytes that are lost or passed on twice, and against an id that is
+    // read from the middle of a line or overlooked at a boundary.
+    const std::string long_line(100, 'x');
+    const std::string stream = "id: 1\ndata: a\n\ndata: " + long_line +
+                               "id: 5\nid: 2\ndata: b\n\n"
+                               "id: 7\r\ndata: d\r\n\r\n" +
+                               long_line + "\nid: 8\n\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece)
+    {
+        CAPTURE(piece);
+        sse_event_splitter cutter;
+        std::string out;
+        std::size_t longest_held = 0;
+        std::vector<std::uint64_t> ids;
+        for (std::size_t from = 0; from < stream.size(); from += piece)
+        {
+            out += cutter.feed(std::string_view(stream).substr(from, piece));
+            out += cutter.take_incomplete_event();
+            CHECK(out == stream.substr(0, from + piece));
+            CHECK(cutter.has_taken_part() == !cutter.incomplete_event().empty());
+            longest_held = std::max(longest_held, cutter.incomplete_event().size());
+            const std::uint64_t id = cutter.last_id().value_or(0);
+            if (ids.empty() || ids.back() != id)
+                ids.push_back(id);
+        }
+        CHECK(cutter.events() == 4);
+        CHECK(longest_held <= 65);
+        CHECK(cutter.last_id() == 8);
+        for (const std::uint64_t id : ids)
+            CHECK((id == 0 || id == 1 || id == 2 || id == 7 || id == 8));
+    }
+    sse_event_splitter cutter;
+    cutter.feed(long_line);
+    cutter.take_incomplete_event();
+    cutter.feed(long_line);
+    CHECK(cutter.incomplete_size() == 2 * long_line.size());
+    cutter.discard_incomplete_event();
+    CHECK(cutter.incomplete_size() == 0);
+    CHECK(!cutter.has_taken_part());
+}
+
 TEST_CASE("a decoded page of backend servers equals the encoded one")
 {
     protocol::backend_page page;
