Do not close a connection as idle whose next request has been read

Cause: a session that waits for a request did so with an asynchronous read. If the read was done and the session not yet resumed, the connection was still in the list of idle ones and its socket had no unread bytes, so that it was closed for a new connection. Its request was then run, and the response could not be sent. In the same moment, has_unread_requests() did not see the request during a planned stop, nor was it counted as in flight.

Change: the session waits until the socket is readable. It takes the bytes in the same step in which it leaves the list and counts the request. The idle timeout uses the timer of requests.

--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -254,12 +254,23 @@
 {
     constexpr std::size_t read_bytes = 4096;
     this->idle_place = this->shared->idle.insert(this->shared->idle.end(), this);
-    this->stream.expires_after(this->shared->limits.idle_timeout);
-    const std::size_t size = co_await this->stream.async_read_some(
-        this->buffer.prepare(read_bytes),
-        asio::redirect_error(asio::use_awaitable, failure));
-    this->buffer.commit(size);
+    // An asynchronous read would take the bytes of a request before the session
+    // continues, and the connection would seem to have none and be closed as idle.
+    this->start_read_timeout(this->shared->limits.idle_timeout);
+    asio::ip::tcp::socket& socket = this->stream.socket();
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    do
+    {
+        co_await socket.async_wait(asio::socket_base::wait_read,
+                                   asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+            this->buffer.commit(
+                socket.read_some(this->buffer.prepare(read_bytes), failure));
+    } while (failure == asio::error::would_block);
     this->leave_idle();
+    this->timeout->active = false;
+    this->read_timer.cancel();
 }
 
 /// The timeout of the stream is not used, since it closes the socket and the server could
--- a/tests/auto/transport/tst_http_server_memory.cpp
+++ b/tests/auto/transport/tst_http_server_memory.cpp
@@ -91,6 +91,44 @@
     std::vector<std::unique_ptr<std::string>> sent;
 };
 
+/// Connection whose bytes are sent and received outside of the event loop.
+class blocking_client
+{
+public:
+    explicit blocking_client(const std::string& address) : socket(this->own_loop)
+    {
+        this->socket.connect(transport::parse_address(address));
+        this->socket.non_blocking(true);
+    }
+
+    void send(const std::string& text)
+    {
+        boost::asio::write(this->socket, boost::asio::buffer(text));
+    }
+    /// Returns how often `text` has been received.
+    int count_received(const std::string& text)
+    {
+        std::array<char, 1024> bytes{};
+        boost::system::error_code failure;
+        while (!failure)
+        {
+            const std::size_t size =
+                this->socket.read_some(boost::asio::buffer(bytes), failure);
+            this->received.append(bytes.data(), size);
+        }
+        int count = 0;
+        for (std::size_t at = this->received.find(text); at != std::string::npos;
+             at = this->received.find(text, at + text.size()))
+            ++count;
+        return count;
+    }
+
+private:
+    boost::asio::io_context own_loop;
+    tcp::socket socket;
+    std::string received;
+};
+
 std::string head(const std::string& path, std::size_t length)
 {
     return "POST " + path +
@@ -101,9 +139,10 @@
 class memory_fixture
 {
 public:
-    memory_fixture()
-        : memory(std::make_shared<transport::memory_budget>(process_bytes)),
-          server(this->loop, {}, this->handler, this->counters)
+    explicit memory_fixture(std::size_t bytes = process_bytes,
+                            const transport::http_server_limits& limits = {})
+        : memory(std::make_shared<transport::memory_budget>(bytes)),
+          server(this->loop, limits, this->handler, this->counters)
     {
         this->server.set_memory(this->memory, transport::memory_use::requests);
         this->address = this->server.listen("127.0.0.1:0");
@@ -195,3 +234,32 @@
     small.send(head("/unknown", 2) + "ab");
     CHECK(test.run_until([&] { return small.has_received("done"); }));
 }
+
+// Guards against a connection that is closed as idle although its next request has been
+// read: the client does not know whether that request was run.
+TEST_CASE("a connection whose request has been read does not give way as idle")
+{
+    transport::http_server_limits limits;
+    limits.max_connections = 1;
+    limits.idle_connections_give_way = true;
+    constexpr std::size_t enough_bytes = 32 * 1024 * 1024;
+    constexpr int rounds = 3;
+    for (int round = 0; round < rounds; ++round)
+    {
+        CAPTURE(round);
+        memory_fixture test(enough_bytes, limits);
+        blocking_client client(test.address);
+        client.send(head("/known", 2) + "ab");
+        // The loop stops right after the first response was written, before the session
+        // waits for the next request.
+        REQUIRE(test.run_until([&] { return test.handler.calls == 1; }));
+        const blocking_client refused(test.address);
+        client.send(head("/known", 2) + "ab");
+        CHECK(test.run_until([&] { return test.handler.calls == 2; }));
+        CHECK(test.run_until([&] { return client.count_received("done") == 2; }));
+        // Guards against a connection that keeps others out while it is idle.
+        blocking_client other(test.address);
+        other.send(head("/known", 2) + "ab");
+        CHECK(test.run_until([&] { return other.count_received("done") == 1; }));
+    }
+}
