Let only as many senders give way as a waiting request lacks memory

Cause: make_room() was asked for the whole size of a reservation although a part of it was free, so that late senders lost their connections for memory that nobody needed.

Change: memory_budget::missing() says what a use lacks in its own part and in the part of all callers, and only that has to be given back.

--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -433,7 +433,9 @@
             this->refused = this->no_memory(reservation, bytes);
             break;
         }
-        this->shared->make_room(reservation.use(), bytes - reservation.bytes());
+        this->shared->make_room(reservation.use(),
+                                this->shared->memory->missing(
+                                    reservation.use(), bytes - reservation.bytes()));
         co_await this->shared->memory_released.wait(std::min(left, room_check_period));
     }
     this->waits_for_memory = false;
--- a/src/libs/transport/memory_budget.cpp
+++ b/src/libs/transport/memory_budget.cpp
@@ -56,12 +56,7 @@
 
 bool memory_budget::try_take(memory_use use, std::size_t bytes)
 {
-    const auto has_room = [bytes](std::size_t taken, std::size_t limit)
-    { return bytes <= limit && taken <= limit - bytes; };
-    if (!has_room(this->held(use), this->limit(use)))
-        return false;
-    const bool is_of_callers = use != memory_use::probes && use != memory_use::control;
-    if (is_of_callers && !has_room(this->held_by_callers(), this->callers_limit))
+    if (this->missing(use, bytes) > 0)
         return false;
     this->held_bytes[index_of(use)] += bytes;
     if (this->gauges[index_of(use)] != nullptr)
@@ -77,6 +72,19 @@
         this->gauges[index_of(use)]->add(-static_cast<std::int64_t>(given));
 }
 
+std::size_t memory_budget::missing(memory_use use, std::size_t bytes) const
+{
+    const auto lack = [bytes](std::size_t taken, std::size_t limit)
+    {
+        const std::size_t room = limit - std::min(taken, limit);
+        return bytes - std::min(bytes, room);
+    };
+    const std::size_t own = lack(this->held(use), this->limit(use));
+    if (!is_of_callers(use))
+        return own;
+    return std::max(own, lack(this->held_by_callers(), this->callers_limit));
+}
+
 bool memory_budget::can_ever_take(memory_use use, std::size_t bytes) const
 {
     return bytes <= this->limit(use);
@@ -111,6 +119,11 @@
     return this->callers_limit + this->probes_limit + this->control_limit;
 }
 
+bool memory_budget::is_of_callers(memory_use use)
+{
+    return use != memory_use::probes && use != memory_use::control;
+}
+
 std::size_t memory_budget::held_by_callers() const
 {
     return this->held(memory_use::connections) + this->held(memory_use::requests) +
--- a/src/libs/transport/memory_budget.hpp
+++ b/src/libs/transport/memory_budget.hpp
@@ -43,6 +43,8 @@
     /// Takes `bytes` if the use and its group have room. Returns whether it did.
     bool try_take(memory_use use, std::size_t bytes);
     void give_back(memory_use use, std::size_t bytes);
+    /// Returns how much must be given back before a use can take `bytes`.
+    std::size_t missing(memory_use use, std::size_t bytes) const;
     /// Whether a reservation of `bytes` has room if nothing else is held.
     bool can_ever_take(memory_use use, std::size_t bytes) const;
 
@@ -55,6 +57,7 @@
     void export_to(state::counter_registry& counters);
 
 private:
+    static bool is_of_callers(memory_use use);
     std::size_t held_by_callers() const;
 
     /// Part of all callers.
--- a/tests/auto/transport/tst_http_server_memory.cpp
+++ b/tests/auto/transport/tst_http_server_memory.cpp
@@ -263,3 +263,32 @@
         CHECK(test.run_until([&] { return other.count_received("done") == 1; }));
     }
 }
+
+// Guards against senders that lose their connection although the memory of another one
+// was enough.
+TEST_CASE("only as many senders give way as another request needs")
+{
+    // Large bodies get 2,876 KiB: two of 1 MiB, which take 1,088 KiB each, and 700 KiB.
+    // One of 1.5 MiB takes 1,600 KiB.
+    constexpr std::size_t bytes = 2876 * 1024 / 5 * 8 / 9 * 16;
+    constexpr std::size_t stalled_bytes = 1024 * 1024;
+    constexpr std::size_t new_bytes = 1536 * 1024;
+    constexpr std::size_t held_by_stalled = 2 * 1088 * 1024;
+    memory_fixture test(bytes);
+    std::vector<std::unique_ptr<raw_client>> stalled;
+    for (int i = 0; i < 2; ++i)
+    {
+        stalled.push_back(std::make_unique<raw_client>(test.loop, test.address));
+        stalled.back()->send(head("/known", stalled_bytes) +
+                             std::string(stalled_bytes / 100, 'a'));
+    }
+    REQUIRE(test.run_until(
+        [&] {
+            return test.memory->held(transport::memory_use::large_bodies) ==
+                   held_by_stalled;
+        }));
+    raw_client other(test.loop, test.address);
+    other.send(head("/known", new_bytes) + std::string(new_bytes, 'a'));
+    CHECK(test.run_until([&] { return other.has_received("done"); }));
+    CHECK(test.counters.count("memory_closed_connections_total", "").get() == 1);
+}
--- a/tests/auto/transport/tst_memory_budget.cpp
+++ b/tests/auto/transport/tst_memory_budget.cpp
@@ -60,6 +60,40 @@
     }
 }
 
+TEST_CASE("what a use misses is what it or its group lacks")
+{
+    // Guards against senders that give way for memory which is free.
+    struct row
+    {
+        std::size_t held_requests;
+        std::size_t held_bodies;
+        memory_use use;
+        std::size_t bytes;
+        std::size_t missing;
+    };
+    constexpr auto most = static_cast<std::size_t>(-1);
+    const std::vector<row> rows{
+        {0, 0, memory_use::large_bodies, 560, 0},
+        {0, 0, memory_use::large_bodies, 561, 1},
+        {0, 500, memory_use::large_bodies, 200, 140},
+        {800, 0, memory_use::large_bodies, 200, 100},
+        {400, 500, memory_use::requests, 30, 30},
+        {400, 500, memory_use::probes, 100, 0},
+        {400, 500, memory_use::probes, 130, 30},
+        {400, 500, memory_use::requests, most, most},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.held_requests);
+        CAPTURE(item.held_bodies);
+        CAPTURE(item.bytes);
+        memory_budget budget(process_bytes);
+        REQUIRE(budget.try_take(memory_use::requests, item.held_requests));
+        REQUIRE(budget.try_take(memory_use::large_bodies, item.held_bodies));
+        CHECK(budget.missing(item.use, item.bytes) == item.missing);
+    }
+}
+
 TEST_CASE("a reservation gives its memory back on every path")
 {
     // Guards against memory that stays reserved after the end of a request, until no
