Keep room to complete the largest chunked body

Cause: chunked bodies reserve memory as they grow. When several of them held a part each and filled the part for large bodies, none could grow; the first to wait for 0.5 s was refused, which freed room for the next ones, until few were left. The longest body of all could be the one that was refused.

Change: a reservation for a large body leaves so much free that the largest body of unknown size can grow to the maximum, at most half of the part. That body therefore never waits for others of its kind, and they get its room when it is complete.

--- a/src/libs/transport/http_server_state.cpp
+++ b/src/libs/transport/http_server_state.cpp
@@ -3,6 +3,8 @@
 #include "state/log.hpp"
 #include "transport/http_session.hpp"
 
+#include <algorithm>
+
 namespace pomelorouter::transport::internal
 {
 
@@ -10,6 +12,20 @@
 using state::milliseconds;
 using state::now;
 
+namespace
+{
+
+/// At most this part of the memory for large bodies is kept free. Without a bound, a
+/// configuration with very large bodies would leave no room to small ones.
+constexpr std::size_t kept_free_divisor = 2;
+
+} // namespace
+
+std::size_t body_cost(std::size_t bytes)
+{
+    return bytes + std::min(bytes, read_buffer_bytes);
+}
+
 http_server_state::http_server_state(asio::io_context& event_loop,
                                      const http_server_limits& server_limits,
                                      http_handler& request_handler,
@@ -52,6 +68,25 @@
     return false;
 }
 
+std::size_t http_server_state::kept_free(const http_session& session, memory_use use,
+                                         std::size_t bytes) const
+{
+    if (use != memory_use::large_bodies)
+        return 0;
+    std::size_t largest = session.has_open_size() ? bytes : 0;
+    for (const http_session* const other : this->receiving)
+    {
+        if (other->has_open_size() && !other->has_given_way())
+            largest = std::max(largest, other->held(use));
+    }
+    if (largest == 0)
+        return 0;
+    const std::size_t most =
+        std::min(body_cost(this->limits.max_body_bytes + read_buffer_bytes),
+                 this->memory->limit(use) / kept_free_divisor);
+    return most - std::min(most, largest);
+}
+
 void http_server_state::make_room(memory_use use, std::size_t bytes)
 {
     std::size_t released = 0;
--- a/src/libs/transport/http_server_state.hpp
+++ b/src/libs/transport/http_server_state.hpp
@@ -27,6 +27,10 @@
     /// Closes the connection that has waited longest for a request. Returns whether there
     /// was one.
     bool close_longest_idle();
+    /// Memory that stays free if the request of a session gets `bytes` for a use, so that
+    /// the largest body of unknown size can be completed.
+    std::size_t kept_free(const http_session& session, memory_use use,
+                          std::size_t bytes) const;
     /// Makes senders that stand still give way, the one that is latest first, until they
     /// will have given back `bytes` of the memory for a use.
     void make_room(memory_use use, std::size_t bytes);
--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -39,8 +39,6 @@
 constexpr milliseconds drop_time{2000};
 /// A read buffer that grew beyond this is released after the request.
 constexpr std::size_t max_idle_buffer_bytes = 16 * 1024;
-/// Read buffer of a request with a body.
-constexpr std::size_t read_buffer_bytes = 64 * 1024;
 /// First reservation of a body of unknown size that is not small. Later ones double it.
 constexpr std::size_t first_large_reservation_bytes = 256 * 1024;
 constexpr double ms_per_s = 1000.0;
@@ -50,12 +48,6 @@
     return static_cast<std::size_t>(std::distance(request.begin(), request.end()));
 }
 
-/// Memory that a body of the given size and the buffer for its reads take.
-std::size_t body_cost(std::size_t bytes)
-{
-    return bytes + std::min(bytes, read_buffer_bytes);
-}
-
 /// Rejects ambiguous framing, which two HTTP implementations may parse differently.
 void check_framing(const http_request& head, boost::system::error_code& failure)
 {
@@ -364,6 +356,7 @@
     const std::size_t capacity =
         std::min(std::max(first_large_reservation_bytes, 2 * body.capacity()),
                  this->shared->limits.max_body_bytes + read_buffer_bytes);
+    this->is_open_ended = true;
     co_await this->reserve(this->body_memory, body_cost(capacity));
     if (!this->refused)
         body.reserve(capacity);
@@ -377,8 +370,7 @@
     const bool is_small = length <= small_body_bytes;
     memory_reservation& memory = is_small ? this->request_memory : this->body_memory;
     const std::size_t cost = body_cost(length) + (is_small ? request_bytes : 0);
-    if (!memory.resize(cost))
-        co_await this->reserve(memory, cost);
+    co_await this->reserve(memory, cost);
     if (this->refused)
         co_return;
     const std::size_t fields = count_fields(parser.get());
@@ -403,20 +395,29 @@
         failure = http::error::bad_field;
 }
 
+std::size_t http_session::needed(const memory_reservation& reservation,
+                                 std::size_t bytes) const
+{
+    return bytes - reservation.bytes() +
+           this->shared->kept_free(*this, reservation.use(), bytes);
+}
+
 bool http_session::try_reserve(memory_reservation& reservation, std::size_t bytes)
 {
-    while (!reservation.resize(bytes))
+    if (!this->shared->memory)
+        return true;
+    const memory_budget& budget = *this->shared->memory;
+    const memory_use use = reservation.use();
+    const std::size_t more = this->needed(reservation, bytes);
+    while (budget.missing(use, more) > 0)
     {
-        const memory_budget& budget = *this->shared->memory;
         // Idle connections hold memory of their own use, so closing them does not help a
         // use whose own part is full.
-        const bool has_own_part =
-            budget.held(reservation.use()) - reservation.bytes() + bytes <=
-            budget.limit(reservation.use());
+        const bool has_own_part = budget.held(use) + more <= budget.limit(use);
         if (!has_own_part || !this->shared->close_longest_idle())
             return false;
     }
-    return true;
+    return reservation.resize(bytes);
 }
 
 asio::awaitable<void> http_session::reserve(memory_reservation& reservation,
@@ -433,9 +434,9 @@
             this->refused = this->no_memory(reservation, bytes);
             break;
         }
-        this->shared->make_room(reservation.use(),
-                                this->shared->memory->missing(
-                                    reservation.use(), bytes - reservation.bytes()));
+        const memory_use use = reservation.use();
+        this->shared->make_room(
+            use, this->shared->memory->missing(use, this->needed(reservation, bytes)));
         co_await this->shared->memory_released.wait(std::min(left, room_check_period));
     }
     this->waits_for_memory = false;
@@ -607,6 +608,7 @@
     this->current_request = no_request();
     if (this->buffer.size() == 0 && this->buffer.capacity() > max_idle_buffer_bytes)
         this->buffer.shrink_to_fit();
+    this->is_open_ended = false;
     this->body_memory.release();
     this->request_memory.release();
     this->shared->memory_released.notify();
--- a/src/libs/transport/http_session.hpp
+++ b/src/libs/transport/http_session.hpp
@@ -27,6 +27,11 @@
 inline constexpr std::size_t request_bytes = 80 * 1024;
 /// Bodies up to this size are not large.
 inline constexpr std::size_t small_body_bytes = 64 * 1024;
+/// Read buffer of a request with a body.
+inline constexpr std::size_t read_buffer_bytes = 64 * 1024;
+
+/// Memory that a body of the given size and the buffer for its reads take.
+std::size_t body_cost(std::size_t bytes);
 
 /// One connection of a server.
 class http_session : public http_exchange
@@ -89,6 +94,8 @@
     bool has_given_way() const { return this->gave_way; }
     /// Whether the session waits for memory itself.
     bool is_waiting() const { return this->waits_for_memory; }
+    /// Whether a large body is being received whose size is not known.
+    bool has_open_size() const { return this->is_open_ended; }
     const receive_progress& progress() const { return this->received; }
     /// Memory that the request holds of a use.
     std::size_t held(memory_use use) const;
@@ -133,11 +140,12 @@
     void check_head(const request_parser& parser);
     /// Reserves more memory for a body of unknown size. Sets `refused` if that fails.
     boost::asio::awaitable<void> extend_body(request_parser& parser);
-    /// Waits for a short time until a reservation has room, for requests that did not get
-    /// it at once. Sets `refused` if it has
+    /// Waits for a short time until a reservation has room. Sets `refused` if it has
     /// none.
     boost::asio::awaitable<void> reserve(memory_reservation& reservation,
                                          std::size_t bytes);
+    /// Room that a reservation needs to hold `bytes`, with what is kept free.
+    std::size_t needed(const memory_reservation& reservation, std::size_t bytes) const;
     bool try_reserve(memory_reservation& reservation, std::size_t bytes);
     static const std::shared_ptr<const http_request>& no_request();
     static refused_request make_refusal(const state::error& failure);
@@ -177,6 +185,7 @@
     bool keep_alive = true;
     bool gave_way = false;
     bool waits_for_memory = false;
+    bool is_open_ended = false;
     /// Whether the connection has received a byte of a request.
     bool has_received_bytes = false;
     std::optional<in_flight_guard> first_request_guard;
--- a/tests/auto/transport/tst_http_server_memory.cpp
+++ b/tests/auto/transport/tst_http_server_memory.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
+#include <cstdio>
 #include <memory>
 #include <optional>
 #include <string>
@@ -129,6 +131,13 @@
     std::string received;
 };
 
+std::string chunk(std::size_t size)
+{
+    std::array<char, 16> line{};
+    std::snprintf(line.data(), line.size(), "%zx\r\n", size);
+    return line.data() + std::string(size, 'a') + "\r\n";
+}
+
 std::string head(const std::string& path, std::size_t length)
 {
     return "POST " + path +
@@ -264,6 +273,50 @@
     }
 }
 
+// Guards against chunked bodies of which each holds a part of the memory and waits for
+// the rest, until nearly all are refused.
+TEST_CASE("chunked bodies that wait for one another do not block all")
+{
+    // Large bodies get 2,880 KiB: nine first reservations of 320 KiB. A whole body needs
+    // 832 KiB.
+    constexpr std::size_t bytes = 8 * 1024 * 1024;
+    constexpr std::size_t first_part = 150 * 1024;
+    constexpr std::size_t second_part = 550 * 1024;
+    constexpr std::size_t held_in_parts = 5 * 320 * 1024;
+    transport::http_server_limits limits;
+    limits.max_body_bytes = 704 * 1024;
+    for (const std::size_t senders : {9, 12})
+    {
+        CAPTURE(senders);
+        memory_fixture test(bytes, limits);
+        std::vector<std::unique_ptr<raw_client>> clients;
+        for (std::size_t i = 0; i < senders; ++i)
+        {
+            clients.push_back(std::make_unique<raw_client>(test.loop, test.address));
+            clients.back()->send("POST /known HTTP/1.1\r\nHost: x\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n" +
+                                 chunk(first_part));
+        }
+        REQUIRE(test.run_until(
+            [&] {
+                return test.memory->held(transport::memory_use::large_bodies) >=
+                       held_in_parts;
+            }));
+        for (const auto& client : clients)
+            client->send(chunk(second_part) + "0\r\n\r\n");
+        const auto count = [&](const std::string& text)
+        {
+            return static_cast<std::size_t>(std::count_if(
+                clients.begin(), clients.end(),
+                [&text](const auto& client) { return client->has_received(text); }));
+        };
+        CHECK(test.run_until(
+            [&] { return count("done") + count("\"not_run\"") == senders; }));
+        CHECK(count("done") >= senders / 2);
+        CHECK(static_cast<std::size_t>(test.handler.calls) == count("done"));
+    }
+}
+
 // Guards against senders that lose their connection although the memory of another one
 // was enough.
 TEST_CASE("only as many senders give way as another request needs")
