Bound what the kernel receives from clients ahead of the server

Cause: while a request runs, the server does not read its connection, and the kernel goes on receiving. Bytes that are received and not read count as memory of the process, and no limit was set: the receive buffer grows once a connection has sent large bodies fast. The 80 KiB of a request have about 30 KiB for them.

Change: listeners with a memory budget set a receive buffer of 20 KiB, which accepted connections inherit; the kernel takes 30 KiB with it.

Measured: after 8 bodies of 4 MiB on one connection, the kernel took 256,971 and 231,318 bytes of a sent-ahead stream while a request ran ("what the kernel holds of requests that are sent ahead is bounded" in tst_transport, which failed); 30,720 now, and the bodies took as long as before over loopback (52 and 108 ms; 107 and 82 ms with a buffer of 1 MiB, where the kernel took 2,067,632 bytes; single trials). tst_transport passes 28 of 28 cases, tst_platform without its long suites 84 of 84, tst_memory 16 of 16.

Lack of descriptors was looked at too, without a fault: with 100 descriptors and 200 callers of a backend server that takes 5 s, 150 connections were closed unread, 14 requests were refused with 503 and not_run since no connection to the backend server could be opened, 36 ran, and an ordinary request was answered at its third try, 0.1 s after the crowd had begun (one trial, not kept as a test).

--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -29,6 +29,11 @@
 /// Pause after the kernel refused to accept a connection, for example for lack of
 /// descriptors; without it, the server would try again without end.
 constexpr state::milliseconds accept_retry_delay{20};
+/// Receive buffer of a connection, in which the kernel holds half as much again. Bytes
+/// that are not read yet count as memory of the process, and by default the kernel
+/// enlarges the buffer to megabytes. With 30 KiB, a client at a round trip of 1 ms can
+/// send 30 MB/s, and one at 30 ms 1 MB/s.
+constexpr int receive_buffer_bytes = 20 * 1024;
 
 bool reserve_connection(http_server_state& server, memory_reservation& memory)
 {
@@ -56,6 +61,13 @@
 std::string http_server::listen(const std::string& address)
 {
     std::string bound = open_listener(this->shared->acceptor, address);
+    if (this->shared->memory)
+    {
+        // Accepted connections inherit it.
+        boost::system::error_code ignored;
+        this->shared->acceptor.set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    }
     asio::co_spawn(this->shared->loop, accept_loop(this->shared), asio::detached);
     return bound;
 }
--- a/tests/auto/transport/tst_http_server_memory.cpp
+++ b/tests/auto/transport/tst_http_server_memory.cpp
@@ -5,12 +5,16 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -107,6 +111,19 @@
     {
         boost::asio::write(this->socket, boost::asio::buffer(text));
     }
+    /// Sends what the kernel takes now, and returns its size.
+    std::size_t send_some(std::string_view text)
+    {
+        boost::system::error_code failure;
+        return this->socket.write_some(boost::asio::buffer(text), failure);
+    }
+    /// Bytes that the kernel has taken and the other side has not received.
+    std::size_t unreceived()
+    {
+        int size = 0;
+        ::ioctl(this->socket.native_handle(), SIOCOUTQ, &size);
+        return static_cast<std::size_t>(size);
+    }
     /// Returns how often `text` has been received.
     int count_received(const std::string& text)
     {
@@ -345,3 +362,51 @@
     CHECK(test.run_until([&] { return other.has_received("done"); }));
     CHECK(test.counters.count("memory_closed_connections_total", "").get() == 1);
 }
+
+// Guards against a machine whose memory is filled by what clients send ahead: bytes that
+// the kernel has received and the process has not read count as its memory.
+TEST_CASE("what the kernel holds of requests that are sent ahead is bounded")
+{
+    constexpr std::size_t bytes = 64 * 1024 * 1024;
+    constexpr std::size_t large = 4 * 1024 * 1024;
+    constexpr std::size_t sent_ahead = 16 * 1024 * 1024;
+    // What a request reserves, which includes the bytes that the kernel holds.
+    constexpr std::size_t most_unread = 80 * 1024;
+    constexpr int rest_rounds = 100;
+    memory_fixture test(bytes);
+    blocking_client client(test.address);
+    const auto send_all = [&](const std::string& text)
+    {
+        std::size_t sent = 0;
+        return test.run_until(
+            [&]
+            {
+                sent += client.send_some(std::string_view(text).substr(sent));
+                return sent == text.size();
+            });
+    };
+    // The kernel enlarges the receive buffer of a connection whose bytes are read fast.
+    constexpr int bodies = 8;
+    for (int i = 1; i <= bodies; ++i)
+    {
+        REQUIRE(send_all(head("/known", large) + std::string(large, 'a')));
+        REQUIRE(test.run_until([&] { return client.count_received("done") == i; }));
+    }
+    test.handler.is_open = false;
+    REQUIRE(send_all(head("/known", 0)));
+    REQUIRE(test.run_until([&] { return test.handler.calls == bodies + 1; }));
+    const std::string ahead(sent_ahead, 'a');
+    std::size_t sent = 0;
+    std::size_t received = 0;
+    int rounds_at_rest = 0;
+    CHECK(test.run_until(
+        [&]
+        {
+            sent += client.send_some(std::string_view(ahead).substr(sent));
+            const std::size_t before = received;
+            received = sent - client.unreceived();
+            rounds_at_rest = received == before ? rounds_at_rest + 1 : 0;
+            return rounds_at_rest > rest_rounds;
+        }));
+    CHECK(received <= most_unread);
+}
