--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -166,6 +166,8 @@
     {
         this->demand.model = this->metadata.model;
         this->demand.adapter = this->metadata.adapter;
+        this->can_be_loaded =
+            service->engine->can_load(this->demand.model, this->demand.adapter);
     }
     this->demand.prompt_tokens = this->metadata.prompt_tokens;
     this->demand.output_tokens = this->metadata.output_tokens;
@@ -190,7 +192,8 @@
     this->charge_allowance();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
-    if (!this->demand.model.empty())
+    // Clients can invent names without end.
+    if (this->can_be_loaded)
     {
         this->shared.demand.on_request(
             this->started,
@@ -318,7 +321,8 @@
         return true;
     if (!this->route->may_retry() || this->unanswered_calls >= max_unanswered_calls)
         return false;
-    return last != call_end::broken_off || this->events.last_id().has_value();
+    return last != call_end::broken_off ||
+           (this->events.last_id().has_value() && !this->events.has_taken_part());
 }
 
 milliseconds relayed_request::first_byte_timeout(const backend_choice& choice) const
@@ -372,6 +376,12 @@
         this->arm_progress_timer(this->stall_timeout - pause + milliseconds(1));
         return;
     }
+    if (this->events.has_taken_part())
+    {
+        // Another backend server could not continue inside the event.
+        this->arm_progress_timer(this->stall_timeout);
+        return;
+    }
     const backend_choice other = this->shared.chooser.choose(
         now(), this->shared.directory, this->shared.loads, this->shared.limits,
         this->demand, this->tried, this->shared.random.unit());
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -152,6 +152,9 @@
                                                   std::string first);
     boost::asio::awaitable<call_end> relay_events(transport::http_call& backend,
                                                   call_record& record);
+    /// Adds a piece of a stream and returns what may be passed on now: complete events,
+    /// and without memory to hold it, the incomplete one.
+    std::string split_events(const std::string& piece);
     boost::asio::awaitable<void> begin_stream(const transport::http_response& head);
     /// Whether a response to a resumed call consists of the next events of the stream.
     bool continues_stream(const transport::http_response& head,
@@ -208,6 +211,8 @@
     std::optional<state::milliseconds> allowance_wait;
     request_metadata metadata;
     coordination::backend_demand demand;
+    /// Whether the configuration has the model and adapter of the request.
+    bool can_be_loaded = false;
     coordination::room_class room;
     /// Expected queue of the engine chosen last, and the limit of this request.
     double engine_queue_ms = 0.0;
