Apply the limits in force when a request begins, and idle timeouts at once

Change: the limits of a server are one immutable object, which a change replaces. A session takes it at the first byte of a request and keeps it until the next one. The idle timeout has the session's own timer, since the timeout of Beast's stream cannot be changed during a read; a change sets it again for all connections that wait. docs/design.md gets a table of the values that are kept and of when a change takes effect.

Existing tests: the fixtures of tst_http_server_limits and tst_http_server_memory take limits and a budget; no case was changed.

--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -72,7 +72,13 @@
 
 void http_server::set_limits(const http_server_limits& limits)
 {
-    this->shared->limits = limits;
+    const bool is_idle_timeout_changed =
+        limits.idle_timeout != this->shared->limits->idle_timeout;
+    this->shared->limits = std::make_shared<const http_server_limits>(limits);
+    if (!is_idle_timeout_changed)
+        return;
+    for (internal::http_session* const session : this->shared->idle)
+        session->on_idle_timeout_changed();
 }
 
 void http_server::announce_close()
@@ -152,7 +158,7 @@
 {
     memory_reservation memory(shared->memory, shared->connection_use);
     const bool has_descriptor =
-        shared->sessions.size() < shared->limits.max_connections ||
+        shared->sessions.size() < shared->limits->max_connections ||
         shared->close_longest_idle();
     if (!has_descriptor || !reserve_connection(*shared, memory))
     {
--- a/src/libs/transport/http_server.hpp
+++ b/src/libs/transport/http_server.hpp
@@ -113,7 +113,9 @@
     /// Takes the memory of clients from a budget; `use` is `requests` for callers, else
     /// `probes` or `control`. Must be called before `listen()`.
     void set_memory(std::shared_ptr<memory_budget> memory, memory_use use);
-    /// Sets the limits of the requests that follow.
+    /// Sets the limits of all requests whose first byte arrives from now on, and the idle
+    /// timeout of all connections, waiting ones included. A lowered timeout begins anew
+    /// on those.
     void set_limits(const http_server_limits& limits);
     /// Makes each response from now on close its connection.
     void announce_close();
--- a/src/libs/transport/http_server_state.cpp
+++ b/src/libs/transport/http_server_state.cpp
@@ -15,7 +15,7 @@
                                      http_handler& request_handler,
                                      state::counter_registry& counters)
     : loop(event_loop),
-      limits(server_limits),
+      limits(std::make_shared<const http_server_limits>(server_limits)),
       handler(request_handler),
       acceptor(event_loop),
       requests(counters.count("http_requests_total", "requests received")),
@@ -38,7 +38,7 @@
 
 bool http_server_state::close_longest_idle()
 {
-    if (!this->limits.idle_connections_give_way)
+    if (!this->limits->idle_connections_give_way)
         return false;
     for (http_session* const session : this->idle)
     {
--- a/src/libs/transport/http_server_state.hpp
+++ b/src/libs/transport/http_server_state.hpp
@@ -32,7 +32,8 @@
     void make_room(memory_use use, std::size_t bytes);
 
     boost::asio::io_context& loop;
-    http_server_limits limits;
+    /// Replaced as a whole by a change; a request keeps those with which it began.
+    std::shared_ptr<const http_server_limits> limits;
     http_handler& handler;
     boost::asio::ip::tcp::acceptor acceptor;
     state::counter& requests;
--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -85,8 +85,9 @@
 http_session::http_session(std::shared_ptr<http_server_state> server,
                            asio::ip::tcp::socket socket, memory_reservation memory)
     : shared(std::move(server)),
+      limits(shared->limits),
       stream(std::move(socket)),
-      read_timer(this->shared->loop),
+      timer(this->shared->loop),
       connection_memory(std::move(memory)),
       request_memory(this->shared->memory, this->shared->request_use),
       body_memory(this->shared->memory, this->shared->large_body_use),
@@ -136,6 +137,16 @@
     this->stream.close();
 }
 
+/// A client may count on the earlier timeout until it learns of a lowered one, which
+/// therefore begins with the change.
+void http_session::on_idle_timeout_changed()
+{
+    const milliseconds limit = this->shared->limits->idle_timeout;
+    this->idle_until =
+        std::max(this->idle_since + limit, std::min(this->idle_until, now() + limit));
+    this->start_timeout(std::chrono::ceil<milliseconds>(this->idle_until - now()));
+}
+
 void http_session::give_way()
 {
     this->gave_way = true;
@@ -189,7 +200,7 @@
 {
     this->prepare_head(response);
     response.prepare_payload();
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await http::async_write(this->stream, response, asio::use_awaitable);
 }
 
@@ -199,20 +210,20 @@
     http::response<http::empty_body> empty{std::move(head.base())};
     empty.chunked(true);
     http::response_serializer<http::empty_body> serializer{empty};
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await http::async_write_header(this->stream, serializer, asio::use_awaitable);
 }
 
 asio::awaitable<void> http_session::write_piece(std::string piece)
 {
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(piece)),
                                asio::use_awaitable);
 }
 
 asio::awaitable<void> http_session::end_stream()
 {
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await asio::async_write(this->stream, http::make_chunk_last(),
                                asio::use_awaitable);
 }
@@ -231,6 +242,7 @@
     this->has_received_bytes = true;
     this->first_request_guard.reset();
     this->arrival = now();
+    this->limits = this->shared->limits;
     this->refused.reset();
     this->received.start(this->arrival, 0, milliseconds(0));
     this->shared->receiving.insert(this);
@@ -254,10 +266,16 @@
 {
     constexpr std::size_t read_bytes = 4096;
     this->idle_place = this->shared->idle.insert(this->shared->idle.end(), this);
-    this->stream.expires_after(this->shared->limits.idle_timeout);
+    this->idle_since = now();
+    this->idle_until = this->idle_since + this->shared->limits->idle_timeout;
+    // The timeout of the stream cannot be changed during a read.
+    this->stream.expires_never();
+    this->start_timeout(this->shared->limits->idle_timeout);
     const std::size_t size = co_await this->stream.async_read_some(
         this->buffer.prepare(read_bytes),
         asio::redirect_error(asio::use_awaitable, failure));
+    this->timeout->active = false;
+    this->timer.cancel();
     this->buffer.commit(size);
     this->leave_idle();
 }
@@ -272,18 +290,17 @@
     if (this->refused)
         co_return;
     request_parser parser;
-    parser.header_limit(
-        static_cast<std::uint32_t>(this->shared->limits.max_header_bytes));
-    parser.body_limit(this->shared->limits.max_body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(this->limits->max_header_bytes));
+    parser.body_limit(this->limits->max_body_bytes);
     // The parser itself does not limit chunk extensions and trailers.
-    this->buffer.max_size(this->shared->limits.max_header_bytes + read_buffer_bytes);
+    this->buffer.max_size(this->limits->max_header_bytes + read_buffer_bytes);
     co_await this->read_head(parser, failure);
     if (!failure && !this->gave_way)
         this->check_head(parser);
     if (!failure && !this->gave_way && !this->refused && !parser.is_done())
         co_await this->read_body(parser, failure);
     this->timeout->active = false;
-    this->read_timer.cancel();
+    this->timer.cancel();
     if (this->gave_way && !this->refused)
     {
         failure = {};
@@ -298,12 +315,12 @@
 asio::awaitable<void> http_session::read_head(request_parser& parser,
                                               boost::system::error_code& failure)
 {
-    const http_server_limits& limits = this->shared->limits;
-    this->start_read_timeout(limits.header_timeout.count() > 0 ? limits.header_timeout
-                                                               : limits.io_timeout);
+    this->start_timeout(this->limits->header_timeout.count() > 0
+                            ? this->limits->header_timeout
+                            : this->limits->io_timeout);
     co_await http::async_read_header(this->stream, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
-    this->read_timer.cancel();
+    this->timer.cancel();
     if (!failure)
         check_framing(parser.get(), failure);
 }
@@ -311,13 +328,12 @@
 void http_session::check_head(const request_parser& parser)
 {
     const http_request& head = parser.get();
-    if (count_fields(head) > this->shared->limits.max_header_fields)
+    if (count_fields(head) > this->limits->max_header_fields)
     {
         constexpr unsigned header_fields_too_large = 431;
         this->refused.emplace(refused_request{
             {state::error_code::too_large, "header",
-             "at most " + std::to_string(this->shared->limits.max_header_fields) +
-                 " fields"},
+             "at most " + std::to_string(this->limits->max_header_fields) + " fields"},
             header_fields_too_large,
             std::nullopt});
         return;
@@ -352,7 +368,7 @@
         co_return;
     const std::size_t capacity =
         std::min(std::max(first_large_reservation_bytes, 2 * body.capacity()),
-                 this->shared->limits.max_body_bytes + read_buffer_bytes);
+                 this->limits->max_body_bytes + read_buffer_bytes);
     co_await this->reserve(this->body_memory, body_cost(capacity));
     if (!this->refused)
         body.reserve(capacity);
@@ -371,9 +387,9 @@
     if (this->refused)
         co_return;
     const std::size_t fields = count_fields(parser.get());
-    const milliseconds limit = this->shared->limits.io_timeout;
+    const milliseconds limit = this->limits->io_timeout;
     this->received.start(now(), parser.content_length_remaining().value_or(0), limit);
-    this->start_read_timeout(limit);
+    this->start_timeout(limit);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
         co_await this->send_continue(failure);
     while (!failure && !this->gave_way && !parser.is_done())
@@ -452,18 +468,17 @@
                                asio::redirect_error(asio::use_awaitable, failure));
 }
 
-void http_session::start_read_timeout(milliseconds duration)
+void http_session::start_timeout(milliseconds duration)
 {
     this->timeout->active = true;
     this->timeout->expired = false;
-    const std::uint64_t request_number = ++this->timeout->request_number;
-    this->read_timer.expires_after(duration);
-    this->read_timer.async_wait(
-        [this, shared_timeout = this->timeout, request_number](boost::system::error_code)
+    const std::uint64_t number_of_wait = ++this->timeout->wait_number;
+    this->timer.expires_after(duration);
+    this->timer.async_wait(
+        [this, shared_timeout = this->timeout, number_of_wait](boost::system::error_code)
         {
-            // The wait may end after its request or after the session.
-            if (!shared_timeout->active ||
-                shared_timeout->request_number != request_number)
+            // The timer may fire after what it limits or after the session.
+            if (!shared_timeout->active || shared_timeout->wait_number != number_of_wait)
                 return;
             shared_timeout->expired = true;
             this->stream.cancel();
@@ -546,27 +561,26 @@
 http_session::refused_request
 http_session::bad_request_error(const boost::system::error_code& failure) const
 {
-    const http_server_limits& limits = this->shared->limits;
     using state::error_code;
     if (failure == http::error::body_limit)
     {
         return {{error_code::too_large, "body",
-                 "at most " + std::to_string(limits.max_body_bytes) + " bytes"},
+                 "at most " + std::to_string(this->limits->max_body_bytes) + " bytes"},
                 413,
                 std::nullopt};
     }
     if (failure == http::error::header_limit)
     {
         return {{error_code::too_large, "header",
-                 "at most " + std::to_string(limits.max_header_bytes) + " bytes"},
+                 "at most " + std::to_string(this->limits->max_header_bytes) + " bytes"},
                 431,
                 std::nullopt};
     }
     if (failure == beast::error::timeout)
     {
         return {{error_code::timed_out, "request",
-                 "the whole request within " + std::to_string(limits.io_timeout.count()) +
-                     " ms"},
+                 "the whole request within " +
+                     std::to_string(this->limits->io_timeout.count()) + " ms"},
                 408,
                 std::nullopt};
     }
@@ -579,7 +593,7 @@
     boost::system::error_code failure;
     this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
     this->stream.expires_after(drop_time);
-    std::size_t left = this->shared->limits.max_body_bytes;
+    std::size_t left = this->limits->max_body_bytes;
     while (!failure && left > 0)
     {
         const std::size_t size = co_await this->stream.async_read_some(
--- a/src/libs/transport/http_session.hpp
+++ b/src/libs/transport/http_session.hpp
@@ -31,11 +31,11 @@
 /// One connection of a server.
 class http_session : public http_exchange
 {
-    /// Timeout of the request that is being read. Shared with the timer callback, which
-    /// may run after the session ended.
+    /// Timeout of the wait for a request, or of the request that is being read. Shared
+    /// with the timer callback, which may run after the session ended.
     struct read_timeout
     {
-        std::uint64_t request_number = 0;
+        std::uint64_t wait_number = 0;
         bool active = false;
         bool expired = false;
     };
@@ -84,6 +84,8 @@
     bool has_unread_bytes();
     /// Closes the connection, which waits for a request.
     void close_idle();
+    /// Applies a changed idle timeout to the connection, which waits for a request.
+    void on_idle_timeout_changed();
     /// Ends the request that is being received, since another one needs the memory.
     void give_way();
     bool has_given_way() const { return this->gave_way; }
@@ -143,7 +145,7 @@
     static refused_request make_refusal(const state::error& failure);
     refused_request no_memory(const memory_reservation& reservation, std::size_t bytes);
     boost::asio::awaitable<void> send_continue(boost::system::error_code& failure);
-    void start_read_timeout(state::milliseconds duration);
+    void start_timeout(state::milliseconds duration);
     boost::asio::awaitable<bool> call_handler();
     boost::asio::awaitable<bool> respond_error(const refused_request& refusal);
     boost::asio::awaitable<void>
@@ -158,12 +160,16 @@
     void prepare_head(http_response& head);
 
     std::shared_ptr<http_server_state> shared;
+    /// Limits of the present request: those in force when its first byte arrived.
+    std::shared_ptr<const http_server_limits> limits;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
-    boost::asio::steady_timer read_timer;
+    boost::asio::steady_timer timer;
     std::shared_ptr<read_timeout> timeout = std::make_shared<read_timeout>();
     std::shared_ptr<close_watch> watch = std::make_shared<close_watch>();
     state::time_point arrival{};
+    state::time_point idle_since{};
+    state::time_point idle_until{};
     memory_reservation connection_memory;
     memory_reservation request_memory;
     memory_reservation body_memory;
--- a/tests/auto/transport/tst_http_server_limits.cpp
+++ b/tests/auto/transport/tst_http_server_limits.cpp
@@ -86,25 +86,33 @@
            std::string(body_bytes, 'x');
 }
 
-std::string with_fields(std::size_t count)
+std::string fields(std::size_t count)
 {
-    std::string result = "GET / HTTP/1.1\r\n";
+    std::string result;
     for (std::size_t i = 0; i < count; ++i)
         result += "a:b\r\n";
-    return result + "\r\n";
+    return result;
+}
+
+std::string with_fields(std::size_t count)
+{
+    return "GET / HTTP/1.1\r\n" + fields(count) + "\r\n";
 }
 
 class server_fixture
 {
 public:
     explicit server_fixture(bool idle_gives_way = false)
-        : server(this->loop, limits(idle_gives_way), this->handler, this->counters)
+        : server_fixture(default_limits(idle_gives_way))
+    {
+    }
+    explicit server_fixture(const transport::http_server_limits& limits)
+        : server(this->loop, limits, this->handler, this->counters)
     {
         this->address = this->server.listen("127.0.0.1:0");
     }
 
-private:
-    static transport::http_server_limits limits(bool idle_gives_way)
+    static transport::http_server_limits default_limits(bool idle_gives_way = false)
     {
         transport::http_server_limits result;
         result.max_header_fields = max_header_fields;
@@ -115,6 +123,17 @@
         return result;
     }
 
+    /// Sends a request on a connection that is open already and waits for the response.
+    std::string exchange(raw_client& client, const std::string& bytes)
+    {
+        client.received.clear();
+        client.send(bytes);
+        run_until(this->loop,
+                  [&client] { return client.is_closed || !client.received.empty(); });
+        return client.received;
+    }
+
+private:
     // The connections, which the loop owns, use these until they are destroyed.
     state::counter_registry counters;
     ok_handler handler;
@@ -122,8 +141,6 @@
 public:
     boost::asio::io_context loop{1};
     std::string address;
-
-private:
     transport::http_server server;
 };
 
@@ -218,3 +235,121 @@
         CHECK(clients[i]->received.find(" 200 ") != std::string::npos);
     }
 }
+
+// Guards against a connection that keeps the limits of the time at which it became idle.
+TEST_CASE("changed limits hold for the next request of an idle connection")
+{
+    using limits = transport::http_server_limits;
+    struct row
+    {
+        std::string name;
+        void (*change)(limits&);
+        std::string bytes;
+        std::string status_before;
+        std::string status_after;
+    };
+    const std::vector<row> rows{
+        {"raised body", [](limits& next) { next.max_body_bytes *= 2; },
+         request(16, 2 * max_body_bytes), " 413 ", " 200 "},
+        {"lowered body", [](limits& next) { next.max_body_bytes /= 2; },
+         request(16, max_body_bytes), " 200 ", " 413 "},
+        {"raised header", [](limits& next) { next.max_header_bytes *= 4; },
+         request(2 * max_header_bytes, 0), " 431 ", " 200 "},
+        {"lowered header", [](limits& next) { next.max_header_bytes /= 4; },
+         request(max_header_bytes / 2, 0), " 200 ", " 431 "},
+        {"raised fields", [](limits& next) { next.max_header_fields *= 2; },
+         with_fields(2 * max_header_fields), " 431 ", " 200 "},
+        {"lowered fields", [](limits& next) { next.max_header_fields /= 2; },
+         with_fields(max_header_fields), " 200 ", " 431 "},
+        {"lowered time of the header",
+         [](limits& next) { next.header_timeout = state::milliseconds(50); },
+         "GET / HTTP/1.1\r\n", "", " 408 "},
+        {"lowered time of the body",
+         [](limits& next) { next.io_timeout = state::milliseconds(50); },
+         "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n", "", " 408 "},
+    };
+    for (const row& item : rows)
+    {
+        CAPTURE(item.name);
+        server_fixture test;
+        raw_client control(test.loop, test.address);
+        if (!item.status_before.empty())
+        {
+            CHECK(test.exchange(control, item.bytes).find(item.status_before) !=
+                  std::string::npos);
+        }
+        // Accepted before the connection that is served next.
+        raw_client unused(test.loop, test.address);
+        raw_client used(test.loop, test.address);
+        CHECK(test.exchange(used, request(16, 1)).find(" 200 ") != std::string::npos);
+        limits next = server_fixture::default_limits();
+        item.change(next);
+        test.server.set_limits(next);
+        for (raw_client* const client : {&used, &unused})
+        {
+            CHECK(test.exchange(*client, item.bytes).find(item.status_after) !=
+                  std::string::npos);
+        }
+    }
+}
+
+// Guards against requests that are refused, or cut off, because of a change that came
+// after they had begun.
+TEST_CASE("a request in the middle keeps the limits with which it began")
+{
+    server_fixture test;
+    raw_client client(test.loop, test.address);
+    client.send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(max_body_bytes) +
+                "\r\n" + fields(max_header_fields - 1));
+    CHECK(run_until(test.loop, [&] { return test.server.requests_in_flight() == 1; }));
+    transport::http_server_limits next = server_fixture::default_limits();
+    next.max_header_bytes = 64;
+    next.max_header_fields = 1;
+    next.max_body_bytes = 1;
+    next.idle_timeout = state::milliseconds(1);
+    test.server.set_limits(next);
+    const std::string response =
+        test.exchange(client, "\r\n" + std::string(max_body_bytes, 'x'));
+    CHECK(response.find(" 200 ") != std::string::npos);
+}
+
+// Guards against clients whose connection is closed by an idle timeout that no longer
+// holds.
+TEST_CASE("a raised idle timeout holds for connections that are idle")
+{
+    constexpr state::milliseconds short_timeout{300};
+    transport::http_server_limits limits = server_fixture::default_limits();
+    limits.idle_timeout = short_timeout;
+    server_fixture test(limits);
+    // Accepted before the connection that is served next.
+    raw_client unused(test.loop, test.address);
+    raw_client used(test.loop, test.address);
+    CHECK(test.exchange(used, request(16, 1)).find(" 200 ") != std::string::npos);
+    const state::time_point idle_since = state::now();
+    limits.idle_timeout = state::milliseconds(60000);
+    test.server.set_limits(limits);
+    CHECK(run_until(test.loop,
+                    [&] { return state::now() - idle_since > 2 * short_timeout; }));
+    for (raw_client* const client : {&used, &unused})
+    {
+        REQUIRE_FALSE(client->is_closed);
+        CHECK(test.exchange(*client, request(16, 1)).find(" 200 ") != std::string::npos);
+    }
+}
+
+// Guards against idle connections that hold their room for the longer time of an earlier
+// configuration.
+TEST_CASE("a lowered idle timeout holds for connections that are idle")
+{
+    transport::http_server_limits limits = server_fixture::default_limits();
+    limits.idle_timeout = state::milliseconds(60000);
+    server_fixture test(limits);
+    raw_client client(test.loop, test.address);
+    CHECK(test.exchange(client, request(16, 1)).find(" 200 ") != std::string::npos);
+    limits.idle_timeout = state::milliseconds(200);
+    const state::time_point changed = state::now();
+    test.server.set_limits(limits);
+    CHECK(run_until(test.loop, [&client] { return client.is_closed; }));
+    // A client that does not know of the change yet may still use the connection.
+    CHECK(state::now() - changed >= limits.idle_timeout);
+}
--- a/tests/auto/transport/tst_http_server_memory.cpp
+++ b/tests/auto/transport/tst_http_server_memory.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -101,8 +102,8 @@
 class memory_fixture
 {
 public:
-    memory_fixture()
-        : memory(std::make_shared<transport::memory_budget>(process_bytes)),
+    explicit memory_fixture(std::size_t budget_bytes = process_bytes)
+        : memory(std::make_shared<transport::memory_budget>(budget_bytes)),
           server(this->loop, {}, this->handler, this->counters)
     {
         this->server.set_memory(this->memory, transport::memory_use::requests);
@@ -195,3 +196,28 @@
     small.send(head("/unknown", 2) + "ab");
     CHECK(test.run_until([&] { return small.has_received("done"); }));
 }
+
+// Guards against a body that takes more memory than is reserved for it: with the lowered
+// limit, the next reservation was smaller than the one before.
+TEST_CASE("a chunked body that began before a lowered limit has its memory reserved")
+{
+    constexpr std::size_t half_bytes = 150 * 1024;
+    memory_fixture test(16 * process_bytes);
+    raw_client client(test.loop, test.address);
+    std::ostringstream chunk;
+    chunk << std::hex << half_bytes << "\r\n" << std::string(half_bytes, 'a') << "\r\n";
+    test.handler.is_open = false;
+    client.send("POST /known HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                chunk.str());
+    CHECK(test.run_until(
+        [&] { return test.memory->held(transport::memory_use::large_bodies) > 0; }));
+    transport::http_server_limits limits;
+    limits.max_body_bytes = half_bytes;
+    test.server.set_limits(limits);
+    client.send(chunk.str() + "0\r\n\r\n");
+    CHECK(test.run_until([&] { return test.handler.calls == 1; }));
+    CHECK(test.memory->held(transport::memory_use::large_bodies) >= 2 * half_bytes);
+    test.handler.is_open = true;
+    test.handler.opened.notify();
+    CHECK(test.run_until([&] { return client.has_received(" 200 "); }));
+}
