Apply changed settings as a whole or refuse them, and move to a new store

Cause: settings_watch copied six fields of a changed settings file and dropped all others in silence, and components kept copies of what they had read at the start: store_client its address, store_lease its times, zone_balance its price, the log its limits. Besides, nothing told two stores apart: eras, offsets and the lease were compared between gateways as if there were one store only.

Change: a file that is not valid, or changes a field that needs a restart, is refused as a whole: settings_not_reloaded names the fields and settings_refused_total counts. All other fields take effect. A new address of the store ends the calls to the earlier one; the new one is read from its beginning, with its own era and offsets. Heartbeats and pages of the list carry a hash of the address (new optional field storeId), and what belongs to another store is not applied. The lease is claimed anew with epochs above all that were known; while the settings of the gateways differ, nobody claims it if a living gateway holds it in another store.

The round trips in tst_gateway_protocol check the era and the store as well.

--- a/src/app/gateway/placement/placement_agent.cpp
+++ b/src/app/gateway/placement/placement_agent.cpp
@@ -55,6 +55,8 @@
 /// Keeps a heartbeat within the size of a datagram. Other gateways learn of further
 /// engines from the list of backend servers.
 constexpr std::size_t max_announced_engines = 150;
+/// The lease of another store counts as held for this long after a heartbeat with it.
+constexpr milliseconds foreign_lease_validity{2400};
 /// Time for gateways that start together to discover one another before one claims the
 /// lease.
 constexpr milliseconds startup_discovery_time{800};
@@ -149,8 +151,12 @@
 
 void placement_agent::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
 {
-    // A sender that knows no era is of an earlier version.
-    if (heartbeat.store_era == 0 || heartbeat.store_era == this->store.era())
+    // A sender that names no store, or knows no era, is of an earlier version.
+    const bool is_same_store =
+        heartbeat.store_id == 0 || heartbeat.store_id == this->store.id();
+    if (!is_same_store)
+        this->on_foreign_lease(heartbeat.lease);
+    else if (heartbeat.store_era == 0 || heartbeat.store_era == this->store.era())
     {
         this->lease.on_peer_report(state::boot_time(), heartbeat.lease.holder,
                                    heartbeat.lease.epoch, heartbeat.lease.end_offset);
@@ -182,13 +188,35 @@
         this->shared.backends_changed.notify();
 }
 
+/// While the settings of the gateways differ, the conditional appends of one store do not
+/// exclude a holder in the other one. So nobody claims the lease while a living gateway
+/// holds it elsewhere, and of two holders that did not hear of each other in time, the
+/// one with the lower epoch gives up.
+void placement_agent::on_foreign_lease(const protocol::lease_view& heard)
+{
+    const bool is_held = !heard.holder.empty() &&
+                         heard.holder != this->peers.own().node &&
+                         this->peers.members().is_alive(now(), heard.holder);
+    if (!is_held)
+        return;
+    if (this->lease.is_holder())
+    {
+        if (heard.epoch > this->lease.epoch())
+            this->lease.on_fenced();
+        return;
+    }
+    this->held_elsewhere_until = state::boot_time() + foreign_lease_validity;
+}
+
 asio::awaitable<void> placement_agent::lease_loop()
 {
     for (;;)
     {
         const auto age = now() - this->started;
-        const bool may_hold = this->shared.routes != nullptr &&
-                              !this->shared.is_stopping && age >= startup_discovery_time;
+        const bool may_hold =
+            this->shared.routes != nullptr && !this->shared.is_stopping &&
+            age >= startup_discovery_time &&
+            (this->lease.is_holder() || state::boot_time() >= this->held_elsewhere_until);
         if (this->lease.needs_read() && this->is_turn_to_read())
             co_await this->read_lease();
         coordination::lease_append append;
@@ -227,6 +255,17 @@
     this->lease.on_era(state::boot_time(), this->store.era());
 }
 
+void placement_agent::on_store_moved()
+{
+    this->era_begun = now();
+    this->lease.on_store_moved(state::boot_time());
+}
+
+void placement_agent::on_settings_changed()
+{
+    this->lease.set_timing(lease_timing(this->shared.settings));
+}
+
 asio::awaitable<void> placement_agent::read_lease()
 {
     try
--- a/src/app/gateway/placement/placement_agent.hpp
+++ b/src/app/gateway/placement/placement_agent.hpp
@@ -34,6 +34,10 @@
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
     /// Begins a new era of the store.
     void on_store_era();
+    /// Claims the lease anew, in the store at another address.
+    void on_store_moved();
+    /// Applies changed settings of the lease.
+    void on_settings_changed();
 
 private:
     /// State of one engine process as the lease holder knows it.
@@ -63,6 +67,8 @@
     };
 
     boost::asio::awaitable<void> lease_loop();
+    /// Processes the lease of a gateway that uses another store.
+    void on_foreign_lease(const protocol::lease_view& heard);
     /// Whether this gateway should read the lease topic now.
     bool is_turn_to_read() const;
     boost::asio::awaitable<void> read_lease();
@@ -115,6 +121,8 @@
     state::counter& plan_us;
     state::time_point started{};
     state::time_point era_begun{};
+    /// Another gateway holds the lease in another store, as far as known, until then.
+    state::time_point held_elsewhere_until{};
     /// The last announcement of the lease holder, which an aggregator forwards to its
     /// zone.
     std::vector<protocol::engine_weights> forwarded_weights;
--- a/src/app/gateway/process/control_handler.cpp
+++ b/src/app/gateway/process/control_handler.cpp
@@ -52,11 +52,13 @@
     else if (path == "/gateway/backends")
     {
         const std::string_view target = exchange.request().target();
-        const std::optional<std::uint64_t> from =
-            read_number(transport::target_query(target, "from"), "from");
-        const std::optional<std::uint64_t> era =
-            read_number(transport::target_query(target, "era"), "era");
-        std::string page = co_await this->backends.wait_for_page(from, era.value_or(0));
+        feed_position position;
+        position.from = read_number(transport::target_query(target, "from"), "from");
+        position.era =
+            read_number(transport::target_query(target, "era"), "era").value_or(0);
+        position.store =
+            read_number(transport::target_query(target, "store"), "store").value_or(0);
+        std::string page = co_await this->backends.wait_for_page(position);
         co_await exchange.respond(
             transport::binary_response(status::ok, std::move(page)));
     }
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -3,6 +3,7 @@
 #include "app/gateway/serving/relayed_request.hpp"
 #include "state/error.hpp"
 #include "state/log.hpp"
+#include "state/rate_limited_log.hpp"
 #include "transport/background_task.hpp"
 #include "transport/http_error.hpp"
 #include "transport/pause.hpp"
@@ -127,7 +128,9 @@
                  state::counter_registry& counters)
     : loop(event_loop),
       settings(process_settings),
-      settings_file(std::move(settings_path), this->settings),
+      settings_file(std::move(settings_path), this->settings, counters,
+                    [this](const state::gateway_settings& before)
+                    { this->on_settings_changed(before); }),
       adapter(platform),
       shared(this->loop.get_executor(), this->settings, counters, wall_clock_ms()),
       client(this->loop.get_executor()),
@@ -253,6 +256,36 @@
     this->peers.send_heartbeat();
 }
 
+void gateway::on_settings_changed(const state::gateway_settings& before)
+{
+    this->shared.chooser.zones().set_price(this->settings.zone_traffic_cost_ms_per_mb);
+    this->placement.on_settings_changed();
+    if (before.platform != this->settings.platform)
+        this->move_store(before.platform, this->settings.platform);
+    // Last, so that the lines above are logged as before.
+    state::set_log_limits(this->settings.minimum_log_level,
+                          this->settings.log_lines_per_s);
+}
+
+/// Nothing that was learned of the earlier store's offsets or era holds for the new one,
+/// even if it has the same records.
+void gateway::move_store(const std::string& from, const std::string& to)
+{
+    state::log_event(state::log_level::warning, "store_moved")
+        .field("from", from)
+        .field("to", to)
+        .field("era", this->store->era());
+    this->placement.on_store_moved();
+    this->config.on_store_moved();
+    this->backends.on_store_moved();
+    // Ends the calls to the earlier store, whose callers then go on at the new one.
+    this->store->move_to(to);
+    this->peers.on_store_returned();
+    this->saved_quarantines.start();
+    this->save_quarantines_again();
+    this->peers.send_heartbeat();
+}
+
 void gateway::on_store_era(std::uint64_t before)
 {
     state::log_event(state::log_level::warning, "store_era_changed")
@@ -299,12 +332,15 @@
     heartbeat.suspects = this->shared.quarantine.reports(now());
     heartbeat.limits = this->shared.limits.reports(now());
     heartbeat.store_era = this->store->era();
+    heartbeat.store_id = this->store->id();
     this->placement.fill(heartbeat);
 }
 
 void gateway::on_heartbeat(const protocol::gateway_heartbeat& heartbeat)
 {
-    this->store->on_era(heartbeat.store_era);
+    // A gateway that names no store is of an earlier version.
+    if (heartbeat.store_id == 0 || heartbeat.store_id == this->store->id())
+        this->store->on_era(heartbeat.store_era);
     bool has_new_leaving = false;
     for (const protocol::leaving_process& process : heartbeat.leaving)
     {
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -49,6 +49,9 @@
     void fill(protocol::gateway_heartbeat& heartbeat);
     void on_heartbeat(const protocol::gateway_heartbeat& heartbeat);
     void on_config(const state::gateway_config& newest);
+    /// Applies what the components keep of the settings.
+    void on_settings_changed(const state::gateway_settings& before);
+    void move_store(const std::string& from, const std::string& to);
     /// Begins a new era of the store; `before` is 0 if none was known.
     void on_store_era(std::uint64_t before);
     /// Applies limits of backend servers that another gateway reports. Returns whether
--- a/src/app/gateway/process/gateway_process.cpp
+++ b/src/app/gateway/process/gateway_process.cpp
@@ -63,6 +63,8 @@
     asio::io_context loop{1};
     gateway process(loop, settings, settings_path, adapter, counters);
     process.start();
+    // The file may have changed since the settings were read from it.
+    process.reload();
     asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     wait_for_signal(signals, process);
     loop.run();
--- a/src/app/gateway/process/settings_watch.hpp
+++ b/src/app/gateway/process/settings_watch.hpp
@@ -1,27 +1,43 @@
 #pragma once
 
+#include "state/counters.hpp"
 #include "state/gateway_settings.hpp"
 
+#include <functional>
 #include <string>
 
 namespace pomelorouter::app
 {
 
-/// Applies changes of the settings file to a running gateway.
+/// Applies changes of the settings file to a running gateway. Some fields take effect at
+/// a restart only; a change of one of them is refused as a whole, so that a gateway never
+/// runs with one half of a change.
 class settings_watch
 {
 public:
-    settings_watch(std::string settings_path, state::gateway_settings& settings);
+    using change_callback = std::function<void(const state::gateway_settings& before)>;
+
+    /// `on_changed` is called after a change was applied to `settings`.
+    settings_watch(std::string settings_path, state::gateway_settings& settings,
+                   state::counter_registry& counters, change_callback on_changed);
 
     /// Reloads the file if its content has changed since the last read.
     void reload_if_changed();
-    /// Reads the file and applies the values that can change at run time. An unreadable
-    /// or invalid file is logged and changes nothing.
+    /// Reads the file and applies it. A file that is unreadable, invalid or needs a
+    /// restart is logged and changes nothing.
     void reload();
 
 private:
+    void apply(state::gateway_settings next);
+    void refuse(const std::string& fields, const std::string& problem);
+
     std::string path;
     state::gateway_settings& current;
+    /// What the file said when it was last applied; `current` has bound addresses.
+    state::gateway_settings in_file;
+    change_callback changed;
+    state::counter& reloads;
+    state::counter& refusals;
     std::string last_text;
 };
 
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -105,7 +105,8 @@
     if (this->feed.next())
     {
         target += "?from=" + std::to_string(*this->feed.next()) +
-                  "&era=" + std::to_string(this->store.era());
+                  "&era=" + std::to_string(this->store.era()) +
+                  "&store=" + std::to_string(this->store.id());
     }
     std::string problem;
     try
@@ -119,6 +120,12 @@
         }
         const protocol::backend_page page =
             protocol::decode_backend_page(response.body());
+        // A sender that names no store is of an earlier version.
+        if (page.store_id != 0 && page.store_id != this->store.id())
+        {
+            throw state::error(state::error_code::log_unavailable, address + target,
+                               "expected a page of the same store");
+        }
         if (!this->store.on_era(page.store_era))
         {
             throw state::error(state::error_code::log_unavailable, address + target,
@@ -157,19 +164,24 @@
     co_return false;
 }
 
-asio::awaitable<std::string>
-backend_watcher::wait_for_page(std::optional<std::uint64_t> from, std::uint64_t era)
+asio::awaitable<std::string> backend_watcher::wait_for_page(feed_position position)
 {
+    const auto is_of_present_records = [this, &position]
+    {
+        return position.era == this->store.era() &&
+               (position.store == 0 || position.store == this->store.id());
+    };
     const bool has_new_records =
         this->feed.next() &&
-        (!from || this->feed.next() > from || era != this->store.era());
+        (!position.from || this->feed.next() > position.from || !is_of_present_records());
     if (!has_new_records)
         co_await this->feed_read.wait(max_response_wait);
-    // The offset of another era does not tell what the receiver has.
-    if (era != this->store.era())
-        from.reset();
-    protocol::backend_page page = this->feed.page(from);
+    // The offset of another store or era does not tell what the receiver has.
+    if (!is_of_present_records())
+        position.from.reset();
+    protocol::backend_page page = this->feed.page(position.from);
     page.store_era = this->store.era();
+    page.store_id = this->store.id();
     // The last read may have succeeded long ago if the present one takes long.
     page.list_reachable = this->reachable && this->feed.next().has_value() &&
                           state::since(this->last_read) < list_validity;
@@ -207,7 +219,7 @@
         this->feed.set_next(std::nullopt);
         co_return true;
     }
-    catch (const store_returned&)
+    catch (const store_changed&)
     {
         co_return true;
     }
@@ -299,6 +311,15 @@
     this->shared.directory.on_store_returned(now());
 }
 
+/// Backend servers write their entries again, so the list of the new store is taken like
+/// that of an older copy.
+void backend_watcher::on_store_moved()
+{
+    this->on_store_returned();
+    this->follows_until = {};
+    this->next_aggregator_read = {};
+}
+
 void backend_watcher::tick()
 {
     for (const std::string& id : this->shared.directory.tick(now()))
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -16,6 +16,17 @@
 namespace pomelorouter::app
 {
 
+/// Up to where another gateway has the list.
+struct feed_position
+{
+    /// Offset to read from next; empty for the complete list.
+    std::optional<std::uint64_t> from;
+    /// Era and identity of the store that gave the offset out; the identity is 0 if the
+    /// gateway is of an earlier version.
+    std::uint64_t era = 0;
+    std::uint64_t store = 0;
+};
+
 /// Keeps the directory up to date with the list of backend servers. Reads it from the
 /// store, or from the aggregator of the availability zone, which reads the store for all
 /// gateways of the zone.
@@ -41,14 +52,15 @@
     void tick();
     /// Reads the complete list again, since the store has returned from an older copy.
     void on_store_returned();
+    /// Reads the complete list, since the store at another address is used.
+    void on_store_moved();
     /// Whether the list was read at least once.
     bool is_known() const { return this->is_list_known; }
     /// Whether this gateway receives changes from an aggregator that reaches the store.
     bool follows_aggregator() const;
-    /// Returns an encoded page with the records from offset `from` of the store's era
-    /// `era` on. Waits for new records up to a time limit.
-    boost::asio::awaitable<std::string> wait_for_page(std::optional<std::uint64_t> from,
-                                                      std::uint64_t era);
+    /// Returns an encoded page with the records from a position on. Waits for new records
+    /// up to a time limit.
+    boost::asio::awaitable<std::string> wait_for_page(feed_position position);
 
 private:
     boost::asio::awaitable<void> watch();
--- a/src/app/gateway/store/config_watcher.cpp
+++ b/src/app/gateway/store/config_watcher.cpp
@@ -98,7 +98,7 @@
         this->position.reset();
         co_return true;
     }
-    catch (const store_returned&)
+    catch (const store_changed&)
     {
         this->position.reset();
         co_return true;
@@ -210,6 +210,13 @@
     }
 }
 
+void config_watcher::on_store_moved()
+{
+    this->position.reset();
+    // What the earlier store answered does not vouch for the new one.
+    this->last_contact = {};
+}
+
 bool config_watcher::is_current() const
 {
     return this->reachable && state::since(this->last_contact) < read_validity;
--- a/src/app/gateway/store/config_watcher.hpp
+++ b/src/app/gateway/store/config_watcher.hpp
@@ -36,6 +36,8 @@
     /// Reads the newest configuration again, since the store has returned from an older
     /// copy.
     void on_store_returned() { this->position.reset(); }
+    /// Reads the newest configuration, since the store at another address is used.
+    void on_store_moved();
     /// The newest configuration document, unchanged; empty if none is known.
     const std::string& config_document() const { return this->document; }
     std::int64_t config_version() const { return this->version; }
--- a/src/app/gateway/store/keyed_store.hpp
+++ b/src/app/gateway/store/keyed_store.hpp
@@ -55,16 +55,32 @@
     std::uint64_t end = 0;
 };
 
-/// The store has returned from an older copy since the call was prepared. Positions and
-/// conditions from before are invalid, and an append may have been lost or not.
-class store_returned : public state::error
+/// The records of the store are no longer those of the time at which the call was
+/// prepared. Positions and conditions from before are invalid, and an append may have
+/// been lost or not.
+class store_changed : public state::error
+{
+public:
+    using state::error::error;
+};
+
+/// The store has returned from an older copy.
+class store_returned : public store_changed
 {
 public:
     store_returned(const std::string& place, std::uint64_t named_era);
 };
 
+/// The store at another address is used.
+class store_moved : public store_changed
+{
+public:
+    explicit store_moved(const std::string& earlier_address);
+};
+
 /// The platform's store: topics of keyed records. The store counts its returns from an
-/// older copy as eras; 0 means that no era is known.
+/// older copy as eras; 0 means that no era is known. Eras and offsets of two stores have
+/// nothing to do with each other.
 class keyed_store
 {
 public:
@@ -72,6 +88,12 @@
 
     virtual ~keyed_store() = default;
 
+    /// Identifies the store among the gateways; never 0.
+    std::uint64_t id() const { return this->store_id; }
+    /// Uses the store at another address from now on. Its era is not known yet. Calls in
+    /// progress throw `store_moved`.
+    void move_to(const std::string& address);
+
     /// The newest era that a response or another gateway named.
     std::uint64_t era() const { return this->newest_era; }
     /// Processes an era that was named, 0 if none was. Returns false if it is older than
@@ -96,7 +118,14 @@
     append(store_topic topic, std::string key, std::string value,
            std::optional<std::uint64_t> expected_end) = 0;
 
+protected:
+    explicit keyed_store(const std::string& address);
+
 private:
+    /// Ends the calls to the earlier store.
+    virtual void set_address(const std::string& address) = 0;
+
+    std::uint64_t store_id;
     std::uint64_t newest_era = 0;
     era_callback era_changed = [](std::uint64_t) {};
 };
--- a/src/libs/coordination/store_lease.cpp
+++ b/src/libs/coordination/store_lease.cpp
@@ -14,6 +14,10 @@
 /// Epochs of one era differ in the lower bits only.
 constexpr unsigned era_shift = 32;
 
+/// Epochs in successive stores differ by at least one step. What is claimed in the
+/// earlier store meanwhile, by gateways that still use it, stays below.
+constexpr std::uint64_t store_step = 1U << 16U;
+
 /// Returns a number below all epochs of an era and above those of earlier ones.
 std::uint64_t base_of(std::uint64_t era)
 {
@@ -56,19 +60,46 @@
     if (!this->is_outdated(record))
         this->continues_until = {};
     this->is_holding = is_own;
+    // A holder that knows only lower epochs renews in vain, so its records do not delay
+    // the claim of a process that knows better.
+    if (!this->is_outdated(record) || this->end_known_at == state::time_point{})
+        this->end_known_at = now;
     this->newest = record;
     this->end = new_end;
-    this->end_known_at = now;
 }
 
 void store_lease::on_era(state::time_point now, std::uint64_t new_era)
 {
     if (new_era <= this->era)
         return;
-    // A holder that could issue orders until now follows nobody in the new era.
+    // The first era of a store is no return of it.
+    if (this->era > 0 || this->may_issue_orders(now))
+        this->begin_topic(now);
+    this->era = new_era;
+    this->base = std::max(this->base, base_of(new_era));
+    this->forget_topic();
+}
+
+void store_lease::on_store_moved(state::time_point now)
+{
+    this->begin_topic(now);
+    this->era = 0;
+    this->base = (std::max(this->newest.epoch, this->base) / store_step + 1) * store_step;
+    // The other holders of the earlier store are unknown here.
+    this->newest = {"", 0, this->newest.epoch, false};
+    this->sending_at = this->renewed_at;
+    this->forget_topic();
+}
+
+/// A holder that could issue orders until now follows nobody in the new topic.
+void store_lease::begin_topic(state::time_point now)
+{
     this->continues_until = this->may_issue_orders(now) ? now + this->timing.order_window
                                                         : state::time_point{};
-    this->era = new_era;
+}
+
+void store_lease::forget_topic()
+{
     this->end = 0;
     this->end_known_at = {};
     this->is_holding = false;
@@ -77,7 +108,7 @@
 
 bool store_lease::is_outdated(const lease_record& record) const
 {
-    return record.epoch <= base_of(this->era) && this->era > 0;
+    return record.epoch <= this->base && this->base > 0;
 }
 
 bool store_lease::may_follow_other(state::time_point now) const
@@ -123,7 +154,7 @@
     }
     if (!may_hold)
         return false;
-    append.record.epoch = std::max(this->newest.epoch, base_of(this->era)) + 1;
+    append.record.epoch = std::max(this->newest.epoch, this->base) + 1;
     if (this->continues(now))
         return true;
     const auto stagger = rank_step * static_cast<int>(rank);
--- a/src/libs/coordination/store_lease.hpp
+++ b/src/libs/coordination/store_lease.hpp
@@ -54,7 +54,8 @@
 ///
 /// The store may return from an older copy and lose the newest records, which begins a
 /// new era. Epochs begin with the era, so that none is used again, and a record of an
-/// earlier era does not tell who held the lease last.
+/// earlier era does not tell who held the lease last. The same holds for the records of
+/// another store.
 class store_lease
 {
 public:
@@ -70,6 +71,11 @@
                         std::uint64_t epoch, std::uint64_t end);
     /// Begins a new era of the store. What was known of the topic is discarded.
     void on_era(state::time_point now, std::uint64_t new_era);
+    /// Goes on with the topic of another store, whose era is not known yet. Epochs
+    /// continue above all that were known.
+    void on_store_moved(state::time_point now);
+    /// Changes the times. The separation holds for the next claim, the others at once.
+    void set_timing(const store_lease_timing& times) { this->timing = times; }
     /// Sets `append` and returns true if an append is due. `rank` delays the candidates
     /// one after another; 0 claims first. `may_hold` is false for a process that is
     /// stopping or not ready.
@@ -85,8 +91,8 @@
     void on_append_unknown(state::time_point now);
     /// Records that the topic could not be read.
     void on_read_failed(state::time_point now);
-    /// Gives up the lease because an engine rejected the fencing token: another process
-    /// has claimed the lease.
+    /// Gives up the lease because another process has claimed it: an engine rejected the
+    /// fencing token, or the other process holds it in another store.
     void on_fenced();
     /// Whether the topic must be read before the next append.
     bool needs_read() const { return this->read_needed; }
@@ -102,8 +108,11 @@
     std::uint64_t end_offset() const { return this->end; }
 
 private:
+    void begin_topic(state::time_point now);
+    void forget_topic();
     void adopt(state::time_point now, const lease_record& record, std::uint64_t new_end);
-    /// Whether the newest record is from an earlier era, so that later ones may be lost.
+    /// Whether a record is from an earlier era or from before the present store, so that
+    /// later ones may be lost.
     bool is_outdated(const lease_record& record) const;
     /// Whether another process may have issued orders a short time ago.
     bool may_follow_other(state::time_point now) const;
@@ -113,6 +122,8 @@
     store_lease_timing timing;
     lease_record newest;
     std::uint64_t era = 0;
+    /// Epochs up to this one are outdated.
+    std::uint64_t base = 0;
     std::uint64_t end = 0;
     /// Time at which this process learnt that the topic ends at `end`.
     state::time_point end_known_at{};
--- a/src/libs/coordination/zone_balance.hpp
+++ b/src/libs/coordination/zone_balance.hpp
@@ -35,6 +35,8 @@
 
     explicit zone_balance(std::string own_zone, const zone_prices& zone_costs = {});
 
+    /// Changes the price of traffic between availability zones.
+    void set_price(double ms_per_mb) { this->prices.ms_per_mb = ms_per_mb; }
     /// Moves the share of a service by at most one step.
     void update(state::time_point now, const std::string& service, const load_map& loads);
     /// Returns the cost of sending a request to a backend server of `zone`, in
--- a/src/libs/protocol/backend_page.cpp
+++ b/src/libs/protocol/backend_page.cpp
@@ -32,6 +32,8 @@
     }
     if (page.store_era > 0)
         wire.__set_storeEra(static_cast<std::int64_t>(page.store_era));
+    if (page.store_id != 0)
+        wire.__set_storeId(static_cast<std::int64_t>(page.store_id));
     return internal::encode_compact(wire);
 }
 
@@ -46,6 +48,8 @@
     page.settings_reachable = wire.settingsReachable;
     if (wire.__isset.storeEra)
         page.store_era = static_cast<std::uint64_t>(wire.storeEra);
+    if (wire.__isset.storeId)
+        page.store_id = static_cast<std::uint64_t>(wire.storeId);
     for (const gen::BackendRecord& item : wire.records)
     {
         backend_page_record& record = page.records.emplace_back();
--- a/src/libs/protocol/backend_page.hpp
+++ b/src/libs/protocol/backend_page.hpp
@@ -37,6 +37,8 @@
     std::vector<backend_page_record> records;
     /// Era of the store to which the offsets belong; 0 if it is not known.
     std::uint64_t store_era = 0;
+    /// Identifies that store; 0 if the sender cannot tell.
+    std::uint64_t store_id = 0;
 };
 
 /// Encodes a page as a version byte and a Thrift compact struct.
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -232,6 +232,8 @@
     result.__set_aggregator(heartbeat.is_aggregator);
     if (heartbeat.store_era > 0)
         result.__set_storeEra(static_cast<std::int64_t>(heartbeat.store_era));
+    if (heartbeat.store_id != 0)
+        result.__set_storeId(static_cast<std::int64_t>(heartbeat.store_id));
     if (!heartbeat.suspects.empty())
     {
         result.__isset.suspects = true;
@@ -344,6 +346,8 @@
     }
     if (heartbeat.__isset.storeEra)
         result.store_era = to_unsigned<std::uint64_t>(heartbeat.storeEra);
+    if (heartbeat.__isset.storeId)
+        result.store_id = to_unsigned<std::uint64_t>(heartbeat.storeId);
     for (const gen::BackendLimit& limit : heartbeat.limits)
     {
         if (result.limits.size() == max_reported_limits)
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -212,6 +212,8 @@
     /// Newest era of the store that the sender knows, to which `lease` belongs; 0 if it
     /// knows none.
     std::uint64_t store_era = 0;
+    /// Identifies that store; 0 if the sender cannot tell.
+    std::uint64_t store_id = 0;
     /// Whether the sender aggregates the reports of its availability zone.
     bool is_aggregator = false;
     /// Sent by an aggregator: the gateways whose heartbeats the receiver does not get.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -3256,6 +3256,11 @@
   this->teamReporters = val;
 __isset.teamReporters = true;
 }
+
+void GatewayHeartbeat::__set_storeId(const int64_t val) {
+  this->storeId = val;
+__isset.storeId = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -3544,6 +3549,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeId);
+          this->__isset.storeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3731,6 +3744,11 @@
     xfer += oprot->writeI32(this->teamReporters);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeId) {
+    xfer += oprot->writeFieldBegin("storeId", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->storeId);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3756,6 +3774,7 @@
   swap(a.teams, b.teams);
   swap(a.speeds, b.speeds);
   swap(a.teamReporters, b.teamReporters);
+  swap(a.storeId, b.storeId);
   swap(a.__isset, b.__isset);
 }
 
@@ -3778,6 +3797,7 @@
   teams = other132.teams;
   speeds = other132.speeds;
   teamReporters = other132.teamReporters;
+  storeId = other132.storeId;
   __isset = other132.__isset;
 }
 GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other133) {
@@ -3799,6 +3819,7 @@
   teams = other133.teams;
   speeds = other133.speeds;
   teamReporters = other133.teamReporters;
+  storeId = other133.storeId;
   __isset = other133.__isset;
   return *this;
 }
@@ -3823,6 +3844,7 @@
   out << ", " << "teams="; (__isset.teams ? (out << to_string(teams)) : (out << "<null>"));
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
   out << ", " << "teamReporters="; (__isset.teamReporters ? (out << to_string(teamReporters)) : (out << "<null>"));
+  out << ", " << "storeId="; (__isset.storeId ? (out << to_string(storeId)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4294,6 +4316,11 @@
   this->storeEra = val;
 __isset.storeEra = true;
 }
+
+void BackendPage::__set_storeId(const int64_t val) {
+  this->storeId = val;
+__isset.storeId = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendPage& obj)
 {
   obj.printTo(out);
@@ -4387,6 +4414,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeId);
+          this->__isset.storeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4447,6 +4482,11 @@
     xfer += oprot->writeI64(this->storeEra);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeId) {
+    xfer += oprot->writeFieldBegin("storeId", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->storeId);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4460,6 +4500,7 @@
   swap(a.settingsReachable, b.settingsReachable);
   swap(a.records, b.records);
   swap(a.storeEra, b.storeEra);
+  swap(a.storeId, b.storeId);
   swap(a.__isset, b.__isset);
 }
 
@@ -4470,6 +4511,7 @@
   settingsReachable = other146.settingsReachable;
   records = other146.records;
   storeEra = other146.storeEra;
+  storeId = other146.storeId;
   __isset = other146.__isset;
 }
 BackendPage& BackendPage::operator=(const BackendPage& other147) {
@@ -4479,6 +4521,7 @@
   settingsReachable = other147.settingsReachable;
   records = other147.records;
   storeEra = other147.storeEra;
+  storeId = other147.storeId;
   __isset = other147.__isset;
   return *this;
 }
@@ -4491,6 +4534,7 @@
   out << ", " << "settingsReachable=" << to_string(settingsReachable);
   out << ", " << "records=" << to_string(records);
   out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
+  out << ", " << "storeId="; (__isset.storeId ? (out << to_string(storeId)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -1169,7 +1169,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
 
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false), teamReporters(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false), teamReporters(false), storeId(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
@@ -1180,6 +1180,7 @@
   bool teams :1;
   bool speeds :1;
   bool teamReporters :1;
+  bool storeId :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1194,7 +1195,8 @@
                      periodMs(0),
                      aggregator(0),
                      storeEra(0),
-                     teamReporters(0) {
+                     teamReporters(0),
+                     storeId(0) {
   }
 
   virtual ~GatewayHeartbeat() noexcept;
@@ -1216,6 +1218,7 @@
   std::vector<TeamUsage>  teams;
   std::vector<ServiceSpeed>  speeds;
   int32_t teamReporters;
+  int64_t storeId;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -1255,6 +1258,8 @@
 
   void __set_teamReporters(const int32_t val);
 
+  void __set_storeId(const int64_t val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -1313,6 +1318,10 @@
       return false;
     else if (__isset.teamReporters && !(teamReporters == rhs.teamReporters))
       return false;
+    if (__isset.storeId != rhs.__isset.storeId)
+      return false;
+    else if (__isset.storeId && !(storeId == rhs.storeId))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
@@ -1493,8 +1502,9 @@
 std::ostream& operator<<(std::ostream& out, const BackendRecord& obj);
 
 typedef struct _BackendPage__isset {
-  _BackendPage__isset() : storeEra(false) {}
+  _BackendPage__isset() : storeEra(false), storeId(false) {}
   bool storeEra :1;
+  bool storeId :1;
 } _BackendPage__isset;
 
 class BackendPage : public virtual ::apache::thrift::TBase {
@@ -1507,7 +1517,8 @@
                 whole(0),
                 listReachable(0),
                 settingsReachable(0),
-                storeEra(0) {
+                storeEra(0),
+                storeId(0) {
   }
 
   virtual ~BackendPage() noexcept;
@@ -1517,6 +1528,7 @@
   bool settingsReachable;
   std::vector<BackendRecord>  records;
   int64_t storeEra;
+  int64_t storeId;
 
   _BackendPage__isset __isset;
 
@@ -1532,6 +1544,8 @@
 
   void __set_storeEra(const int64_t val);
 
+  void __set_storeId(const int64_t val);
+
   bool operator == (const BackendPage & rhs) const
   {
     if (!(nextOffset == rhs.nextOffset))
@@ -1548,6 +1562,10 @@
       return false;
     else if (__isset.storeEra && !(storeEra == rhs.storeEra))
       return false;
+    if (__isset.storeId != rhs.__isset.storeId)
+      return false;
+    else if (__isset.storeId && !(storeId == rhs.storeId))
+      return false;
     return true;
   }
   bool operator != (const BackendPage &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -194,6 +194,8 @@
   17: optional list<ServiceSpeed> speeds
   // Number of gateways whose use `teams` contains; absent if the sender does not report it.
   18: optional i32 teamReporters
+  // Identifies the store to which `storeEra` and `lease` belong; absent if the sender cannot tell.
+  19: optional i64 storeId
 }
 
 // Requests permits to send requests to a backend server with a limit, from the gateway that issues
@@ -232,6 +234,8 @@
   5: required list<BackendRecord> records
   // Era of the platform's store to which the offsets belong.
   6: optional i64 storeEra
+  // Identifies that store; absent if the sender cannot tell.
+  7: optional i64 storeId
 }
 
 union PeerMessage {
--- a/src/libs/state/rate_limited_log.cpp
+++ b/src/libs/state/rate_limited_log.cpp
@@ -90,6 +90,11 @@
         used += is_reserved ? 0 : 1;
     }
 
+    void set_lines_per_s(std::int64_t max_lines_per_s)
+    {
+        this->lines_per_s = max_lines_per_s;
+    }
+
 private:
     void begin_second(std::int64_t wall_us)
     {
@@ -129,17 +134,33 @@
     std::map<std::string, std::int64_t> dropped;
 };
 
+/// The backend that the process logs to; null before `init_rate_limited_logging()`.
+boost::shared_ptr<line_backend>& present_backend()
+{
+    static boost::shared_ptr<line_backend> backend;
+    return backend;
+}
+
 } // namespace
 
 void init_rate_limited_logging(const std::string& process, log_level minimum,
                                std::int64_t lines_per_s)
 {
-    auto sink = boost::make_shared<blog::sinks::unlocked_sink<line_backend>>(
-        boost::make_shared<line_backend>(process, lines_per_s));
+    present_backend() = boost::make_shared<line_backend>(process, lines_per_s);
+    auto sink =
+        boost::make_shared<blog::sinks::unlocked_sink<line_backend>>(present_backend());
     blog::core::get()->remove_all_sinks();
+    blog::core::get()->add_sink(sink);
+    set_log_limits(minimum, lines_per_s);
+}
+
+void set_log_limits(log_level minimum, std::int64_t lines_per_s)
+{
+    if (!present_backend())
+        return;
+    present_backend()->set_lines_per_s(lines_per_s);
     blog::core::get()->set_filter(blog::expressions::attr<log_level>("Severity") >=
                                   minimum);
-    blog::core::get()->add_sink(sink);
 }
 
 } // namespace pomelorouter::state
--- a/src/libs/state/rate_limited_log.hpp
+++ b/src/libs/state/rate_limited_log.hpp
@@ -16,4 +16,7 @@
 void init_rate_limited_logging(const std::string& process, log_level minimum,
                                std::int64_t lines_per_s);
 
+/// Changes the limits of `init_rate_limited_logging()`; without it, does nothing.
+void set_log_limits(log_level minimum, std::int64_t lines_per_s);
+
 } // namespace pomelorouter::state
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -336,6 +336,7 @@
     auto sent = std::make_shared<http_request>(request);
     if (sent->count(field::host) == 0)
         sent->set(field::host, address);
+    const fetch_guard guard(this->fetching, call->connection);
     // A server that sends a byte from time to time would restart the progress timeout
     // again and again, so a timer bounds the whole call.
     const auto has_timed_out = std::make_shared<bool>(false);
@@ -373,6 +374,16 @@
     this->idle.erase(address);
 }
 
+void http_client::close_connections(const std::string& address)
+{
+    this->close_idle_connections(address);
+    for (const auto& connection : *this->fetching)
+    {
+        if (connection->address == address)
+            connection->stream.close();
+    }
+}
+
 void http_client::drop_expired(state::time_point now)
 {
     for (auto item = this->idle.begin(); item != this->idle.end();)
--- a/src/libs/transport/http_client.hpp
+++ b/src/libs/transport/http_client.hpp
@@ -10,7 +10,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pomelorouter::transport
@@ -157,12 +159,36 @@
     /// since a device on the path that lost the state of one connection may have lost the
     /// state of the others.
     void close_idle_connections(const std::string& address);
+    /// Closes the idle connections to an address and those of each `fetch()` in progress
+    /// there, which fails.
+    void close_connections(const std::string& address);
     /// Closes the idle connections that reach the idle timeout of their server soon.
     void drop_expired(state::time_point now);
 
 private:
     friend class http_call;
 
+    using connection_set = std::set<std::shared_ptr<internal::http_connection>>;
+
+    /// Keeps a connection in a set during a call.
+    class fetch_guard
+    {
+    public:
+        fetch_guard(std::shared_ptr<connection_set> all,
+                    const std::shared_ptr<internal::http_connection>& connection)
+            : connections(std::move(all)),
+              place(this->connections->insert(connection).first)
+        {
+        }
+        ~fetch_guard() { this->connections->erase(this->place); }
+        fetch_guard(const fetch_guard&) = delete;
+        fetch_guard& operator=(const fetch_guard&) = delete;
+
+    private:
+        std::shared_ptr<connection_set> connections;
+        connection_set::iterator place;
+    };
+
     std::shared_ptr<internal::http_connection> take_idle(const std::string& address);
     void keep_idle(std::shared_ptr<internal::http_connection> connection);
 
@@ -171,6 +197,9 @@
     std::map<std::string, std::vector<std::shared_ptr<internal::http_connection>>,
              std::less<>>
         idle;
+    /// Connections of each `fetch()` in progress. Shared with the calls, which the event
+    /// loop may destroy after the client.
+    std::shared_ptr<connection_set> fetching = std::make_shared<connection_set>();
 };
 
 } // namespace pomelorouter::transport
--- a/tests/auto/coordination/tst_store_lease.cpp
+++ b/tests/auto/coordination/tst_store_lease.cpp
@@ -376,3 +376,121 @@
     CHECK_FALSE(other.next_append(now + milliseconds(2000), 0, true, append));
     CHECK(other.next_append(now + milliseconds(2500), 0, true, append));
 }
+
+// Guards against a lease that keeps the times of the settings at the start.
+TEST_CASE("changed times of the lease take effect")
+{
+    store_lease_timing times;
+    times.engines_check_tokens = true;
+    store_lease lease("a", 1, times);
+    time_point now{state::seconds(10)};
+    lease.on_read(now, {}, 0);
+    lease_append append;
+    REQUIRE(lease.next_append(now, 0, true, append));
+    lease.on_sending(now);
+    lease.on_append_response(now, append, true, 1);
+    now += state::seconds(4);
+    lease.on_append_unknown(now);
+    CHECK(lease.may_issue_orders(now));
+    times.engines_check_tokens = false;
+    times.separation = milliseconds(7000);
+    lease.set_timing(times);
+    CHECK_FALSE(lease.may_issue_orders(now));
+    // The next claim, after another holder.
+    lease.on_read(now, {"b", 1, 2, false}, 2);
+    now += state::seconds(10);
+    REQUIRE(lease.next_append(now, 0, true, append));
+    lease.on_sending(now);
+    lease.on_append_response(now, append, true, 3);
+    append.record.may_order = true;
+    lease.on_sending(now + milliseconds(6000));
+    lease.on_append_response(now + milliseconds(6000), append, true, 4);
+    CHECK_FALSE(lease.may_issue_orders(now + milliseconds(6900)));
+    CHECK(lease.may_issue_orders(now + milliseconds(7100)));
+}
+
+// Guards against fencing tokens that engines have seen from a holder in the earlier
+// store.
+TEST_CASE("a holder continues above all earlier epochs in another store")
+{
+    const store_lease_timing times;
+    for (const std::uint64_t earlier_era : {0, 3})
+    {
+        CAPTURE(earlier_era);
+        lease_topic topic;
+        store_lease lease("a", 1, times);
+        time_point now{state::seconds(10)};
+        const auto claim = [&]
+        {
+            lease_append append;
+            REQUIRE(lease.next_append(now, 0, true, append));
+            lease.on_sending(now);
+            const bool is_appended = topic.append(append);
+            lease.on_append_response(now, append, is_appended, topic.end);
+            CHECK(lease.is_holder());
+        };
+        lease.on_era(now, earlier_era);
+        lease.on_read(now, {}, 0);
+        claim();
+        // In a later era, another process may have issued orders before.
+        while (!lease.may_issue_orders(now))
+        {
+            REQUIRE(now < time_point{state::seconds(20)});
+            now += times.renew;
+            claim();
+        }
+        // Gateways that stay with the earlier store may claim the epochs that follow.
+        const std::uint64_t last_claimed = lease.epoch() + 1000;
+        // The copy in the new store, of a lower era, has the holder's own record.
+        const lease_record copied = topic.newest();
+        lease.on_store_moved(now);
+        CHECK_FALSE(lease.may_issue_orders(now));
+        CHECK(lease.needs_read());
+        lease.on_era(now, 1);
+        lease.on_read(now, copied, topic.end);
+        CHECK_FALSE(lease.is_holder());
+        now += milliseconds(100);
+        claim();
+        CHECK(lease.epoch() > last_claimed);
+        // Nobody else can have issued orders meanwhile.
+        CHECK(lease.may_issue_orders(now));
+    }
+}
+
+// Guards against a fleet without orders: engines refuse the tokens of a holder that does
+// not know of the earlier store, while it renews its lease without end.
+TEST_CASE("a holder with lower epochs than those of the earlier store is replaced")
+{
+    const store_lease_timing times;
+    lease_topic topic;
+    store_lease moved("a", 1, times);
+    store_lease fresh("b", 1, times);
+    time_point now{state::seconds(10)};
+    moved.on_read(now, {"a", 1, 500, false}, 1);
+    moved.on_store_moved(now);
+    fresh.on_read(now, {}, 0);
+    lease_append append;
+    REQUIRE(fresh.next_append(now, 0, true, append));
+    fresh.on_sending(now);
+    const bool is_claimed = topic.append(append);
+    fresh.on_append_response(now, append, is_claimed, topic.end);
+    moved.on_read(now, topic.newest(), topic.end);
+    const time_point begin = now;
+    while (!moved.is_holder() && now - begin < state::seconds(20))
+    {
+        now += milliseconds(100);
+        for (store_lease* const lease : {&fresh, &moved})
+        {
+            if (!lease->next_append(now, 0, true, append))
+                continue;
+            lease->on_sending(now);
+            const bool is_appended = topic.append(append);
+            lease->on_append_response(now, append, is_appended, topic.end);
+        }
+        moved.on_peer_report(now, fresh.holder(), fresh.epoch(), fresh.end_offset());
+    }
+    REQUIRE(moved.is_holder());
+    CHECK(moved.epoch() > 500);
+    // The other one may issue orders until it learns of the claim.
+    CHECK_FALSE(moved.may_issue_orders(now));
+}
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -35,6 +35,8 @@
                         {"e2@1", std::nullopt, state::milliseconds(0)}};
     heartbeat.teams = {{"team-a", 250.5, 200.0}};
     heartbeat.team_reporters = 71;
+    heartbeat.store_era = 3;
+    heartbeat.store_id = 4294967296;
     heartbeat.speeds = {{"models", 38.7, 10.1, 0.2, 30.0}};
     return heartbeat;
 }
@@ -68,6 +70,8 @@
     CHECK(copy.teams[0].asked_per_s == 250.5);
     CHECK(copy.teams[0].admitted_per_s == 200.0);
     CHECK(copy.team_reporters == 71);
+    CHECK(copy.store_era == 3);
+    CHECK(copy.store_id == 4294967296);
     REQUIRE(copy.speeds.size() == 1);
     CHECK(copy.speeds[0].prompt_tokens_per_ms == 38.7);
     CHECK(copy.speeds[0].step_ms_per_request == 0.2);
@@ -213,11 +217,15 @@
     protocol::backend_page page;
     page.next = 12;
     page.list_reachable = true;
+    page.store_era = 3;
+    page.store_id = 4294967296;
     const std::string bytes("\x00\xff any", 6);
     page.records = {
         {10, "a", bytes, false}, {11, "b", std::nullopt, false}, {12, "c", {}, true}};
     const auto copy = protocol::decode_backend_page(protocol::encode_backend_page(page));
     CHECK(copy.next == 12);
+    CHECK(copy.store_era == 3);
+    CHECK(copy.store_id == 4294967296);
     CHECK_FALSE(copy.is_full_list);
     CHECK(copy.list_reachable);
     CHECK_FALSE(copy.settings_reachable);
--- a/tests/auto/state/tst_rate_limited_log.cpp
+++ b/tests/auto/state/tst_rate_limited_log.cpp
@@ -71,3 +71,22 @@
     CHECK(order_lines <= 2 * (20 + 5));
     CHECK(text.find("event=config_applied version=8") != std::string::npos);
 }
+
+// Guards against limits that are kept from the start of the process.
+TEST_CASE("changed limits of the log take effect")
+{
+    std::string text;
+    {
+        output_capture output;
+        state::init_rate_limited_logging("gateway-1", state::log_level::info, 20);
+        state::log_event(state::log_level::debug, "before").field("line", 1);
+        state::set_log_limits(state::log_level::debug, 0);
+        state::log_event(state::log_level::debug, "without_room").field("line", 2);
+        state::set_log_limits(state::log_level::debug, 20);
+        state::log_event(state::log_level::debug, "after").field("line", 3);
+        text = output.text();
+    }
+    CHECK(text.find("event=before") == std::string::npos);
+    CHECK(text.find("event=without_room") == std::string::npos);
+    CHECK(text.find("event=after") != std::string::npos);
+}
