--- a/src/libs/transport/http_server_state.cpp
+++ b/src/libs/transport/http_server_state.cpp
@@ -31,7 +31,7 @@
                                      http_handler& request_handler,
                                      state::counter_registry& counters)
     : loop(event_loop),
-      limits(server_limits),
+      limits(std::make_shared<const http_server_limits>(server_limits)),
       handler(request_handler),
       acceptor(event_loop),
       requests(counters.count("http_requests_total", "requests received")),
@@ -54,7 +54,7 @@
 
 bool http_server_state::close_longest_idle()
 {
-    if (!this->limits.idle_connections_give_way)
+    if (!this->limits->idle_connections_give_way)
         return false;
     for (http_session* const session : this->idle)
     {
@@ -82,7 +82,7 @@
     if (largest == 0)
         return 0;
     const std::size_t most =
-        std::min(body_cost(this->limits.max_body_bytes + read_buffer_bytes),
+        std::min(body_cost(this->limits->max_body_bytes + read_buffer_bytes),
                  this->memory->limit(use) / kept_free_divisor);
     return most - std::min(most, largest);
 }
--- a/tests/auto/transport/tst_http_server_memory.cpp
+++ b/tests/auto/transport/tst_http_server_memory.cpp
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -410,3 +411,28 @@
         }));
     CHECK(received <= most_unread);
 }
+
+// Guards against a body that takes more memory than is reserved for it: with the lowered
+// limit, the next reservation was smaller than the one before.
+TEST_CASE("a chunked body that began before a lowered limit has its memory reserved")
+{
+    constexpr std::size_t half_bytes = 150 * 1024;
+    memory_fixture test(16 * process_bytes);
+    raw_client client(test.loop, test.address);
+    std::ostringstream chunk;
+    chunk << std::hex << half_bytes << "\r\n" << std::string(half_bytes, 'a') << "\r\n";
+    test.handler.is_open = false;
+    client.send("POST /known HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                chunk.str());
+    CHECK(test.run_until(
+        [&] { return test.memory->held(transport::memory_use::large_bodies) > 0; }));
+    transport::http_server_limits limits;
+    limits.max_body_bytes = half_bytes;
+    test.server.set_limits(limits);
+    client.send(chunk.str() + "0\r\n\r\n");
+    CHECK(test.run_until([&] { return test.handler.calls == 1; }));
+    CHECK(test.memory->held(transport::memory_use::large_bodies) >= 2 * half_bytes);
+    test.handler.is_open = true;
+    test.handler.opened.notify();
+    CHECK(test.run_until([&] { return client.has_received(" 200 "); }));
+}
