Let requests wait for the first reads of a process that starts

Cause: a process accepts requests as soon as it has started, and refused them with 503 until it had read the configuration and the list of backend servers. Callers come back only so often.

Change: in the first 2 s of a process a request waits up to 600 ms for both. Later it is refused at once without them, as before.

A gateway whose store is down still answers 503.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -194,6 +194,7 @@
 
 void gateway::start()
 {
+    this->shared.started = now();
     this->settings.listen = this->frontend_server.listen(this->settings.listen);
     this->readiness_server.listen(this->settings.readiness_listen);
     this->settings.directory_listen =
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -50,6 +50,10 @@
     std::shared_ptr<transport::memory_budget> memory;
     /// Routes of the newest configuration; null until one is known.
     std::shared_ptr<const coordination::route_table> routes;
+    /// Whether the list of backend servers was read at least once.
+    bool is_backend_list_known = false;
+    /// When the process began to accept requests.
+    state::time_point started{};
     coordination::backend_directory directory;
     coordination::backend_loads loads;
     coordination::backend_limits limits;
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -43,6 +43,12 @@
 }};
 
 constexpr milliseconds connect_limit{400};
+/// Time after the start of a process in which it usually reads the configuration and the
+/// list of backend servers. Requests that arrive later are refused at once without them.
+constexpr milliseconds start_time{2000};
+/// Maximum time that a request waits for these reads.
+constexpr milliseconds longest_start_wait{600};
+constexpr milliseconds start_check_period{20};
 constexpr milliseconds deadline_margin{1000};
 /// Maximum size of a response that is forwarded in pieces.
 constexpr std::size_t max_forwarded_bytes = 64 * 1024 * 1024;
@@ -114,6 +120,7 @@
 
 asio::awaitable<void> relayed_request::run()
 {
+    co_await this->wait_for_start();
     std::optional<state::error> refused;
     try
     {
@@ -133,6 +140,21 @@
     co_await this->serve();
 }
 
+/// Callers return only so often, and the reads of a new process take a few round trips.
+asio::awaitable<void> relayed_request::wait_for_start()
+{
+    const auto is_started = [this]
+    { return this->shared.routes != nullptr && this->shared.is_backend_list_known; };
+    const state::time_point limit =
+        std::min(this->started + longest_start_wait, this->shared.started + start_time);
+    while (!is_started() && !this->shared.refuses_new_requests && now() < limit)
+    {
+        const auto left = std::chrono::ceil<milliseconds>(limit - now());
+        co_await this->shared.backends_changed.wait(std::min(left, start_check_period));
+    }
+    this->routes = this->shared.routes;
+}
+
 void relayed_request::prepare()
 {
     const transport::http_request& request = this->exchange.request();
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -84,6 +84,9 @@
         relayed_request* request = nullptr;
     };
 
+    /// Waits for a short time until a process that has just started knows the
+    /// configuration and the backend servers.
+    boost::asio::awaitable<void> wait_for_start();
     void prepare();
     /// Finds the route. Throws `state::error` if there is none.
     void find_route();
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -293,14 +293,14 @@
 void backend_watcher::on_read(std::string_view source)
 {
     const milliseconds gap = state::since(this->last_read);
-    if (this->is_list_known && gap > max_read_gap)
+    if (this->is_known() && gap > max_read_gap)
     {
         state::log_event(state::log_level::info, "backends_read_late")
             .field("gap_ms", gap.count())
             .field("source", source);
     }
     this->last_read = now();
-    this->is_list_known = true;
+    this->shared.is_backend_list_known = true;
     this->feed_read.notify();
 }
 
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -55,7 +55,7 @@
     /// Reads the complete list, since the store at another address is used.
     void on_store_moved();
     /// Whether the list was read at least once.
-    bool is_known() const { return this->is_list_known; }
+    bool is_known() const { return this->shared.is_backend_list_known; }
     /// Whether this gateway receives changes from an aggregator that reaches the store.
     bool follows_aggregator() const;
     /// Returns an encoded page with the records from a position on. Waits for new records
@@ -83,7 +83,6 @@
     coordination::backend_feed feed;
     transport::async_event feed_read;
     bool reachable = true;
-    bool is_list_known = false;
     /// The next complete list is the first one since the store's return.
     bool is_list_restored = false;
     state::time_point last_read{};
--- a/tests/auto/platform/fake_store.cpp
+++ b/tests/auto/platform/fake_store.cpp
@@ -74,9 +74,10 @@
     ++this->calls;
     ++this->topic_calls[std::string(
         transport::target_query(exchange.request().target(), "Topic"))];
-    if (this->is_silent)
+    if (this->is_silent || this->delay.count() > 0)
     {
-        boost::asio::steady_timer timer(this->loop, state::seconds(10));
+        boost::asio::steady_timer timer(this->loop, this->is_silent ? state::seconds(10)
+                                                                    : this->delay);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
     const std::string path(transport::target_path(exchange.request().target()));
--- a/tests/auto/platform/fake_store.hpp
+++ b/tests/auto/platform/fake_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/clock.hpp"
 #include "transport/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -36,6 +37,8 @@
     bool is_down = false;
     /// Never responds to any call.
     bool is_silent = false;
+    /// Pause before each response.
+    state::milliseconds delay{0};
     /// Sends the responses to reads so slowly that none is ever complete.
     bool is_trickling = false;
     /// Carries out appends without responding.
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -206,6 +206,23 @@
     test.run_until([&test] { return test.gateway->is_ready(); });
 }
 
+// Guards against refusals by processes that were all restarted at the same moment: their
+// callers come back only so often.
+TEST_CASE("a request that arrives while a gateway starts waits for its first reads")
+{
+    gateway_fixture test;
+    test.store.delay = state::milliseconds(50);
+    const test::raw_backend& backend = test.add_backend("s1", "plain", ok);
+    test.put_config(1);
+    test.gateway = std::make_unique<app::gateway>(
+        test.loop, test.settings, test.settings_path, *test.adapter, test.counters);
+    test.gateway->start();
+    const auto response = test.fetch(test.request("/once/x", "a1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK(backend.requests.size() == 1);
+}
+
 // Guards against a gateway that cannot start while the store is down although another
 // gateway has the configuration.
 TEST_CASE("a gateway without the store gets the configuration from another gateway")
