Explain where a gateway would send a request

Change: `pomelorouter explain` asks a gateway's control address (POST /gateway/explain). The gateway runs a relayed_request on a copy of its state up to the point at which it is sent (decide_only), so the route, the key, the allowance, the choice, the queue and the refusal with its Retry-After come from the code of real requests; the copy draws the random numbers of the next request. backend_chooser::choose fills in the terms of each backend server if it gets a place for them; the costs besides the wait are now summed in one function. run() and serve() share two functions with decide_only.

--- a/src/app/commands/node_client.cpp
+++ b/src/app/commands/node_client.cpp
@@ -65,8 +65,9 @@
 {
 }
 
-node_client::node_client(std::vector<std::string> node_addresses)
-    : addresses(std::move(node_addresses))
+node_client::node_client(std::vector<std::string> node_addresses,
+                         std::string address_option)
+    : addresses(std::move(node_addresses)), option(std::move(address_option))
 {
 }
 
@@ -84,7 +85,7 @@
             reasons += std::string(reasons.empty() ? "" : "; ") + failure.what();
         }
     }
-    throw nodes_unreachable("--node", reasons, false);
+    throw nodes_unreachable(this->option, reasons, false);
 }
 
 http_response node_client::post(const std::string& target, const std::string& body)
@@ -104,7 +105,7 @@
             reasons += std::string(reasons.empty() ? "" : "; ") + failure.what();
         }
     }
-    throw nodes_unreachable("--node", reasons, false);
+    throw nodes_unreachable(this->option, reasons, false);
 }
 
 boost::json::value read_answer(const http_response& response, const std::string& place)
--- a/src/app/commands/node_client.hpp
+++ b/src/app/commands/node_client.hpp
@@ -31,8 +31,10 @@
 class node_client
 {
 public:
-    /// Tries the addresses (`ip:port`) in the given order.
-    explicit node_client(std::vector<std::string> addresses);
+    /// Tries the addresses (`ip:port`) in the given order. `option` is the argument that
+    /// errors name.
+    explicit node_client(std::vector<std::string> addresses,
+                         std::string option = "--node");
 
     /// Returns the response of the first node that answers. Throws `nodes_unreachable`.
     transport::http_response get(const std::string& target);
@@ -43,6 +45,7 @@
 
 private:
     std::vector<std::string> addresses;
+    std::string option;
 };
 
 /// Parses the JSON body of a response. Throws `state::error` if the body is invalid or
--- a/src/app/gateway/process/control_handler.cpp
+++ b/src/app/gateway/process/control_handler.cpp
@@ -1,7 +1,10 @@
 #include "app/gateway/process/control_handler.hpp"
 
+#include "app/gateway/process/explanation.hpp"
 #include "state/error.hpp"
 
+#include <boost/json/serialize.hpp>
+
 #include <charconv>
 
 namespace pomelorouter::app
@@ -30,12 +33,16 @@
 control_handler::control_handler(gateway_state& gateway, const peer_gossip& gateway_peers,
                                  const config_watcher& config_state,
                                  backend_watcher& backend_state,
-                                 permit_exchange& send_permits)
+                                 permit_exchange& send_permits,
+                                 const request_dialect& request_format,
+                                 transport::http_client& backend_client)
     : shared(gateway),
       peers(gateway_peers),
       config(config_state),
       backends(backend_state),
-      permits(send_permits)
+      permits(send_permits),
+      dialect(request_format),
+      client(backend_client)
 {
 }
 
@@ -65,6 +72,8 @@
         co_await exchange.respond(transport::binary_response(
             status::ok, this->permits.respond(exchange.request().body())));
     }
+    else if (path == "/gateway/explain")
+        co_await this->explain_request(exchange);
     else if (path == "/metrics")
         co_await exchange.respond(
             transport::text_response(status::ok, this->shared.counters.render()));
@@ -72,7 +81,20 @@
         throw state::error(
             state::error_code::not_found, std::string(path),
             "expected /gateway/members, /gateway/config, /gateway/backends, "
-            "/gateway/permits or /metrics");
+            "/gateway/permits, /gateway/explain or /metrics");
+}
+
+boost::asio::awaitable<void>
+control_handler::explain_request(transport::http_exchange& exchange)
+{
+    if (exchange.request().method() != transport::verb::post)
+        throw state::error(state::error_code::method_not_allowed, "/gateway/explain",
+                           "expected POST");
+    const explained_request query = read_explained_request(exchange.request().body());
+    const boost::json::object answer =
+        co_await explain(this->shared, this->dialect, this->client, query);
+    co_await exchange.respond(
+        transport::json_response(transport::status::ok, boost::json::serialize(answer)));
 }
 
 } // namespace pomelorouter::app
--- a/src/app/gateway/serving/gateway_state.cpp
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -42,6 +42,31 @@
     this->memory->export_to(process_counters);
 }
 
+gateway_state::gateway_state(const gateway_state& original,
+                             state::counter_registry& own_counters)
+    : gateway_state(original.executor, original.settings, own_counters, 0)
+{
+    this->routes = original.routes;
+    this->directory = original.directory;
+    this->loads = original.loads;
+    this->limits = original.limits;
+    this->chooser = original.chooser;
+    this->demand = original.demand;
+    this->queue = original.queue;
+    this->quarantine = original.quarantine;
+    this->allowances = original.allowances;
+    this->team_reports = original.team_reports;
+    this->is_strongest = original.is_strongest;
+    // The trial draws what the next request would draw.
+    this->random = original.random;
+    this->is_newer_config_announced = original.is_newer_config_announced;
+    this->gateways = original.gateways;
+    this->is_stopping = original.is_stopping;
+    this->exit_at = original.exit_at;
+    this->refuses_new_requests = original.refuses_new_requests;
+    this->budgets = original.budgets;
+}
+
 coordination::retry_budget& gateway_state::budget_of(const std::string& service)
 {
     return this->budgets
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -39,6 +39,9 @@
     gateway_state(const boost::asio::any_io_executor& loop_executor,
                   const state::gateway_settings& process_settings,
                   state::counter_registry& process_counters, std::uint64_t seed);
+    /// Copies all that decisions about requests depend on, for a trial that leaves
+    /// `original` as it is. The callbacks of the copy have no effect outside.
+    gateway_state(const gateway_state& original, state::counter_registry& own_counters);
 
     /// Returns the retry budget of a service, creating it on first use.
     coordination::retry_budget& budget_of(const std::string& service);
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -114,18 +114,9 @@
 
 asio::awaitable<void> relayed_request::run()
 {
-    std::optional<state::error> refused;
-    try
-    {
-        this->prepare();
-    }
-    catch (const state::error& failure)
-    {
-        refused = failure;
-    }
+    const std::optional<state::error> refused = this->try_prepare();
     if (refused)
     {
-        this->last_problem = refused->what();
         co_await this->refuse(refused->code(), refused->expected(), run_state::not_run);
         co_return;
     }
@@ -133,6 +124,20 @@
     co_await this->serve();
 }
 
+std::optional<state::error> relayed_request::try_prepare()
+{
+    try
+    {
+        this->prepare();
+    }
+    catch (const state::error& failure)
+    {
+        this->last_problem = failure.what();
+        return failure;
+    }
+    return std::nullopt;
+}
+
 void relayed_request::prepare()
 {
     const transport::http_request& request = this->exchange.request();
@@ -262,10 +267,7 @@
         const backend_choice choice = co_await this->choose();
         if (!choice.backend || this->is_aborted())
         {
-            this->last_failure = choice.failure;
-            this->available_at = choice.available_at;
-            if (choice.failure == coordination::choice_failure::overloaded)
-                this->on_overloaded(choice);
+            this->on_not_chosen(choice);
             break;
         }
         refused = this->check_key_again();
@@ -295,6 +297,14 @@
     co_await this->finish(last);
 }
 
+void relayed_request::on_not_chosen(const backend_choice& choice)
+{
+    this->last_failure = choice.failure;
+    this->available_at = choice.available_at;
+    if (choice.failure == coordination::choice_failure::overloaded)
+        this->on_overloaded(choice);
+}
+
 void relayed_request::on_overloaded(const backend_choice& choice)
 {
     // The queue has estimated the time already.
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -53,6 +53,25 @@
 
 std::string_view to_string(call_end end);
 
+/// What the decision about a request is based on, as far as it has come.
+struct request_terms
+{
+    /// Null if there is no route.
+    const state::gateway_route* route = nullptr;
+    /// Null if the caller has no team.
+    const state::team* team = nullptr;
+    /// The service is empty if the request was refused before it was known.
+    coordination::backend_demand demand;
+    /// Order among the waiting requests of the gateway.
+    std::optional<int> rank;
+    /// Time until the deadline, from the arrival.
+    state::milliseconds time_limit{0};
+    /// Whether the queue of an engine was compared with the limit of the request.
+    bool has_queue_limit = false;
+    double queue_ms = 0.0;
+    double queue_limit_ms = 0.0;
+};
+
 /// Handles one request of a caller from its arrival to the end of the response.
 class relayed_request
 {
@@ -65,6 +84,13 @@
     relayed_request& operator=(const relayed_request&) = delete;
 
     boost::asio::awaitable<void> run();
+    /// Decides about the request as `run()` does, and answers it if it is refused, but
+    /// sends it to no backend server. Returns the chosen one, if any. To be used on a
+    /// copy of the gateway's state.
+    boost::asio::awaitable<coordination::backend_choice> decide_only();
+    /// Ends `decide_only()` of a request that waits, without an answer.
+    void withdraw() { abort(*this->aborted, abort_reason::client_closed); }
+    request_terms terms() const;
     /// Aborts the current call if a part of the prompt is quarantined now and the answer
     /// has not begun.
     void on_quarantine();
@@ -84,6 +110,8 @@
         relayed_request* request = nullptr;
     };
 
+    /// Prepares the request. Returns the refusal if that fails.
+    std::optional<state::error> try_prepare();
     void prepare();
     /// Finds the route. Throws `state::error` if there is none.
     void find_route();
@@ -138,6 +166,8 @@
     /// Without a chosen backend server: whether one may become available in time.
     bool may_become_available(const coordination::backend_choice& choice) const;
     state::milliseconds stream_time() const;
+    /// Notes why there is no backend server for the request.
+    void on_not_chosen(const coordination::backend_choice& choice);
     /// Notes why no engine has room, and for how long.
     void on_overloaded(const coordination::backend_choice& choice);
     bool may_try_again(call_end last) const;
@@ -226,6 +256,8 @@
     /// The current call was aborted in favour of another backend server, and the retry
     /// was already taken from the budget.
     bool has_reserved_retry = false;
+    /// The end of the request is logged.
+    bool is_logged = true;
     std::shared_ptr<abort_state> aborted = std::make_shared<abort_state>();
 
     int attempts = 0;
--- a/src/app/gateway/serving/relayed_request_completion.cpp
+++ b/src/app/gateway/serving/relayed_request_completion.cpp
@@ -170,6 +170,8 @@
 
 void relayed_request::log_end(std::string_view outcome, unsigned status)
 {
+    if (!this->is_logged)
+        return;
     state::log_event(state::log_level::info, "request")
         .field("request", this->metadata.attempt_id)
         .field("route", this->route == nullptr ? "" : this->route->name)
--- a/src/app/gateway/serving/request_dialect.hpp
+++ b/src/app/gateway/serving/request_dialect.hpp
@@ -79,6 +79,9 @@
     /// Throws `state::error` naming the invalid header field.
     virtual request_metadata
     read_request(const transport::http_request& request) const = 0;
+    /// Writes the metadata into the header of a request, as a caller does.
+    virtual void write_request(const request_metadata& metadata,
+                               transport::http_request& request) const = 0;
     /// Builds the request to a backend server from the caller's, whose body it refers to.
     /// Removes hop-by-hop fields and fields that only the gateway may set.
     virtual transport::forwarded_request::message_type
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,5 @@
 #include "app/commands/exit_code.hpp"
+#include "app/commands/explain_command.hpp"
 #include "app/commands/gateway_command.hpp"
 #include "app/commands/node_client.hpp"
 #include "app/commands/node_command.hpp"
@@ -34,12 +35,14 @@
                                               *pomelorouter::platform::make_adapter());
 }
 
-constexpr std::array<command, 5> commands{{
+constexpr std::array<command, 6> commands{{
     {"gateway", "run a gateway on the platform of the settings file",
      run_gateway_command},
     {"node", "run a serving process", pomelorouter::app::node_command},
     {"settings", "check, apply and show the settings tree",
      pomelorouter::app::settings_command},
+    {"explain", "print where a gateway would send a request, and why",
+     pomelorouter::app::explain_command},
     {"status", "print the state that a node reports", pomelorouter::app::status_command},
     {"timeline", "merge the events of several nodes",
      pomelorouter::app::timeline_command},
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -26,6 +26,18 @@
     {choice_failure::stopping, "stopping"},
 }};
 
+constexpr std::array<state::enum_name<candidate_state>, 9> candidate_names{{
+    {candidate_state::usable, "usable"},
+    {candidate_state::leaving, "leaving"},
+    {candidate_state::model_missing, "model_missing"},
+    {candidate_state::adapter_missing, "adapter_missing"},
+    {candidate_state::already_tried, "already_tried"},
+    {candidate_state::limited, "limited"},
+    {candidate_state::paused, "paused"},
+    {candidate_state::memory_full, "memory_full"},
+    {candidate_state::too_late, "too_late"},
+}};
+
 /// Costs that differ by less count as equal, so that gateways with the same data do not
 /// all choose the same backend server.
 constexpr double tie_tolerance_ms = 2.0;
@@ -98,6 +110,18 @@
                                             static_cast<double>(demand.engine_tokens);
 }
 
+/// Adds a backend server to the terms of a choice that leaves it out.
+void leave_out(std::vector<candidate_terms>& terms, const known_backend& backend,
+               candidate_state reason, std::optional<state::time_point> available = {})
+{
+    candidate_terms item;
+    item.backend = backend.entry.id;
+    item.zone = backend.entry.zone;
+    item.state = reason;
+    item.available_at = available;
+    terms.push_back(std::move(item));
+}
+
 } // namespace
 
 std::string backend_demand::weights() const
@@ -115,6 +139,11 @@
     return name_of(failure_names, failure);
 }
 
+std::string_view to_string(candidate_state state)
+{
+    return name_of(candidate_names, state);
+}
+
 backend_chooser::backend_chooser(std::string own_zone, const speed_model& speeds,
                                  double zone_cost_ms_per_mb)
     : zone(std::move(own_zone)),
@@ -133,7 +162,7 @@
 backend_chooser::choose(state::time_point now, const backend_directory& directory,
                         const backend_loads& loads, const backend_limits& limits,
                         const backend_demand& demand, const std::set<std::string>& tried,
-                        double draw) const
+                        double draw, std::vector<candidate_terms>* terms) const
 {
     backend_choice best;
     best.failure = choice_failure::no_backend;
@@ -151,16 +180,26 @@
     for (const auto& [id, backend] : directory.all())
     {
         const state::backend_entry& entry = backend->entry;
-        if (entry.service != demand.service || backend->is_leaving)
+        if (entry.service != demand.service)
+            continue;
+        if (backend->is_leaving)
+        {
+            if (terms != nullptr)
+                leave_out(*terms, *backend, candidate_state::leaving);
             continue;
+        }
         if (!demand.model.empty() && entry.find_model(demand.model) == nullptr)
         {
+            if (terms != nullptr)
+                leave_out(*terms, *backend, candidate_state::model_missing);
             if (best.failure == choice_failure::no_backend)
                 best.failure = choice_failure::model_missing;
             continue;
         }
         if (!demand.adapter.empty() && !entry.has_adapter(demand.model, demand.adapter))
         {
+            if (terms != nullptr)
+                leave_out(*terms, *backend, candidate_state::adapter_missing);
             if (best.failure == choice_failure::no_backend ||
                 best.failure == choice_failure::model_missing)
                 best.failure = choice_failure::adapter_missing;
@@ -168,6 +207,8 @@
         }
         if (tried.count(id) > 0)
         {
+            if (terms != nullptr)
+                leave_out(*terms, *backend, candidate_state::already_tried);
             if (best.failure != choice_failure::none && !is_temporary(best.failure))
                 best.failure = choice_failure::all_tried;
             continue;
@@ -182,6 +223,11 @@
         }
         if (lacks_permit || now < available_at)
         {
+            if (terms != nullptr)
+                leave_out(*terms, *backend,
+                          lacks_permit ? candidate_state::limited
+                                       : candidate_state::paused,
+                          available_at);
             if (best.failure == choice_failure::none)
                 continue;
             best.available_at = is_temporary(best.failure)
@@ -196,6 +242,8 @@
         if (!has_memory(demand, static_cast<double>(load.memory_tokens),
                         load.peer_prompt_rate * context.report_age_s))
         {
+            if (terms != nullptr)
+                leave_out(*terms, *backend, candidate_state::memory_full);
             lacks_memory = true;
             // A retry has been delayed already, so it is sent although the engine may
             // preempt it.
@@ -208,6 +256,8 @@
         }
         const option candidate = this->estimate(context, backend, load);
         has_late_option |= !candidate.ends_in_time;
+        if (terms != nullptr)
+            terms->push_back(this->describe(context, candidate, load));
         options.push_back(candidate);
         best.failure = choice_failure::none;
     }
@@ -267,18 +317,49 @@
     result.cost = context.demand.model.empty()
                       ? this->plain_cost(*backend, load, result)
                       : this->engine_cost(context, *backend, load, result);
-    result.cost += std::max(load.overdue_ms, 0.0);
-    result.cost += load.failure_share * this->speed.failure_cost_ms;
+    result.cost +=
+        this->extra_costs_of(context, *backend, load, result.expected_ms).sum();
+    return result;
+}
+
+extra_costs backend_chooser::extra_costs_of(const request_context& context,
+                                            const known_backend& backend,
+                                            const load_summary& load,
+                                            double expected_ms) const
+{
+    extra_costs result;
+    result.overdue_ms = std::max(load.overdue_ms, 0.0);
+    result.failure_ms = load.failure_share * this->speed.failure_cost_ms;
     if (load.is_full)
-        result.cost += this->speed.refusal_cost_ms;
-    result.cost += this->balance.cost_ms(
-        context.now, context.demand.service, backend->entry.zone, result.expected_ms,
+        result.refusal_ms = this->speed.refusal_cost_ms;
+    result.zone_ms = this->balance.cost_ms(
+        context.now, context.demand.service, backend.entry.zone, expected_ms,
         context.demand.target_ms,
         request_bytes(context.demand.prompt_tokens, context.demand.output_tokens),
         context.demand.zone_draw);
     return result;
 }
 
+candidate_terms backend_chooser::describe(const request_context& context,
+                                          const option& item,
+                                          const load_summary& load) const
+{
+    const known_backend& backend = **item.backend;
+    candidate_terms result;
+    result.backend = backend.entry.id;
+    result.zone = backend.entry.zone;
+    result.state =
+        item.ends_in_time ? candidate_state::usable : candidate_state::too_late;
+    result.cost_ms = item.cost;
+    result.extra = this->extra_costs_of(context, backend, load, item.expected_ms);
+    result.expected_ms = item.expected_ms;
+    result.idle_ms = item.idle_ms;
+    result.queue_ms = item.queue_ms;
+    result.stream_ms = item.stream_ms;
+    result.uncached_tokens = item.uncached_tokens;
+    return result;
+}
+
 double backend_chooser::plain_cost(const known_backend& backend, const load_summary& load,
                                    option& result) const
 {
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -111,6 +112,57 @@
     std::vector<std::string> without_permit;
 };
 
+/// Parts of the cost of a backend server besides the expected wait, as time to first
+/// byte.
+struct extra_costs
+{
+    double overdue_ms = 0.0;
+    double failure_ms = 0.0;
+    double refusal_ms = 0.0;
+    double zone_ms = 0.0;
+
+    double sum() const
+    {
+        return this->overdue_ms + this->failure_ms + this->refusal_ms + this->zone_ms;
+    }
+};
+
+/// Whether a backend server of the service can take a request, or why not.
+enum class candidate_state
+{
+    usable,
+    leaving,
+    model_missing,
+    adapter_missing,
+    already_tried,
+    /// Its limit leaves no permit for this gateway.
+    limited,
+    paused,
+    memory_full,
+    /// The response is not expected to end before the deadline.
+    too_late,
+};
+
+std::string_view to_string(candidate_state state);
+
+/// What a choice was based on, for one backend server of the service.
+struct candidate_terms
+{
+    std::string backend;
+    std::string zone;
+    candidate_state state = candidate_state::usable;
+    /// When it may accept the request; set for `limited` and `paused`.
+    std::optional<state::time_point> available_at;
+    /// The following are set for `usable` and `too_late`. `cost_ms` contains `extra`.
+    double cost_ms = 0.0;
+    extra_costs extra;
+    double expected_ms = 0.0;
+    double idle_ms = 0.0;
+    double queue_ms = 0.0;
+    double stream_ms = 0.0;
+    std::uint32_t uncached_tokens = 0;
+};
+
 /// Parameters of the latency estimates and of the cost function.
 struct speed_model
 {
@@ -142,11 +194,12 @@
 
     /// `tried` holds the ids of backend servers that the request was already sent to.
     /// `draw` is a random number in [0, 1) that decides among backend servers of similar
-    /// cost.
+    /// cost. `terms` receives what the choice was based on, unless it is null.
     backend_choice choose(state::time_point now, const backend_directory& directory,
                           const backend_loads& loads, const backend_limits& limits,
                           const backend_demand& demand,
-                          const std::set<std::string>& tried, double draw) const;
+                          const std::set<std::string>& tried, double draw,
+                          std::vector<candidate_terms>* terms = nullptr) const;
     /// Records that the request is sent to `backend`, which caches its prompt.
     void on_sent(const known_backend& backend, const backend_demand& demand,
                  std::int64_t cache_tokens);
@@ -192,6 +245,11 @@
 
     option estimate(const request_context& context, const known_backend_ptr& backend,
                     const load_summary& load) const;
+    extra_costs extra_costs_of(const request_context& context,
+                               const known_backend& backend, const load_summary& load,
+                               double expected_ms) const;
+    candidate_terms describe(const request_context& context, const option& item,
+                             const load_summary& load) const;
     double plain_cost(const known_backend& backend, const load_summary& load,
                       option& result) const;
     double engine_cost(const request_context& context, const known_backend& backend,
