Let figures of zones expire when reports stop

Cause: zone_balance took every update as new. gateway::update_zone_balance calls it twice a second whatever it knows, so the lifetime of 2 s never took effect: after the reports of other gateways had stopped, the loads were those of the own calls alone, the share of a service went back to 0 and requests kept paying the price of another zone.

Change: update takes the time at which the newest report arrived. Older figures move no share, and after 2 s only the round trip counts. A gateway without peers has all figures at once.

Result: tst_zone_balance "figures without recent reports decide nothing" fails without the check (the price still counts 5 s after the last report) and passes with it. The other updates in the test pass their own time as that of the report.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -498,10 +498,13 @@
         sum.slots += std::max(entry.slots, 1);
     }
     coordination::zone_balance& zones = this->shared.chooser.zones();
+    // The calls of a gateway without peers are all there are.
+    const state::time_point reported_at =
+        this->shared.gateways > 1 ? this->shared.loads.reported_at() : now();
     for (const auto& [service, loads] : services)
     {
         const double before = zones.share(service);
-        zones.update(now(), service, loads);
+        zones.update(now(), reported_at, service, loads);
         const double share = zones.share(service);
         if ((before > 0.0) != (share > 0.0))
         {
--- a/src/libs/coordination/backend_loads.cpp
+++ b/src/libs/coordination/backend_loads.cpp
@@ -270,6 +270,14 @@
     return count == 0 ? 0.0 : sum / static_cast<double>(count);
 }
 
+state::time_point backend_loads::reported_at() const
+{
+    state::time_point newest{};
+    for (const auto& [peer, report] : this->peers)
+        newest = std::max(newest, report.received);
+    return newest;
+}
+
 void backend_loads::forget_idle(state::time_point now)
 {
     for (auto item = this->records.begin(); item != this->records.end();)
--- a/src/libs/coordination/backend_loads.hpp
+++ b/src/libs/coordination/backend_loads.hpp
@@ -125,6 +125,8 @@
     state::time_point paused_until(std::string_view backend) const;
     /// Mean time since the reports of peers arrived; 0 without reports.
     double report_age_ms(state::time_point now) const;
+    /// When the newest report of a peer arrived; the earliest time without reports.
+    state::time_point reported_at() const;
     std::size_t active_calls() const { return this->calls.size(); }
     /// Drops the records of backend servers without recent calls.
     void forget_idle(state::time_point now);
--- a/src/libs/coordination/zone_balance.cpp
+++ b/src/libs/coordination/zone_balance.cpp
@@ -53,9 +53,13 @@
 {
 }
 
-void zone_balance::update(state::time_point now, const std::string& service,
-                          const load_map& loads)
+void zone_balance::update(state::time_point now, state::time_point reported_at,
+                          const std::string& service, const load_map& loads)
 {
+    // Without reports the loads are those of this gateway alone, which would look like
+    // room in every zone.
+    if (now - reported_at > figure_lifetime)
+        return;
     zone_load home;
     zone_load others;
     for (const auto& [name, load] : loads)
@@ -72,7 +76,7 @@
     }
     const auto [entry, is_new] = this->services.try_emplace(service);
     service_state& state = entry->second;
-    state.updated = now;
+    state.updated = reported_at;
     const double weight = is_new ? 1.0 : newest_weight;
     state.home += weight * (crowding(home) - state.home);
     state.others += weight * (crowding(others) - state.others);
--- a/src/libs/coordination/zone_balance.hpp
+++ b/src/libs/coordination/zone_balance.hpp
@@ -37,8 +37,10 @@
 
     /// Changes the price of traffic between availability zones.
     void set_price(double ms_per_mb) { this->prices.ms_per_mb = ms_per_mb; }
-    /// Moves the share of a service by at most one step.
-    void update(state::time_point now, const std::string& service, const load_map& loads);
+    /// Moves the share of a service by at most one step. `reported_at` is when the newest
+    /// report in `loads` arrived; figures that are too old change nothing.
+    void update(state::time_point now, state::time_point reported_at,
+                const std::string& service, const load_map& loads);
     /// Returns the cost of sending a request to a backend server of `zone`, in
     /// milliseconds. `expected_ms` is the time to first byte there, `draw` a random
     /// number in [0, 1) of the request.
--- a/tests/auto/coordination/tst_zone_balance.cpp
+++ b/tests/auto/coordination/tst_zone_balance.cpp
@@ -100,7 +100,7 @@
             }
             for (std::size_t i = 0; i < balances.size(); ++i)
             {
-                balances[i].update(now, "plain", loads);
+                balances[i].update(now, now, "plain", loads);
                 const double share = balances[i].share("plain");
                 const int direction =
                     share > shares[i] ? 1 : (share < shares[i] ? -1 : directions[i]);
@@ -222,7 +222,7 @@
     // Without figures only the round trip counts.
     CHECK(cost("home", 10.0) == doctest::Approx(0.0));
     CHECK(cost("other", 10.0) == doctest::Approx(3.0));
-    balance.update(start, "s", {{"home", {1.0, 10.0}}, {"other", {1.0, 10.0}}});
+    balance.update(start, start, "s", {{"home", {1.0, 10.0}}, {"other", {1.0, 10.0}}});
     CHECK(balance.share("s") == doctest::Approx(0.0));
     CHECK(cost("home", 10.0) == doctest::Approx(0.0));
     CHECK(cost("other", 10.0) == doctest::Approx(3.0 + price_ms));
@@ -234,10 +234,43 @@
     // Old figures.
     CHECK(cost("other", 10.0, 0.5, milliseconds(2001)) == doctest::Approx(3.0));
     // A zone without other zones has no figures to compare.
-    balance.update(start, "s", {{"home", {1.0, 10.0}}});
+    balance.update(start, start, "s", {{"home", {1.0, 10.0}}});
     CHECK(cost("other", 10.0) == doctest::Approx(3.0));
 }
 
+// Guards against shares and prices that go on by the calls of one gateway after the
+// reports of all others have stopped.
+TEST_CASE("figures without recent reports decide nothing")
+{
+    time_point now{state::seconds(100)};
+    zone_balance balance("home", {3.0, 2000.0});
+    const zone_balance::load_map crowded{{"home", {9.0, 10.0}}, {"other", {1.0, 10.0}}};
+    const zone_balance::load_map own_calls{{"home", {0.0, 10.0}}, {"other", {0.0, 10.0}}};
+    for (int i = 0; i < 3; ++i)
+    {
+        now += milliseconds(500);
+        balance.update(now, now, "s", crowded);
+    }
+    const double share = balance.share("s");
+    CHECK(share > 0.0);
+    CHECK(balance.cost_ms(now, "s", "other", 10.0, 100.0, 10000.0, 0.9) ==
+          doctest::Approx(23.0));
+    const time_point reported_at = now;
+    for (int i = 0; i < 10; ++i)
+    {
+        now += milliseconds(500);
+        balance.update(now, reported_at, "s",
+                       now - reported_at > milliseconds(1500) ? own_calls : crowded);
+    }
+    CHECK(balance.share("s") >= share);
+    CHECK(balance.cost_ms(now, "s", "other", 10.0, 100.0, 10000.0, 0.9) ==
+          doctest::Approx(3.0));
+    // The share moves again with the first reports.
+    balance.update(now, now, "s", crowded);
+    CHECK(balance.cost_ms(now, "s", "other", 10.0, 100.0, 10000.0, 0.9) ==
+          doctest::Approx(23.0));
+}
+
 // Guards against a share that jumps, or that moves on a difference too small to matter.
 TEST_CASE("the share moves in small steps and stays within the hysteresis")
 {
@@ -248,7 +281,8 @@
         for (int i = 0; i < count; ++i)
         {
             const double before = balance.share("s");
-            balance.update(now += milliseconds(500), "s",
+            now += milliseconds(500);
+            balance.update(now, now, "s",
                            {{"home", {home, 10.0}}, {"other", {other, 10.0}}});
             largest = std::max(largest, std::abs(balance.share("s") - before));
         }
