Keep engines free for models whose demand shows itself later

Change: a model may use all of these engines only if its engines have a load of 2 or more, a part in proportion below it, and half at least. Before there is traffic there is no such limit. The replay gets demand by model, reports with an age, callers that come back after a refusal and the longest wait as options; the defaults are as before.

--- a/src/libs/coordination/plan_workspace.cpp
+++ b/src/libs/coordination/plan_workspace.cpp
@@ -196,6 +196,7 @@
     for (const auto& [name, count] : this->initial_copies)
         all_copies += count;
     const double unobserved = std::max(0.0, initial_load * capacity - total);
+    this->has_traffic = unobserved <= 0.0;
     const auto add = [this](const std::string& model, double tokens)
     {
         this->model_demand[model] += tokens;
--- a/src/libs/coordination/plan_workspace.hpp
+++ b/src/libs/coordination/plan_workspace.hpp
@@ -58,6 +58,8 @@
     std::map<std::string, double> plain_demand = {};
     /// The same for adapters.
     std::map<weight_name, double> adapter_demand = {};
+    /// Whether requests cause more than the load that is assumed until they arrive.
+    bool has_traffic = false;
     /// Expected loads of the engines, and the numbers of the flows of models and
     /// adapters.
     demand_spread spread{{}};
--- a/src/libs/coordination/weight_planner.cpp
+++ b/src/libs/coordination/weight_planner.cpp
@@ -44,6 +44,13 @@
 constexpr double min_useful_limit_share = 0.5;
 /// Maximum share of the engines that change their models at the same time.
 constexpr double max_changing_share = 0.6;
+/// Load of the engines of a model from which on it may use all of that share; below, it
+/// may use a part in proportion. At this load half of its requests cannot be served. An
+/// engine that loads weights cannot serve another model for seconds, so the rest is kept
+/// for models whose demand shows itself later.
+constexpr double full_share_crowding = 2.0;
+/// Least part of that share that a model may use.
+constexpr double min_changing_part = 0.5;
 /// Models without waiting requests are not restored while this many engines are changing
 /// their models.
 constexpr int max_changing_for_idle = 4;
@@ -324,8 +331,16 @@
 /// costs least, if necessary in place of copies of models with less demand.
 void weight_planner::balance_models(plan_workspace& work) const
 {
-    const auto max_changing =
-        static_cast<int>(max_changing_share * static_cast<double>(work.engines.size()));
+    const double max_changing =
+        max_changing_share * static_cast<double>(work.engines.size());
+    const auto may_change = [&work, max_changing](double crowding)
+    {
+        // Without traffic there is no other model that could need the engines.
+        const double part = work.has_traffic ? std::clamp(crowding / full_share_crowding,
+                                                          min_changing_part, 1.0)
+                                             : 1.0;
+        return work.changing < std::max(1, static_cast<int>(max_changing * part));
+    };
     struct candidate
     {
         const state::hosted_model* model = nullptr;
@@ -345,7 +360,7 @@
     for (const state::hosted_model& model : work.profile.models)
         candidates.push_back(candidate_of(model));
     std::size_t failed = 0;
-    while (work.changing < max_changing && failed < max_failed_moves)
+    while (failed < max_failed_moves)
     {
         candidate* wanted = nullptr;
         for (candidate& item : candidates)
@@ -357,7 +372,8 @@
                                                : item.crowding > wanted->crowding))
                 wanted = &item;
         }
-        if (wanted == nullptr || wanted->crowding < min_crowding_of_free_memory)
+        if (wanted == nullptr || wanted->crowding < min_crowding_of_free_memory ||
+            !may_change(wanted->crowding))
             return;
         const candidate present = candidate_of(*wanted->model);
         if (present.crowding + min_relief < wanted->crowding)
--- a/tests/auto/coordination/fleet_replay.cpp
+++ b/tests/auto/coordination/fleet_replay.cpp
@@ -12,6 +12,7 @@
 using coordination::plan_operation;
 using coordination::planned_engine;
 using coordination::planned_order;
+using coordination::weight_demand;
 using state::milliseconds;
 
 namespace
@@ -19,12 +20,11 @@
 
 constexpr milliseconds step{100};
 constexpr double step_s = 0.1;
-constexpr double tokens_per_request = 2000.0;
 constexpr double recent_window_s = 1.2;
 constexpr double usual_window_s = 20.0;
-constexpr double longest_wait_s = 1.0;
 constexpr double model_mb = 70000.0;
 constexpr double adapter_mb = 60.0;
+constexpr double return_delay_s = 0.3;
 constexpr milliseconds store_load{9000};
 constexpr milliseconds disk_load{2400};
 constexpr milliseconds unload_time{600};
@@ -92,6 +92,8 @@
 
 double fleet_replay::popularity(int model) const
 {
+    if (!this->weights.empty())
+        return this->weights.at(static_cast<std::size_t>(model));
     const int rank = (model + this->rotation) % this->options.models;
     return std::pow(rank + 1.0, -this->options.popularity_exponent);
 }
@@ -135,10 +137,11 @@
 {
     for (int model = 0; model < this->options.models; ++model)
     {
-        this->streams.push_back({model_name(model), "", 0.0, 0.0, 0.0, 0.0, 0.0});
+        this->streams.push_back(
+            {model_name(model), "", 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0});
         for (int adapter = 0; adapter < this->options.adapters; ++adapter)
             this->streams.push_back({model_name(model), "a" + std::to_string(adapter),
-                                     0.0, 0.0, 0.0, 0.0, 0.0});
+                                     0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0});
     }
     this->shift_popularity(0);
 }
@@ -146,6 +149,17 @@
 void fleet_replay::shift_popularity(int ranks)
 {
     this->rotation += ranks;
+    this->share_demand();
+}
+
+void fleet_replay::set_weights(std::vector<double> model_weights)
+{
+    this->weights = std::move(model_weights);
+    this->share_demand();
+}
+
+void fleet_replay::share_demand()
+{
     double total = 0.0;
     for (int model = 0; model < this->options.models; ++model)
         total += this->popularity(model);
@@ -213,7 +227,7 @@
 {
     const double requests = this->options.load * this->options.engine_tokens_per_s *
                             static_cast<double>(this->engines.size()) * step_s /
-                            tokens_per_request;
+                            this->options.tokens_per_request;
     const double recent_decay = std::exp(-step_s / recent_window_s);
     const double usual_decay = std::exp(-step_s / usual_window_s);
     for (stream& item : this->streams)
@@ -223,12 +237,19 @@
             mean > 0.0
                 ? static_cast<double>(std::poisson_distribution<>(mean)(this->random))
                 : 0.0;
-        const double tokens = count * tokens_per_request;
-        item.recent_requests = item.recent_requests * recent_decay + count;
+        const double new_tokens = count * this->options.tokens_per_request;
+        // Callers that come back count as arrivals again.
+        const double returned =
+            item.returning_tokens * std::min(1.0, step_s / return_delay_s);
+        item.returning_tokens -= returned;
+        item.repeated_tokens += returned;
+        const double tokens = new_tokens + returned;
+        const double requests_in = tokens / this->options.tokens_per_request;
+        item.recent_requests = item.recent_requests * recent_decay + requests_in;
         item.recent_tokens = item.recent_tokens * recent_decay + tokens;
         item.usual_tokens = item.usual_tokens * usual_decay + tokens;
         item.queued_tokens += tokens;
-        this->result.asked_tokens += tokens;
+        this->result.asked_tokens += new_tokens;
     }
 }
 
@@ -275,18 +296,26 @@
         for (const std::size_t engine : holders[i])
             served += shares[i][engine] * step_s / std::max(this->loads[engine], 1.0);
         served = std::min(served, item.queued_tokens);
+        const double repeated =
+            item.queued_tokens > 0.0 ? item.repeated_tokens / item.queued_tokens : 0.0;
         item.queued_tokens -= served;
         this->result.served_tokens += served;
         // What waits for longer than the longest wait is refused.
         const double limit =
-            item.recent_tokens / recent_window_s * longest_wait_s + tokens_per_request;
-        item.queued_tokens = std::min(item.queued_tokens, limit);
+            item.recent_tokens / recent_window_s * this->options.longest_wait_s +
+            this->options.tokens_per_request;
+        const double refused = std::max(0.0, item.queued_tokens - limit);
+        item.queued_tokens -= refused;
+        item.repeated_tokens = item.queued_tokens * repeated;
+        // Callers that were refused twice give up.
+        item.returning_tokens +=
+            refused * (1.0 - repeated) * this->options.returning_share;
     }
 }
 
-void fleet_replay::plan()
+weight_demand::rates fleet_replay::measured_demand() const
 {
-    coordination::weight_demand::rates demand;
+    weight_demand::rates demand;
     for (const stream& item : this->streams)
     {
         if (item.usual_tokens <= 0.0)
@@ -295,6 +324,13 @@
         rate.per_s = item.recent_requests / recent_window_s;
         rate.tokens_per_s = item.recent_tokens / recent_window_s;
         rate.usual_tokens_per_s = item.usual_tokens / usual_window_s;
+        if (this->options.knows_demand)
+        {
+            rate.tokens_per_s = rate.usual_tokens_per_s =
+                item.share * this->options.load * this->options.engine_tokens_per_s *
+                static_cast<double>(this->engines.size());
+            rate.per_s = rate.tokens_per_s / this->options.tokens_per_request;
+        }
         bool is_held = false;
         for (const planned_engine& engine : this->engines)
             is_held |= item.adapter.empty()
@@ -303,9 +339,19 @@
         if (is_held)
             rate.queued_tokens = static_cast<std::uint32_t>(item.queued_tokens);
         else
-            rate.waiting =
-                static_cast<std::uint32_t>(item.queued_tokens / tokens_per_request);
+            rate.waiting = static_cast<std::uint32_t>(item.queued_tokens /
+                                                      this->options.tokens_per_request);
     }
+    return demand;
+}
+
+void fleet_replay::plan()
+{
+    this->reports.push_back(this->measured_demand());
+    const auto age = static_cast<std::size_t>(this->options.report_age / step);
+    while (this->reports.size() > age + 1)
+        this->reports.pop_front();
+    const weight_demand::rates& demand = this->reports.front();
     constexpr double full_active = 40.0;
     for (std::size_t i = 0; i < this->engines.size(); ++i)
     {
@@ -337,6 +383,7 @@
         if (order.from_store)
         {
             ++this->result.store_loads;
+            ++this->result.loads_of[order.model];
             this->allowance.take();
         }
     }
--- a/tests/auto/coordination/fleet_replay.hpp
+++ b/tests/auto/coordination/fleet_replay.hpp
@@ -4,6 +4,7 @@
 #include "coordination/weight_planner.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <random>
 #include <string>
@@ -32,6 +33,15 @@
     /// Demand as a share of what all engines can read.
     double load = 0.55;
     double loads_per_s = 8.5;
+    double tokens_per_request = 2000.0;
+    /// Requests that wait for longer are refused.
+    double longest_wait_s = 1.0;
+    /// Share of the refused requests whose callers send them once more.
+    double returning_share = 0.0;
+    /// Age of the demand that the planner sees.
+    state::milliseconds report_age{0};
+    /// The planner sees the true mean of the demand, as a bound on what it can do.
+    bool knows_demand = false;
     std::uint64_t seed = 1;
 };
 
@@ -46,6 +56,8 @@
     int store_loads = 0;
     int model_orders = 0;
     int adapter_orders = 0;
+    /// Loads from the weight store by model.
+    std::map<std::string, int> loads_of;
 
     double served_share() const { return this->served_tokens / this->asked_tokens; }
 };
@@ -64,6 +76,8 @@
     /// Rotates the popularity of models, so that those of other ranks become the busy
     /// ones.
     void shift_popularity(int ranks);
+    /// Sets the demand for each model in proportion to `weights`.
+    void set_weights(std::vector<double> weights);
     void set_load(double load) { this->options.load = load; }
     /// Multiplies the speed of an engine.
     void set_speed(int engine, double factor);
@@ -85,6 +99,9 @@
         double recent_tokens = 0.0;
         double usual_tokens = 0.0;
         double queued_tokens = 0.0;
+        /// Tokens of this queue that were refused before, and tokens that come back.
+        double repeated_tokens = 0.0;
+        double returning_tokens = 0.0;
     };
     struct running_order
     {
@@ -94,8 +111,10 @@
 
     void place_at_start();
     void make_streams();
+    void share_demand();
     void receive();
     void serve();
+    coordination::weight_demand::rates measured_demand() const;
     void plan();
     void begin(const coordination::planned_order& order);
     void finish_orders();
@@ -105,6 +124,10 @@
 
     fleet_options options;
     int rotation = 0;
+    /// Demand for each model that was set; empty for the popularity by rank.
+    std::vector<double> weights;
+    /// Reports that the planner has not seen, and the one that it has.
+    std::deque<coordination::weight_demand::rates> reports;
     state::engine_profile profile;
     std::vector<coordination::planned_engine> engines;
     std::vector<double> speeds;
