--- a/src/app/gateway/serving/gateway_state.cpp
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -47,6 +47,8 @@
     : gateway_state(original.executor, original.settings, own_counters, 0)
 {
     this->routes = original.routes;
+    this->is_backend_list_known = original.is_backend_list_known;
+    this->started = original.started;
     this->directory = original.directory;
     this->loads = original.loads;
     this->limits = original.limits;
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -43,6 +43,12 @@
 }};
 
 constexpr milliseconds connect_limit{400};
+/// Time after the start of a process in which it usually reads the configuration and the
+/// list of backend servers. Requests that arrive later are refused at once without them.
+constexpr milliseconds start_time{2000};
+/// Maximum time that a request waits for these reads.
+constexpr milliseconds longest_start_wait{600};
+constexpr milliseconds start_check_period{20};
 constexpr milliseconds deadline_margin{1000};
 /// Maximum size of a response that is forwarded in pieces.
 constexpr std::size_t max_forwarded_bytes = 64 * 1024 * 1024;
@@ -114,6 +120,7 @@
 
 asio::awaitable<void> relayed_request::run()
 {
+    co_await this->wait_for_start();
     const std::optional<state::error> refused = this->try_prepare();
     if (refused)
     {
@@ -138,6 +145,21 @@
     return std::nullopt;
 }
 
+/// Callers return only so often, and the reads of a new process take a few round trips.
+asio::awaitable<void> relayed_request::wait_for_start()
+{
+    const auto is_started = [this]
+    { return this->shared.routes != nullptr && this->shared.is_backend_list_known; };
+    const state::time_point limit =
+        std::min(this->started + longest_start_wait, this->shared.started + start_time);
+    while (!is_started() && !this->shared.refuses_new_requests && now() < limit)
+    {
+        const auto left = std::chrono::ceil<milliseconds>(limit - now());
+        co_await this->shared.backends_changed.wait(std::min(left, start_check_period));
+    }
+    this->routes = this->shared.routes;
+}
+
 void relayed_request::prepare()
 {
     const transport::http_request& request = this->exchange.request();
@@ -171,6 +193,8 @@
     {
         this->demand.model = this->metadata.model;
         this->demand.adapter = this->metadata.adapter;
+        this->can_be_loaded =
+            service->engine->can_load(this->demand.model, this->demand.adapter);
     }
     this->demand.prompt_tokens = this->metadata.prompt_tokens;
     this->demand.output_tokens = this->metadata.output_tokens;
@@ -195,7 +219,8 @@
     this->charge_allowance();
     this->shared.budget_of(share->service)
         .on_request(this->shared.settings.retry_percent);
-    if (!this->demand.model.empty())
+    // Clients can invent names without end.
+    if (this->can_be_loaded)
     {
         this->shared.demand.on_request(
             this->started,
@@ -328,7 +353,8 @@
         return true;
     if (!this->route->may_retry() || this->unanswered_calls >= max_unanswered_calls)
         return false;
-    return last != call_end::broken_off || this->events.last_id().has_value();
+    return last != call_end::broken_off ||
+           (this->events.last_id().has_value() && !this->events.has_taken_part());
 }
 
 milliseconds relayed_request::first_byte_timeout(const backend_choice& choice) const
@@ -382,6 +408,12 @@
         this->arm_progress_timer(this->stall_timeout - pause + milliseconds(1));
         return;
     }
+    if (this->events.has_taken_part())
+    {
+        // Another backend server could not continue inside the event.
+        this->arm_progress_timer(this->stall_timeout);
+        return;
+    }
     const backend_choice other = this->shared.chooser.choose(
         now(), this->shared.directory, this->shared.loads, this->shared.limits,
         this->demand, this->tried, this->shared.random.unit());
--- a/src/libs/transport/http_session.cpp
+++ b/src/libs/transport/http_session.cpp
@@ -39,8 +39,6 @@
 constexpr milliseconds drop_time{2000};
 /// A read buffer that grew beyond this is released after the request.
 constexpr std::size_t max_idle_buffer_bytes = 16 * 1024;
-/// Read buffer of a request with a body.
-constexpr std::size_t read_buffer_bytes = 64 * 1024;
 /// First reservation of a body of unknown size that is not small. Later ones double it.
 constexpr std::size_t first_large_reservation_bytes = 256 * 1024;
 constexpr double ms_per_s = 1000.0;
@@ -50,12 +48,6 @@
     return static_cast<std::size_t>(std::distance(request.begin(), request.end()));
 }
 
-/// Memory that a body of the given size and the buffer for its reads take.
-std::size_t body_cost(std::size_t bytes)
-{
-    return bytes + std::min(bytes, read_buffer_bytes);
-}
-
 /// Rejects ambiguous framing, which two HTTP implementations may parse differently.
 void check_framing(const http_request& head, boost::system::error_code& failure)
 {
@@ -85,8 +77,9 @@
 http_session::http_session(std::shared_ptr<http_server_state> server,
                            asio::ip::tcp::socket socket, memory_reservation memory)
     : shared(std::move(server)),
+      limits(shared->limits),
       stream(std::move(socket)),
-      read_timer(this->shared->loop),
+      timer(this->shared->loop),
       connection_memory(std::move(memory)),
       request_memory(this->shared->memory, this->shared->request_use),
       body_memory(this->shared->memory, this->shared->large_body_use),
@@ -136,6 +129,16 @@
     this->stream.close();
 }
 
+/// A client may count on the earlier timeout until it learns of a lowered one, which
+/// therefore begins with the change.
+void http_session::on_idle_timeout_changed()
+{
+    const milliseconds limit = this->shared->limits->idle_timeout;
+    this->idle_until =
+        std::max(this->idle_since + limit, std::min(this->idle_until, now() + limit));
+    this->start_timeout(std::chrono::ceil<milliseconds>(this->idle_until - now()));
+}
+
 void http_session::give_way()
 {
     this->gave_way = true;
@@ -189,7 +192,7 @@
 {
     this->prepare_head(response);
     response.prepare_payload();
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await http::async_write(this->stream, response, asio::use_awaitable);
 }
 
@@ -199,20 +202,20 @@
     http::response<http::empty_body> empty{std::move(head.base())};
     empty.chunked(true);
     http::response_serializer<http::empty_body> serializer{empty};
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await http::async_write_header(this->stream, serializer, asio::use_awaitable);
 }
 
 asio::awaitable<void> http_session::write_piece(std::string piece)
 {
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(piece)),
                                asio::use_awaitable);
 }
 
 asio::awaitable<void> http_session::end_stream()
 {
-    this->stream.expires_after(this->shared->limits.io_timeout);
+    this->stream.expires_after(this->limits->io_timeout);
     co_await asio::async_write(this->stream, http::make_chunk_last(),
                                asio::use_awaitable);
 }
@@ -231,6 +234,7 @@
     this->has_received_bytes = true;
     this->first_request_guard.reset();
     this->arrival = now();
+    this->limits = this->shared->limits;
     this->refused.reset();
     this->received.start(this->arrival, 0, milliseconds(0));
     this->shared->receiving.insert(this);
@@ -254,12 +258,27 @@
 {
     constexpr std::size_t read_bytes = 4096;
     this->idle_place = this->shared->idle.insert(this->shared->idle.end(), this);
-    this->stream.expires_after(this->shared->limits.idle_timeout);
-    const std::size_t size = co_await this->stream.async_read_some(
-        this->buffer.prepare(read_bytes),
-        asio::redirect_error(asio::use_awaitable, failure));
-    this->buffer.commit(size);
+    this->idle_since = now();
+    this->idle_until = this->idle_since + this->shared->limits->idle_timeout;
+    // The timeout of the stream cannot be changed during a read.
+    this->stream.expires_never();
+    this->start_timeout(this->shared->limits->idle_timeout);
+    // An asynchronous read would take the bytes of a request before the session
+    // continues, and the connection would seem to have none and be closed as idle.
+    asio::ip::tcp::socket& socket = this->stream.socket();
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    do
+    {
+        co_await socket.async_wait(asio::socket_base::wait_read,
+                                   asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+            this->buffer.commit(
+                socket.read_some(this->buffer.prepare(read_bytes), failure));
+    } while (failure == asio::error::would_block);
     this->leave_idle();
+    this->timeout->active = false;
+    this->timer.cancel();
 }
 
 /// The timeout of the stream is not used, since it closes the socket and the server could
@@ -272,18 +291,17 @@
     if (this->refused)
         co_return;
     request_parser parser;
-    parser.header_limit(
-        static_cast<std::uint32_t>(this->shared->limits.max_header_bytes));
-    parser.body_limit(this->shared->limits.max_body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(this->limits->max_header_bytes));
+    parser.body_limit(this->limits->max_body_bytes);
     // The parser itself does not limit chunk extensions and trailers.
-    this->buffer.max_size(this->shared->limits.max_header_bytes + read_buffer_bytes);
+    this->buffer.max_size(this->limits->max_header_bytes + read_buffer_bytes);
     co_await this->read_head(parser, failure);
     if (!failure && !this->gave_way)
         this->check_head(parser);
     if (!failure && !this->gave_way && !this->refused && !parser.is_done())
         co_await this->read_body(parser, failure);
     this->timeout->active = false;
-    this->read_timer.cancel();
+    this->timer.cancel();
     if (this->gave_way && !this->refused)
     {
         failure = {};
@@ -298,12 +316,12 @@
 asio::awaitable<void> http_session::read_head(request_parser& parser,
                                               boost::system::error_code& failure)
 {
-    const http_server_limits& limits = this->shared->limits;
-    this->start_read_timeout(limits.header_timeout.count() > 0 ? limits.header_timeout
-                                                               : limits.io_timeout);
+    this->start_timeout(this->limits->header_timeout.count() > 0
+                            ? this->limits->header_timeout
+                            : this->limits->io_timeout);
     co_await http::async_read_header(this->stream, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
-    this->read_timer.cancel();
+    this->timer.cancel();
     if (!failure)
         check_framing(parser.get(), failure);
 }
@@ -311,13 +329,12 @@
 void http_session::check_head(const request_parser& parser)
 {
     const http_request& head = parser.get();
-    if (count_fields(head) > this->shared->limits.max_header_fields)
+    if (count_fields(head) > this->limits->max_header_fields)
     {
         constexpr unsigned header_fields_too_large = 431;
         this->refused.emplace(refused_request{
             {state::error_code::too_large, "header",
-             "at most " + std::to_string(this->shared->limits.max_header_fields) +
-                 " fields"},
+             "at most " + std::to_string(this->limits->max_header_fields) + " fields"},
             header_fields_too_large,
             std::nullopt});
         return;
@@ -352,7 +369,8 @@
         co_return;
     const std::size_t capacity =
         std::min(std::max(first_large_reservation_bytes, 2 * body.capacity()),
-                 this->shared->limits.max_body_bytes + read_buffer_bytes);
+                 this->limits->max_body_bytes + read_buffer_bytes);
+    this->is_open_ended = true;
     co_await this->reserve(this->body_memory, body_cost(capacity));
     if (!this->refused)
         body.reserve(capacity);
@@ -366,14 +384,13 @@
     const bool is_small = length <= small_body_bytes;
     memory_reservation& memory = is_small ? this->request_memory : this->body_memory;
     const std::size_t cost = body_cost(length) + (is_small ? request_bytes : 0);
-    if (!memory.resize(cost))
-        co_await this->reserve(memory, cost);
+    co_await this->reserve(memory, cost);
     if (this->refused)
         co_return;
     const std::size_t fields = count_fields(parser.get());
-    const milliseconds limit = this->shared->limits.io_timeout;
+    const milliseconds limit = this->limits->io_timeout;
     this->received.start(now(), parser.content_length_remaining().value_or(0), limit);
-    this->start_read_timeout(limit);
+    this->start_timeout(limit);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
         co_await this->send_continue(failure);
     while (!failure && !this->gave_way && !parser.is_done())
@@ -392,20 +409,29 @@
         failure = http::error::bad_field;
 }
 
+std::size_t http_session::needed(const memory_reservation& reservation,
+                                 std::size_t bytes) const
+{
+    return bytes - reservation.bytes() +
+           this->shared->kept_free(*this, reservation.use(), bytes);
+}
+
 bool http_session::try_reserve(memory_reservation& reservation, std::size_t bytes)
 {
-    while (!reservation.resize(bytes))
+    if (!this->shared->memory)
+        return true;
+    const memory_budget& budget = *this->shared->memory;
+    const memory_use use = reservation.use();
+    const std::size_t more = this->needed(reservation, bytes);
+    while (budget.missing(use, more) > 0)
     {
-        const memory_budget& budget = *this->shared->memory;
         // Idle connections hold memory of their own use, so closing them does not help a
         // use whose own part is full.
-        const bool has_own_part =
-            budget.held(reservation.use()) - reservation.bytes() + bytes <=
-            budget.limit(reservation.use());
+        const bool has_own_part = budget.held(use) + more <= budget.limit(use);
         if (!has_own_part || !this->shared->close_longest_idle())
             return false;
     }
-    return true;
+    return reservation.resize(bytes);
 }
 
 asio::awaitable<void> http_session::reserve(memory_reservation& reservation,
@@ -422,7 +448,9 @@
             this->refused = this->no_memory(reservation, bytes);
             break;
         }
-        this->shared->make_room(reservation.use(), bytes - reservation.bytes());
+        const memory_use use = reservation.use();
+        this->shared->make_room(
+            use, this->shared->memory->missing(use, this->needed(reservation, bytes)));
         co_await this->shared->memory_released.wait(std::min(left, room_check_period));
     }
     this->waits_for_memory = false;
@@ -452,18 +480,17 @@
                                asio::redirect_error(asio::use_awaitable, failure));
 }
 
-void http_session::start_read_timeout(milliseconds duration)
+void http_session::start_timeout(milliseconds duration)
 {
     this->timeout->active = true;
     this->timeout->expired = false;
-    const std::uint64_t request_number = ++this->timeout->request_number;
-    this->read_timer.expires_after(duration);
-    this->read_timer.async_wait(
-        [this, shared_timeout = this->timeout, request_number](boost::system::error_code)
+    const std::uint64_t number_of_wait = ++this->timeout->wait_number;
+    this->timer.expires_after(duration);
+    this->timer.async_wait(
+        [this, shared_timeout = this->timeout, number_of_wait](boost::system::error_code)
         {
-            // The wait may end after its request or after the session.
-            if (!shared_timeout->active ||
-                shared_timeout->request_number != request_number)
+            // The timer may fire after what it limits or after the session.
+            if (!shared_timeout->active || shared_timeout->wait_number != number_of_wait)
                 return;
             shared_timeout->expired = true;
             this->stream.cancel();
@@ -546,27 +573,26 @@
 http_session::refused_request
 http_session::bad_request_error(const boost::system::error_code& failure) const
 {
-    const http_server_limits& limits = this->shared->limits;
     using state::error_code;
     if (failure == http::error::body_limit)
     {
         return {{error_code::too_large, "body",
-                 "at most " + std::to_string(limits.max_body_bytes) + " bytes"},
+                 "at most " + std::to_string(this->limits->max_body_bytes) + " bytes"},
                 413,
                 std::nullopt};
     }
     if (failure == http::error::header_limit)
     {
         return {{error_code::too_large, "header",
-                 "at most " + std::to_string(limits.max_header_bytes) + " bytes"},
+                 "at most " + std::to_string(this->limits->max_header_bytes) + " bytes"},
                 431,
                 std::nullopt};
     }
     if (failure == beast::error::timeout)
     {
         return {{error_code::timed_out, "request",
-                 "the whole request within " + std::to_string(limits.io_timeout.count()) +
-                     " ms"},
+                 "the whole request within " +
+                     std::to_string(this->limits->io_timeout.count()) + " ms"},
                 408,
                 std::nullopt};
     }
@@ -579,7 +605,7 @@
     boost::system::error_code failure;
     this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
     this->stream.expires_after(drop_time);
-    std::size_t left = this->shared->limits.max_body_bytes;
+    std::size_t left = this->limits->max_body_bytes;
     while (!failure && left > 0)
     {
         const std::size_t size = co_await this->stream.async_read_some(
@@ -594,6 +620,7 @@
     this->current_request = no_request();
     if (this->buffer.size() == 0 && this->buffer.capacity() > max_idle_buffer_bytes)
         this->buffer.shrink_to_fit();
+    this->is_open_ended = false;
     this->body_memory.release();
     this->request_memory.release();
     this->shared->memory_released.notify();
--- a/src/libs/transport/http_session.hpp
+++ b/src/libs/transport/http_session.hpp
@@ -27,15 +27,20 @@
 inline constexpr std::size_t request_bytes = 80 * 1024;
 /// Bodies up to this size are not large.
 inline constexpr std::size_t small_body_bytes = 64 * 1024;
+/// Read buffer of a request with a body.
+inline constexpr std::size_t read_buffer_bytes = 64 * 1024;
+
+/// Memory that a body of the given size and the buffer for its reads take.
+std::size_t body_cost(std::size_t bytes);
 
 /// One connection of a server.
 class http_session : public http_exchange
 {
-    /// Timeout of the request that is being read. Shared with the timer callback, which
-    /// may run after the session ended.
+    /// Timeout of the wait for a request, or of the request that is being read. Shared
+    /// with the timer callback, which may run after the session ended.
     struct read_timeout
     {
-        std::uint64_t request_number = 0;
+        std::uint64_t wait_number = 0;
         bool active = false;
         bool expired = false;
     };
@@ -84,11 +89,15 @@
     bool has_unread_bytes();
     /// Closes the connection, which waits for a request.
     void close_idle();
+    /// Applies a changed idle timeout to the connection, which waits for a request.
+    void on_idle_timeout_changed();
     /// Ends the request that is being received, since another one needs the memory.
     void give_way();
     bool has_given_way() const { return this->gave_way; }
     /// Whether the session waits for memory itself.
     bool is_waiting() const { return this->waits_for_memory; }
+    /// Whether a large body is being received whose size is not known.
+    bool has_open_size() const { return this->is_open_ended; }
     const receive_progress& progress() const { return this->received; }
     /// Memory that the request holds of a use.
     std::size_t held(memory_use use) const;
@@ -133,17 +142,18 @@
     void check_head(const request_parser& parser);
     /// Reserves more memory for a body of unknown size. Sets `refused` if that fails.
     boost::asio::awaitable<void> extend_body(request_parser& parser);
-    /// Waits for a short time until a reservation has room, for requests that did not get
-    /// it at once. Sets `refused` if it has
+    /// Waits for a short time until a reservation has room. Sets `refused` if it has
     /// none.
     boost::asio::awaitable<void> reserve(memory_reservation& reservation,
                                          std::size_t bytes);
+    /// Room that a reservation needs to hold `bytes`, with what is kept free.
+    std::size_t needed(const memory_reservation& reservation, std::size_t bytes) const;
     bool try_reserve(memory_reservation& reservation, std::size_t bytes);
     static const std::shared_ptr<const http_request>& no_request();
     static refused_request make_refusal(const state::error& failure);
     refused_request no_memory(const memory_reservation& reservation, std::size_t bytes);
     boost::asio::awaitable<void> send_continue(boost::system::error_code& failure);
-    void start_read_timeout(state::milliseconds duration);
+    void start_timeout(state::milliseconds duration);
     boost::asio::awaitable<bool> call_handler();
     boost::asio::awaitable<bool> respond_error(const refused_request& refusal);
     boost::asio::awaitable<void>
@@ -158,12 +168,16 @@
     void prepare_head(http_response& head);
 
     std::shared_ptr<http_server_state> shared;
+    /// Limits of the present request: those in force when its first byte arrived.
+    std::shared_ptr<const http_server_limits> limits;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
-    boost::asio::steady_timer read_timer;
+    boost::asio::steady_timer timer;
     std::shared_ptr<read_timeout> timeout = std::make_shared<read_timeout>();
     std::shared_ptr<close_watch> watch = std::make_shared<close_watch>();
     state::time_point arrival{};
+    state::time_point idle_since{};
+    state::time_point idle_until{};
     memory_reservation connection_memory;
     memory_reservation request_memory;
     memory_reservation body_memory;
@@ -177,6 +191,7 @@
     bool keep_alive = true;
     bool gave_way = false;
     bool waits_for_memory = false;
+    bool is_open_ended = false;
     /// Whether the connection has received a byte of a request.
     bool has_received_bytes = false;
     std::optional<in_flight_guard> first_request_guard;
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <vector>
@@ -35,6 +36,8 @@
                         {"e2@1", std::nullopt, state::milliseconds(0)}};
     heartbeat.teams = {{"team-a", 250.5, 200.0}};
     heartbeat.team_reporters = 71;
+    heartbeat.store_era = 3;
+    heartbeat.store_id = 4294967296;
     heartbeat.speeds = {{"models", 38.7, 10.1, 0.2, 30.0}};
     return heartbeat;
 }
@@ -68,6 +71,8 @@
     CHECK(copy.teams[0].asked_per_s == 250.5);
     CHECK(copy.teams[0].admitted_per_s == 200.0);
     CHECK(copy.team_reporters == 71);
+    CHECK(copy.store_era == 3);
+    CHECK(copy.store_id == 4294967296);
     REQUIRE(copy.speeds.size() == 1);
     CHECK(copy.speeds[0].prompt_tokens_per_ms == 38.7);
     CHECK(copy.speeds[0].step_ms_per_request == 0.2);
@@ -208,16 +213,63 @@
     CHECK_FALSE(none.last_id().has_value());
 }
 
+TEST_CASE("a stream whose incomplete events are taken has the same bytes, events and ids")
+{
+    // Guards against bytes that are lost or passed on twice, and against an id that is
+    // read from the middle of a line or overlooked at a boundary.
+    const std::string long_line(100, 'x');
+    const std::string stream = "id: 1\ndata: a\n\ndata: " + long_line +
+                               "id: 5\nid: 2\ndata: b\n\n"
+                               "id: 7\r\ndata: d\r\n\r\n" +
+                               long_line + "\nid: 8\n\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece)
+    {
+        CAPTURE(piece);
+        sse_event_splitter cutter;
+        std::string out;
+        std::size_t longest_held = 0;
+        std::vector<std::uint64_t> ids;
+        for (std::size_t from = 0; from < stream.size(); from += piece)
+        {
+            out += cutter.feed(std::string_view(stream).substr(from, piece));
+            out += cutter.take_incomplete_event();
+            CHECK(out == stream.substr(0, from + piece));
+            CHECK(cutter.has_taken_part() == !cutter.incomplete_event().empty());
+            longest_held = std::max(longest_held, cutter.incomplete_event().size());
+            const std::uint64_t id = cutter.last_id().value_or(0);
+            if (ids.empty() || ids.back() != id)
+                ids.push_back(id);
+        }
+        CHECK(cutter.events() == 4);
+        CHECK(longest_held <= 65);
+        CHECK(cutter.last_id() == 8);
+        for (const std::uint64_t id : ids)
+            CHECK((id == 0 || id == 1 || id == 2 || id == 7 || id == 8));
+    }
+    sse_event_splitter cutter;
+    cutter.feed(long_line);
+    cutter.take_incomplete_event();
+    cutter.feed(long_line);
+    CHECK(cutter.incomplete_size() == 2 * long_line.size());
+    cutter.discard_incomplete_event();
+    CHECK(cutter.incomplete_size() == 0);
+    CHECK(!cutter.has_taken_part());
+}
+
 TEST_CASE("a decoded page of backend servers equals the encoded one")
 {
     protocol::backend_page page;
     page.next = 12;
     page.list_reachable = true;
+    page.store_era = 3;
+    page.store_id = 4294967296;
     const std::string bytes("\x00\xff any", 6);
     page.records = {
         {10, "a", bytes, false}, {11, "b", std::nullopt, false}, {12, "c", {}, true}};
     const auto copy = protocol::decode_backend_page(protocol::encode_backend_page(page));
     CHECK(copy.next == 12);
+    CHECK(copy.store_era == 3);
+    CHECK(copy.store_id == 4294967296);
     CHECK_FALSE(copy.is_full_list);
     CHECK(copy.list_reachable);
     CHECK_FALSE(copy.settings_reachable);
