--- a/tests/auto/soak/soak_fleet.cpp
+++ b/tests/auto/soak/soak_fleet.cpp
@@ -127,8 +127,8 @@
     {
         transport::http_call_options options;
         options.fresh_connection = true;
-        const auto response = co_await this->base.client.fetch(
-            this->addresses[instance], std::move(request), options);
+        const auto response =
+            co_await this->base.client.fetch(this->addresses[instance], request, options);
         record.status = response.result_int();
     }
     catch (const state::error&)
--- a/tests/auto/soak/tst_soak.cpp
+++ b/tests/auto/soak/tst_soak.cpp
@@ -228,9 +228,10 @@
     void check_requests() const
     {
         int served = 0;
-        for (const auto& [id, request] : this->fleet.requests)
+        for (const auto& item : this->fleet.requests)
         {
-            CAPTURE(id);
+            const soak_request& request = item.second;
+            CAPTURE(item.first);
             CAPTURE(request.team);
             CAPTURE(request.status);
             served += request.status == 200 ? 1 : 0;
