Keep the ports of the gateways that tests start

Change: the socket stays bound and does not listen, as in raw_backend; the gateway may share it.

The race itself was not replayed.

--- a/tests/auto/memory/gateway_child.cpp
+++ b/tests/auto/memory/gateway_child.cpp
@@ -16,6 +16,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <list>
 #include <stdexcept>
 
 namespace pomelorouter::test
@@ -101,12 +102,19 @@
     return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
+/// Keeps the port bound, so that the kernel gives it to no other socket before the
+/// gateway binds it. A bound socket that does not listen does not prevent that if both
+/// may share the port.
 std::string free_address()
 {
-    boost::asio::io_context loop;
-    const boost::asio::ip::tcp::acceptor acceptor(
-        loop, transport::parse_address("127.0.0.1:0"));
-    return transport::format_address(acceptor.local_endpoint());
+    static boost::asio::io_context loop;
+    static std::list<boost::asio::ip::tcp::socket> reserved;
+    boost::asio::ip::tcp::socket& socket =
+        reserved.emplace_back(loop, boost::asio::ip::tcp::v4());
+    socket.bind(transport::parse_address("127.0.0.1:0"));
+    // Set later, since a port may already be shared if it is chosen with this option.
+    socket.set_option(boost::asio::socket_base::reuse_address(true));
+    return transport::format_address(socket.local_endpoint());
 }
 
 } // namespace pomelorouter::test
--- a/tests/auto/memory/gateway_child.hpp
+++ b/tests/auto/memory/gateway_child.hpp
@@ -32,7 +32,8 @@
     std::string settings_path;
 };
 
-/// Returns a loopback address with a free port.
+/// Returns a loopback address with a free port, which is kept for this process and the
+/// gateways that it starts.
 std::string free_address();
 
 } // namespace pomelorouter::test
