--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -483,12 +483,11 @@
 # Running a case ---------------------------------------------------------------------------
 
 
-def run_case(folder, main):
+def run_case(record_path, trouble, main):
     """Runs `main(record, scratch, trouble)`, which returns whether the rule held, and
     returns the exit code of the script."""
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     scratch = tempfile.mkdtemp(prefix="case-")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record("with the disruption" if trouble else "without the disruption (TROUBLE=0)")
 
     async def bounded():
