--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,6 +9,7 @@
 import json
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -163,7 +164,15 @@
 
 
 async def run():
-    status = await main()
+    playing = asyncio.ensure_future(main())
+    # A stopped script ends its gateways too.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+    try:
+        status = await playing
+    except (Exception, asyncio.CancelledError) as problem:
+        print('the case could not run: %r' % problem)
+        status = 2
     sys.stdout.flush()
     os._exit(status)
 
