Log removals of backend servers that do not count yet

The log showed neither a removal that is deferred nor a position that the store has dropped, and nothing at all of removals found by a complete list.

The directory reports a deferred removal (once), also for entries that are missing from a complete list, and backend_watcher logs it, and a truncated list (backend_list_truncated). The test of the outage names the new result where it expected none, and expects none at the repetition.

--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -214,8 +214,10 @@
         this->on_read("store");
         co_return true;
     }
-    catch (const transport::log_truncated&)
+    catch (const transport::log_truncated& failure)
     {
+        state::log_event(state::log_level::info, "backend_list_truncated")
+            .field("problem", failure.what());
         this->feed.set_next(std::nullopt);
         co_return true;
     }
@@ -283,10 +285,20 @@
     state::log_event(state::log_level::info, "backends_read")
         .field("count", static_cast<std::uint64_t>(entries.size()));
     this->feed.replace_all(next, records);
-    if (std::exchange(this->is_list_restored, false))
-        this->shared.directory.restore_all(now(), std::move(entries));
-    else
-        this->shared.directory.replace_all(now(), std::move(entries));
+    coordination::backend_directory& directory = this->shared.directory;
+    const std::vector<coordination::backend_removal> removals =
+        std::exchange(this->is_list_restored, false)
+            ? directory.restore_all(now(), std::move(entries))
+            : directory.replace_all(now(), std::move(entries));
+    for (const coordination::backend_removal& removal : removals)
+    {
+        if (removal.change == coordination::directory_change::none)
+            continue;
+        state::log_event(state::log_level::info, "backend_changed")
+            .field("backend", removal.id)
+            .field("change", to_string(removal.change))
+            .field("offset", next);
+    }
     this->shared.backends_changed.notify();
 }
 
--- a/src/libs/coordination/backend_directory.cpp
+++ b/src/libs/coordination/backend_directory.cpp
@@ -12,12 +12,13 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<directory_change>, 6> change_names{{
+constexpr std::array<state::enum_name<directory_change>, 7> change_names{{
     {directory_change::none, "none"},
     {directory_change::added, "added"},
     {directory_change::updated, "updated"},
     {directory_change::restarted, "restarted"},
     {directory_change::leaving, "leaving"},
+    {directory_change::removal_deferred, "removal_deferred"},
     {directory_change::gone, "gone"},
 }};
 
@@ -88,8 +89,8 @@
         return directory_change::none;
     if (!this->is_store_stable(now))
     {
-        this->removed.emplace(std::string(id), now);
-        return directory_change::none;
+        const bool is_new = this->removed.emplace(std::string(id), now).second;
+        return is_new ? directory_change::removal_deferred : directory_change::none;
     }
     this->erase(now, id);
     return directory_change::gone;
@@ -104,8 +105,9 @@
     this->backends.erase(found);
 }
 
-void backend_directory::replace_all(state::time_point now,
-                                    std::vector<state::backend_entry> entries)
+std::vector<backend_removal>
+backend_directory::replace_all(state::time_point now,
+                               std::vector<state::backend_entry> entries)
 {
     std::set<std::string, std::less<>> named;
     for (state::backend_entry& entry : entries)
@@ -113,11 +115,12 @@
         named.insert(entry.id);
         this->apply(now, std::move(entry));
     }
-    this->remove_missing(now, named);
+    return this->remove_missing(now, named);
 }
 
-void backend_directory::restore_all(state::time_point now,
-                                    std::vector<state::backend_entry> entries)
+std::vector<backend_removal>
+backend_directory::restore_all(state::time_point now,
+                               std::vector<state::backend_entry> entries)
 {
     std::set<std::string, std::less<>> named;
     for (state::backend_entry& entry : entries)
@@ -133,20 +136,22 @@
         else if (is_known || !has_ended)
             this->apply(now, std::move(entry));
     }
-    this->remove_missing(now, named);
+    return this->remove_missing(now, named);
 }
 
-void backend_directory::remove_missing(state::time_point now,
-                                       const std::set<std::string, std::less<>>& listed)
+std::vector<backend_removal>
+backend_directory::remove_missing(state::time_point now,
+                                  const std::set<std::string, std::less<>>& listed)
 {
-    std::vector<std::string> missing;
+    std::vector<backend_removal> missing;
     for (const auto& [id, backend] : this->backends)
     {
         if (listed.count(id) == 0)
-            missing.push_back(id);
+            missing.push_back({id, directory_change::none});
     }
-    for (const std::string& id : missing)
-        this->remove(now, id);
+    for (backend_removal& removal : missing)
+        removal.change = this->remove(now, removal.id);
+    return missing;
 }
 
 void backend_directory::on_store_contact(state::time_point now, bool is_reachable)
--- a/src/libs/coordination/backend_directory.hpp
+++ b/src/libs/coordination/backend_directory.hpp
@@ -62,11 +62,20 @@
     /// A new process uses the same id.
     restarted,
     leaving,
+    /// The entry was removed, but may be written again since the store was unavailable.
+    removal_deferred,
     gone,
 };
 
 std::string_view to_string(directory_change change);
 
+/// Removal of an entry that is missing from a complete list.
+struct backend_removal
+{
+    std::string id;
+    directory_change change = directory_change::none;
+};
+
 /// Maintains the set of usable backend servers from the platform's list, from answers and
 /// from reports of other gateways.
 class backend_directory
@@ -79,11 +88,15 @@
     /// Handles the removal of the entry of `id` from the list.
     directory_change remove(state::time_point now, std::string_view id);
     /// Applies a complete list; entries that are missing from it count as removed.
-    void replace_all(state::time_point now, std::vector<state::backend_entry> entries);
+    /// Returns the effects of these removals.
+    std::vector<backend_removal> replace_all(state::time_point now,
+                                             std::vector<state::backend_entry> entries);
     /// Applies the first complete list after the store has returned from an older copy.
     /// Known processes keep their state, and processes that have ended before are not
-    /// added: their next record shows whether they still run.
-    void restore_all(state::time_point now, std::vector<state::backend_entry> entries);
+    /// added: their next record shows whether they still run. Returns the effects of the
+    /// removals.
+    std::vector<backend_removal> restore_all(state::time_point now,
+                                             std::vector<state::backend_entry> entries);
     /// Records that the store has returned from an older copy: backend servers write
     /// their missing entries again.
     void on_store_returned(state::time_point now) { this->reachable_since = now; }
@@ -122,8 +135,9 @@
 private:
     bool is_store_stable(state::time_point now) const;
     void erase(state::time_point now, std::string_view id);
-    void remove_missing(state::time_point now,
-                        const std::set<std::string, std::less<>>& listed);
+    std::vector<backend_removal>
+    remove_missing(state::time_point now,
+                   const std::set<std::string, std::less<>>& listed);
     bool mark_leaving(state::time_point now, std::string_view id);
 
     directory_timing timing;
--- a/tests/auto/coordination/tst_gateway_units.cpp
+++ b/tests/auto/coordination/tst_gateway_units.cpp
@@ -96,6 +96,7 @@
     directory.on_store_contact(start + state::seconds(20), false);
     const time_point back = start + state::seconds(30);
     directory.on_store_contact(back, true);
+    CHECK(directory.remove(back, "e1") == directory_change::removal_deferred);
     CHECK(directory.remove(back, "e1") == directory_change::none);
     CHECK(directory.find("e1") != nullptr);
     SUBCASE("the entry is written again")
