Read the complete list at once if the store has dropped its history

Cause: the store answers 410 to a read from the gateway's old position. The gateway then paused for 0.8 s, as after a successful read, before it read the complete list, and did not count the 410 as contact. The wait before a removal counts began that much later.

The complete list follows at once after a response that voids the position (410, return from an older copy, another store); a complete list that fails is still followed by a pause.

--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -89,7 +89,12 @@
             this->next_aggregator_read =
                 now() + (is_start ? retry_delay : aggregator_retry_delay);
         }
+        const bool had_position = this->feed.next().has_value();
         const bool succeeded = co_await this->read_store();
+        // The records after the position are lost. The complete list is read at once,
+        // since removals may be among them.
+        if (succeeded && had_position && !this->feed.next())
+            continue;
         co_await transport::pause(this->shared.executor,
                                   succeeded ? read_period : retry_delay);
     }
@@ -218,6 +223,7 @@
     {
         state::log_event(state::log_level::info, "backend_list_truncated")
             .field("problem", failure.what());
+        this->on_contact(true, "");
         this->feed.set_next(std::nullopt);
         co_return true;
     }
