Measure the store's availability by the contact of all gateways

Cause: entries that expire while the store is unavailable are back 2 s after its return, so a removal counts after 2.3 s of contact. A gateway measured its own contact, and so took its own cut for an outage.

Heartbeats now say for how long the sender's own reads of the store have succeeded (store_contact: boot clock, a gap over 2 s begins anew). The longest contact of any gateway with the same store and era counts. An outage interrupts the reads of all, so the wait after it stays.

--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -337,6 +337,7 @@
     heartbeat.limits = this->shared.limits.reports(now());
     heartbeat.store_era = this->store->era();
     heartbeat.store_id = this->store->id();
+    heartbeat.store_contact = this->backends.store_contact();
     this->placement.fill(heartbeat);
 }
 
@@ -345,6 +346,7 @@
     // A gateway that names no store is of an earlier version.
     if (heartbeat.store_id == 0 || heartbeat.store_id == this->store->id())
         this->store->on_era(heartbeat.store_era);
+    this->on_store_contact(heartbeat);
     bool has_new_leaving = false;
     for (const protocol::leaving_process& process : heartbeat.leaving)
     {
@@ -368,6 +370,19 @@
         this->config.on_newer(heartbeat.origin.control, heartbeat.config_version);
 }
 
+void gateway::on_store_contact(const protocol::gateway_heartbeat& heartbeat)
+{
+    // Contact before the store's return, or with another store, shows nothing here.
+    if (!heartbeat.store_contact || heartbeat.store_id != this->store->id() ||
+        heartbeat.store_era != this->store->era())
+        return;
+    if (!this->shared.directory.on_other_contact(now(), *heartbeat.store_contact))
+        return;
+    state::log_event(state::log_level::info, "store_contact_heard")
+        .field("gateway", heartbeat.origin.node)
+        .field("duration_ms", heartbeat.store_contact->count());
+}
+
 bool gateway::merge_limits(const protocol::gateway_heartbeat& heartbeat)
 {
     const std::vector<std::string> changed =
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -54,6 +54,7 @@
     void move_store(const std::string& from, const std::string& to);
     /// Begins a new era of the store; `before` is 0 if none was known.
     void on_store_era(std::uint64_t before);
+    void on_store_contact(const protocol::gateway_heartbeat& heartbeat);
     /// Applies limits of backend servers that another gateway reports. Returns whether
     /// any has changed.
     bool merge_limits(const protocol::gateway_heartbeat& heartbeat);
--- a/src/app/gateway/store/backend_watcher.cpp
+++ b/src/app/gateway/store/backend_watcher.cpp
@@ -1,6 +1,7 @@
 #include "app/gateway/store/backend_watcher.hpp"
 
 #include "protocol/backend_page.hpp"
+#include "state/boot_clock.hpp"
 #include "state/error.hpp"
 #include "state/log.hpp"
 #include "transport/background_task.hpp"
@@ -210,7 +211,7 @@
         std::vector<feed_record> records;
         for (const keyed_record& record : page.records)
             records.push_back(this->parse(record));
-        this->on_contact(true, "");
+        this->on_store_response();
         if (position)
             this->apply(records);
         else
@@ -223,7 +224,7 @@
     {
         state::log_event(state::log_level::info, "backend_list_truncated")
             .field("problem", failure.what());
-        this->on_contact(true, "");
+        this->on_store_response();
         this->feed.set_next(std::nullopt);
         co_return true;
     }
@@ -233,11 +234,23 @@
     }
     catch (const state::error& failure)
     {
+        this->own_contact.on_interruption();
         this->on_contact(false, failure.what());
         co_return false;
     }
 }
 
+void backend_watcher::on_store_response()
+{
+    this->own_contact.on_response(state::boot_time());
+    this->on_contact(true, "");
+}
+
+std::optional<milliseconds> backend_watcher::store_contact() const
+{
+    return this->own_contact.duration(state::boot_time());
+}
+
 feed_record backend_watcher::parse(const keyed_record& record) const
 {
     feed_record result{record.offset, record.key, record.value, record.is_removal, {}};
@@ -326,6 +339,7 @@
 {
     this->feed.set_next(std::nullopt);
     this->is_list_restored = true;
+    this->own_contact.on_interruption();
     this->shared.directory.on_store_returned(now());
 }
 
--- a/src/app/gateway/store/backend_watcher.hpp
+++ b/src/app/gateway/store/backend_watcher.hpp
@@ -4,6 +4,7 @@
 #include "app/gateway/store/document_reader.hpp"
 #include "app/gateway/store/keyed_store.hpp"
 #include "coordination/backend_feed.hpp"
+#include "coordination/store_contact.hpp"
 #include "transport/async_event.hpp"
 #include "transport/http_client.hpp"
 
@@ -58,6 +59,9 @@
     bool is_known() const { return this->shared.is_backend_list_known; }
     /// Whether this gateway receives changes from an aggregator that reaches the store.
     bool follows_aggregator() const;
+    /// How long this gateway's own reads of the store have succeeded without
+    /// interruption; empty if it reads through an aggregator or the last read failed.
+    std::optional<state::milliseconds> store_contact() const;
     /// Returns an encoded page with the records from a position on. Waits for new records
     /// up to a time limit.
     boost::asio::awaitable<std::string> wait_for_page(feed_position position);
@@ -66,6 +70,7 @@
     boost::asio::awaitable<void> watch();
     boost::asio::awaitable<bool> read_aggregator(std::string address);
     boost::asio::awaitable<bool> read_store();
+    void on_store_response();
     coordination::feed_record parse(const keyed_record& record) const;
     void apply(const std::vector<coordination::feed_record>& records);
     void apply_all(std::uint64_t next,
@@ -82,6 +87,7 @@
     aggregator_wait_callback awaits_aggregator;
     coordination::backend_feed feed;
     transport::async_event feed_read;
+    coordination::store_contact own_contact;
     bool reachable = true;
     /// The next complete list is the first one since the store's return.
     bool is_list_restored = false;
--- a/src/libs/coordination/backend_directory.cpp
+++ b/src/libs/coordination/backend_directory.cpp
@@ -161,6 +161,19 @@
     this->reachable = is_reachable;
 }
 
+/// If another gateway has read the store all the while, only the path of this gateway was
+/// interrupted. Backend servers could write their entries, so none expired that way.
+bool backend_directory::on_other_contact(state::time_point now,
+                                         state::milliseconds duration)
+{
+    const state::time_point since = now - duration;
+    if (!this->reachable || since >= this->reachable_since)
+        return false;
+    const bool was_stable = this->is_store_stable(now);
+    this->reachable_since = since;
+    return !was_stable;
+}
+
 void backend_directory::on_misdirected(std::string_view id, std::int64_t incarnation)
 {
     const auto found = this->backends.find(id);
--- a/src/libs/coordination/backend_directory.hpp
+++ b/src/libs/coordination/backend_directory.hpp
@@ -102,6 +102,9 @@
     void on_store_returned(state::time_point now) { this->reachable_since = now; }
     /// Records whether the store answered.
     void on_store_contact(state::time_point now, bool is_reachable);
+    /// Processes the report of another gateway that the store has answered it for
+    /// `duration`. Returns whether removals count earlier because of it.
+    bool on_other_contact(state::time_point now, state::milliseconds duration);
     /// Removes a backend server after another process answered at its address.
     void on_misdirected(std::string_view id, std::int64_t incarnation);
     /// Applies the models that the holder of the placement lease announces for an engine
@@ -152,6 +155,7 @@
     };
     std::map<std::string, ended_process, std::less<>> ended;
     bool reachable = true;
+    /// Since when the store has been answering this gateway or another one.
     state::time_point reachable_since{};
 };
 
--- a/src/libs/protocol/gateway_heartbeat.cpp
+++ b/src/libs/protocol/gateway_heartbeat.cpp
@@ -234,6 +234,8 @@
         result.__set_storeEra(static_cast<std::int64_t>(heartbeat.store_era));
     if (heartbeat.store_id != 0)
         result.__set_storeId(static_cast<std::int64_t>(heartbeat.store_id));
+    if (heartbeat.store_contact)
+        result.__set_storeContactMs(to_wire_ms(*heartbeat.store_contact));
     if (!heartbeat.suspects.empty())
     {
         result.__isset.suspects = true;
@@ -348,6 +350,8 @@
         result.store_era = to_unsigned<std::uint64_t>(heartbeat.storeEra);
     if (heartbeat.__isset.storeId)
         result.store_id = to_unsigned<std::uint64_t>(heartbeat.storeId);
+    if (heartbeat.__isset.storeContactMs)
+        result.store_contact = age_from_wire(heartbeat.storeContactMs);
     for (const gen::BackendLimit& limit : heartbeat.limits)
     {
         if (result.limits.size() == max_reported_limits)
--- a/src/libs/protocol/gateway_heartbeat.hpp
+++ b/src/libs/protocol/gateway_heartbeat.hpp
@@ -214,6 +214,9 @@
     std::uint64_t store_era = 0;
     /// Identifies that store; 0 if the sender cannot tell.
     std::uint64_t store_id = 0;
+    /// How long the sender's own reads of that store have succeeded without interruption;
+    /// empty if it does not read the store itself or the last read failed.
+    std::optional<state::milliseconds> store_contact;
     /// Whether the sender aggregates the reports of its availability zone.
     bool is_aggregator = false;
     /// Sent by an aggregator: the gateways whose heartbeats the receiver does not get.
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -3261,6 +3261,11 @@
   this->storeId = val;
 __isset.storeId = true;
 }
+
+void GatewayHeartbeat::__set_storeContactMs(const int32_t val) {
+  this->storeContactMs = val;
+__isset.storeContactMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -3557,6 +3562,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->storeContactMs);
+          this->__isset.storeContactMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3749,6 +3762,11 @@
     xfer += oprot->writeI64(this->storeId);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeContactMs) {
+    xfer += oprot->writeFieldBegin("storeContactMs", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->storeContactMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3775,6 +3793,7 @@
   swap(a.speeds, b.speeds);
   swap(a.teamReporters, b.teamReporters);
   swap(a.storeId, b.storeId);
+  swap(a.storeContactMs, b.storeContactMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3798,6 +3817,7 @@
   speeds = other132.speeds;
   teamReporters = other132.teamReporters;
   storeId = other132.storeId;
+  storeContactMs = other132.storeContactMs;
   __isset = other132.__isset;
 }
 GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other133) {
@@ -3820,6 +3840,7 @@
   speeds = other133.speeds;
   teamReporters = other133.teamReporters;
   storeId = other133.storeId;
+  storeContactMs = other133.storeContactMs;
   __isset = other133.__isset;
   return *this;
 }
@@ -3845,6 +3866,7 @@
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
   out << ", " << "teamReporters="; (__isset.teamReporters ? (out << to_string(teamReporters)) : (out << "<null>"));
   out << ", " << "storeId="; (__isset.storeId ? (out << to_string(storeId)) : (out << "<null>"));
+  out << ", " << "storeContactMs="; (__isset.storeContactMs ? (out << to_string(storeContactMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -1169,7 +1169,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
 
 typedef struct _GatewayHeartbeat__isset {
-  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false), teamReporters(false), storeId(false) {}
+  _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false), teamReporters(false), storeId(false), storeContactMs(false) {}
   bool scope :1;
   bool periodMs :1;
   bool aggregator :1;
@@ -1181,6 +1181,7 @@
   bool speeds :1;
   bool teamReporters :1;
   bool storeId :1;
+  bool storeContactMs :1;
 } _GatewayHeartbeat__isset;
 
 class GatewayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1196,7 +1197,8 @@
                      aggregator(0),
                      storeEra(0),
                      teamReporters(0),
-                     storeId(0) {
+                     storeId(0),
+                     storeContactMs(0) {
   }
 
   virtual ~GatewayHeartbeat() noexcept;
@@ -1219,6 +1221,7 @@
   std::vector<ServiceSpeed>  speeds;
   int32_t teamReporters;
   int64_t storeId;
+  int32_t storeContactMs;
 
   _GatewayHeartbeat__isset __isset;
 
@@ -1260,6 +1263,8 @@
 
   void __set_storeId(const int64_t val);
 
+  void __set_storeContactMs(const int32_t val);
+
   bool operator == (const GatewayHeartbeat & rhs) const
   {
     if (!(origin == rhs.origin))
@@ -1322,6 +1327,10 @@
       return false;
     else if (__isset.storeId && !(storeId == rhs.storeId))
       return false;
+    if (__isset.storeContactMs != rhs.__isset.storeContactMs)
+      return false;
+    else if (__isset.storeContactMs && !(storeContactMs == rhs.storeContactMs))
+      return false;
     return true;
   }
   bool operator != (const GatewayHeartbeat &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -196,6 +196,9 @@
   18: optional i32 teamReporters
   // Identifies the store to which `storeEra` and `lease` belong; absent if the sender cannot tell.
   19: optional i64 storeId
+  // How long the sender's own reads of that store have succeeded without interruption, in
+  // milliseconds; absent if it does not read the store itself or the last read failed.
+  20: optional i32 storeContactMs
 }
 
 // Requests permits to send requests to a backend server with a limit, from the gateway that issues
--- a/tests/auto/platform/tst_store_cut.cpp
+++ b/tests/auto/platform/tst_store_cut.cpp
@@ -1,5 +1,6 @@
 #include "gateway_fixture.hpp"
 #include "relayed_store.hpp"
+#include "scripted_peer.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,7 +24,11 @@
 
 /// After the end of a cut a gateway has to act like any other.
 constexpr milliseconds contact_time{3000};
+/// No request reaches a server later than this after its removal.
+constexpr milliseconds drain_time{2000};
 constexpr milliseconds cut_length{4000};
+/// Entries are written again within this time after the store's return.
+constexpr milliseconds return_time{2000};
 
 raw_reply ok(const transport::http_request& request)
 {
@@ -96,6 +101,11 @@
     app::gateway gateway;
 };
 
+bool knows(const gateway_fixture& test, const std::string& id)
+{
+    return test.gateway->shared_state().directory.find(id) != nullptr;
+}
+
 /// Sends requests at `address` and expects that none reaches `removed`.
 void check_unused(gateway_fixture& test, const std::string& address,
                   const raw_backend& removed)
@@ -115,6 +125,40 @@
 
 TEST_SUITE_BEGIN("long_store_cut");
 
+// Guards against requests to a removed server by a gateway that was cut off and takes its
+// own cut for an outage of the store (DRAIN).
+TEST_CASE(
+    "a server that is removed after a cut gets no requests of the gateway behind it")
+{
+    for (const bool has_lost_history : {false, true})
+    {
+        CAPTURE(has_lost_history);
+        gateway_fixture test;
+        auto& leaving = test.add_backend("s1", "plain", ok);
+        test.add_backend("s2", "plain", ok);
+        test.put_config(1);
+        test.start();
+        cut_gateway cut(test);
+        test.run_until([&] { return cut.gateway.shared_state().gateways == 2; });
+        test.run_for(milliseconds(2500));
+        cut.path.is_cut = true;
+        test.run_for(milliseconds(500));
+        if (has_lost_history)
+            test.store.compact("keyed.servers");
+        test.run_for(cut_length - milliseconds(500));
+        const state::time_point healed = state::now();
+        // The connection attempt that began during the cut fails, and the next one
+        // follows after a delay.
+        test.run_for(milliseconds(600));
+        test.store.put("keyed.servers", "s1", "");
+        test.run_for(milliseconds(150));
+        cut.path.is_cut = false;
+        test.run_for(contact_time - state::since(healed));
+        CHECK_FALSE(cut.knows("s1"));
+        check_unused(test, cut.gateway.own_settings().listen, leaving);
+    }
+}
+
 // Guards against a removal that counts a read period later if the store has dropped the
 // records after the gateway's position (DRAIN).
 TEST_CASE("the complete list is read at once if the store has dropped its history")
@@ -139,4 +183,98 @@
     check_unused(test, alone.gateway.own_settings().listen, leaving);
 }
 
+// Guards against sound servers that get no requests because their entries expired while
+// the store was unavailable.
+TEST_CASE("a server whose entry expires during an outage is kept until it writes again")
+{
+    for (const bool is_lost_in_turn : {false, true})
+    {
+        CAPTURE(is_lost_in_turn);
+        gateway_fixture test;
+        auto& alive = test.add_backend("s1", "plain", ok);
+        test.add_backend("s2", "plain", ok);
+        test.put_config(1);
+        test.start();
+        cut_gateway other(test);
+        test.run_until([&] { return other.gateway.shared_state().gateways == 2; });
+        test.run_for(milliseconds(2500));
+        // One of the gateways may lose the store earlier, and regain it later.
+        other.path.is_cut = is_lost_in_turn;
+        test.run_for(milliseconds(is_lost_in_turn ? 1500 : 0));
+        test.store.is_down = true;
+        test.run_for(milliseconds(4000));
+        test.store.put("keyed.servers", "s1", "");
+        test.store.put("keyed.servers", "s2", "");
+        test.store.is_down = false;
+        const state::time_point back = state::now();
+        test.run_for(milliseconds(is_lost_in_turn ? 500 : 0));
+        other.path.is_cut = false;
+        while (state::since(back) < return_time)
+        {
+            CHECK(knows(test, "s1"));
+            CHECK(other.knows("s1"));
+            const auto response = test.fetch(test.request("/once/x", "b"));
+            REQUIRE(response);
+            CHECK(response->result_int() == 200);
+            test.run_for(milliseconds(50));
+        }
+        test.put_entry("s1", "plain", alive.address);
+        test.run_for(milliseconds(2000));
+        CHECK(knows(test, "s1"));
+        CHECK(other.knows("s1"));
+        // The other one did not write again.
+        CHECK_FALSE(knows(test, "s2"));
+        CHECK_FALSE(other.knows("s2"));
+    }
+}
+
+// Guards against reports of another gateway that are taken for contact with the store in
+// use, although they are of another store or from before its return.
+TEST_CASE("only contact with the same store and era shows that it was available")
+{
+    struct peer_report
+    {
+        std::string name;
+        std::uint64_t store_offset;
+        std::uint64_t era_offset;
+        std::optional<milliseconds> contact;
+        bool is_kept;
+    };
+    const peer_report reports[] = {
+        {"no contact", 0, 0, std::nullopt, true},
+        {"another store", 1, 0, state::seconds(60), true},
+        {"before the return", 0, 1, state::seconds(60), true},
+        {"the same store", 0, 0, state::seconds(60), false},
+    };
+    for (const peer_report& report : reports)
+    {
+        CAPTURE(report.name);
+        gateway_fixture test;
+        test.store.era = 4;
+        auto& removed = test.add_backend("s1", "plain", ok);
+        test.add_backend("s2", "plain", ok);
+        test.put_config(1);
+        test::scripted_peer peer(
+            test,
+            [](const transport::http_request&) -> raw_reply
+            { return {{response_text("404 Not Found", "", "")}}; },
+            1);
+        test.start();
+        const std::uint64_t id =
+            test.adapter->make_store(test.settings.platform, test.client)->id();
+        peer.heartbeat.store_id = id + report.store_offset;
+        peer.heartbeat.store_era = test.store.era - report.era_offset;
+        test.run_for(milliseconds(2500));
+        test.store.is_down = true;
+        test.run_for(milliseconds(3000));
+        test.store.put("keyed.servers", "s1", "");
+        test.store.is_down = false;
+        peer.heartbeat.store_contact = report.contact;
+        test.run_for(drain_time);
+        CHECK(knows(test, "s1") == report.is_kept);
+        if (!report.is_kept)
+            check_unused(test, test.gateway->own_settings().listen, removed);
+    }
+}
+
 TEST_SUITE_END();
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -38,6 +38,7 @@
     heartbeat.team_reporters = 71;
     heartbeat.store_era = 3;
     heartbeat.store_id = 4294967296;
+    heartbeat.store_contact = state::milliseconds(1700);
     heartbeat.speeds = {{"models", 38.7, 10.1, 0.2, 30.0}};
     return heartbeat;
 }
@@ -73,6 +74,7 @@
     CHECK(copy.team_reporters == 71);
     CHECK(copy.store_era == 3);
     CHECK(copy.store_id == 4294967296);
+    CHECK(copy.store_contact == state::milliseconds(1700));
     REQUIRE(copy.speeds.size() == 1);
     CHECK(copy.speeds[0].prompt_tokens_per_ms == 38.7);
     CHECK(copy.speeds[0].step_ms_per_request == 0.2);
