Reset the connection of a call that is given up

Cause: aborted and timed-out calls closed their socket in the ordinary way, so the kernel went on sending what was not acknowledged.

connection_close decides by the progress of the call: a call that is not complete ends with a reset, everything else in an orderly way.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -102,7 +102,7 @@
 void http_call::abort()
 {
     if (this->connection)
-        this->connection->stream.close();
+        this->connection->close();
 }
 
 asio::awaitable<void> http_call::send(std::shared_ptr<const http_request> request,
@@ -225,6 +225,7 @@
     if (announced != link.parser->get().end())
         link.idle_timeout = parse_idle_timeout(announced->value());
     link.parser.reset();
+    link.end_response();
     if (can_reuse)
         this->client.keep_idle(std::move(this->connection));
     else
@@ -351,7 +352,7 @@
             if (cancelled || !connection)
                 return;
             *has_timed_out = true;
-            connection->stream.close();
+            connection->close();
         });
     try
     {
@@ -384,7 +385,7 @@
     for (const auto& connection : *this->fetching)
     {
         if (connection->address == address)
-            connection->stream.close();
+            connection->close();
     }
 }
 
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -63,6 +63,11 @@
 {
 }
 
+http_connection::~http_connection()
+{
+    this->close();
+}
+
 /// Failures are ignored, since the timeouts of the calls still apply.
 void http_connection::configure_socket()
 {
@@ -75,6 +80,9 @@
     socket.set_option(keepalive_probes_option(keepalive_probes), ignored);
     set_user_timeout(socket.native_handle(), ack_timeout);
     this->has_user_timeout = true;
+    // Applies to each close that is not by `close()` too: the timeouts of the stream, and
+    // the end of the process.
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
 }
 
 bool http_connection::is_stale()
@@ -115,6 +123,25 @@
     this->write_done = false;
     this->write_failure = {};
     this->acks.reset();
+    this->progress = call_progress::unanswered;
+}
+
+void http_connection::end_response()
+{
+    const bool is_written = this->write_done && !this->write_failure;
+    this->progress = is_written ? call_progress::answered : call_progress::answered_early;
+}
+
+void http_connection::close()
+{
+    if (!this->stream.socket().is_open())
+        return;
+    if (choose_close(this->progress) == close_kind::orderly)
+    {
+        boost::system::error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
+    }
+    this->stream.close();
 }
 
 /// The kernel's timeout also ends a connection whose peer acknowledges and does not read,
@@ -141,7 +168,7 @@
         break;
     }
     this->is_unreachable = true;
-    this->stream.close();
+    this->close();
     return false;
 }
 
--- a/src/libs/transport/http_connection.hpp
+++ b/src/libs/transport/http_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "state/clock.hpp"
 #include "transport/ack_monitor.hpp"
+#include "transport/connection_close.hpp"
 #include "transport/connection_pool.hpp"
 #include "transport/http_error.hpp"
 
@@ -25,8 +26,12 @@
 {
 public:
     http_connection(const boost::asio::any_io_executor& executor, std::string peer);
+    ~http_connection();
+    http_connection(const http_connection&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
 
-    /// Makes the kernel detect a broken network path.
+    /// Makes the kernel detect a broken network path, and discard a request that is given
+    /// up.
     void configure_socket();
     /// Whether the server has closed the connection or sent bytes without a request.
     bool is_stale();
@@ -35,6 +40,10 @@
     bool was_ended_by_server();
     /// Starts to supervise the delivery of a request.
     void begin_request();
+    /// Processes the end of the response.
+    void end_response();
+    /// Closes the connection as the progress of its call demands.
+    void close();
     /// Closes the connection if the server does not acknowledge what was sent to it.
     /// Returns whether the delivery of the request must still be supervised.
     bool check_delivery(state::time_point now);
@@ -54,6 +63,7 @@
 
 private:
     ack_monitor acks;
+    call_progress progress = call_progress::none;
     /// The kernel drops the connection if sent bytes stay unacknowledged.
     bool has_user_timeout = false;
     bool is_unreachable = false;
--- a/tests/auto/transport/scripted_server.cpp
+++ b/tests/auto/transport/scripted_server.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-asio::awaitable<void> read_to_end(tcp::socket& socket)
+asio::awaitable<boost::system::error_code> read_to_end(tcp::socket& socket)
 {
     std::array<char, 16384> bytes{};
     boost::system::error_code failure;
@@ -82,6 +82,7 @@
         co_await socket.async_read_some(
             asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
     }
+    co_return failure;
 }
 
 asio::awaitable<void> write_text(tcp::socket& socket, std::string text)
--- a/tests/auto/transport/scripted_server.hpp
+++ b/tests/auto/transport/scripted_server.hpp
@@ -33,8 +33,10 @@
 
 /// Reads up to the end of the header of a request.
 boost::asio::awaitable<void> read_request_head(boost::asio::ip::tcp::socket& socket);
-/// Reads until the other side closes or resets the connection.
-boost::asio::awaitable<void> read_to_end(boost::asio::ip::tcp::socket& socket);
+/// Reads until the other side closes or resets the connection. Returns the error of the
+/// last read.
+boost::asio::awaitable<boost::system::error_code>
+read_to_end(boost::asio::ip::tcp::socket& socket);
 boost::asio::awaitable<void> write_text(boost::asio::ip::tcp::socket& socket,
                                         std::string text);
 /// Closes the connection with a reset.
