Find unacknowledged requests where the kernel tells no times

Cause: ack_monitor takes the time since the last acknowledgement from the kernel.

Where the kernel tells neither time, the bytes that are written and not acknowledged are counted; if their number stays the same for 2 s, the peer is silent. Only for requests that are written completely, since new bytes replace acknowledged ones before.

Test: tst_ack_monitor, rows "unreachable, without times" and "slow, without times" failed before.

--- a/src/libs/transport/ack_monitor.cpp
+++ b/src/libs/transport/ack_monitor.cpp
@@ -11,11 +11,20 @@
 {
     if (!sample.has_segments_in_flight && !sample.is_probing)
     {
-        this->awaited_since.reset();
+        this->reset();
         return peer_state::up_to_date;
     }
     if (!this->awaited_since)
         this->awaited_since = now;
+    if (sample.queued_bytes)
+    {
+        if (this->queued_bytes != sample.queued_bytes)
+            this->queued_since = now;
+        this->queued_bytes = sample.queued_bytes;
+        return now - this->queued_since >= this->limit ? peer_state::silent
+                                                       : peer_state::awaited;
+    }
+    this->queued_bytes.reset();
     const state::time_point last_ack = now - sample.since_ack;
     // The kernel sends probes at growing intervals, so the age of the last
     // acknowledgement alone does not show that a peer with a closed window is silent.
--- a/src/libs/transport/ack_monitor.hpp
+++ b/src/libs/transport/ack_monitor.hpp
@@ -31,6 +31,9 @@
     bool has_unanswered_retry = false;
     /// Time since the last acknowledgement.
     state::milliseconds since_ack{0};
+    /// Set if the kernel does not tell that time: bytes that are written and not
+    /// acknowledged.
+    std::optional<int> queued_bytes = std::nullopt;
 };
 
 /// Distinguishes a TCP peer that reads slowly or not at all from one that cannot be
@@ -41,12 +44,19 @@
     explicit ack_monitor(state::milliseconds silence_limit);
 
     peer_state on_sample(state::time_point now, const tcp_send_state& sample);
-    void reset() { this->awaited_since.reset(); }
+    void reset()
+    {
+        this->awaited_since.reset();
+        this->queued_bytes.reset();
+    }
 
 private:
     state::milliseconds limit;
     /// First sample in a row in which an acknowledgement was awaited.
     std::optional<state::time_point> awaited_since;
+    /// Value in the last sample, and the first sample in a row with it.
+    std::optional<int> queued_bytes;
+    state::time_point queued_since{};
 };
 
 } // namespace pomelorouter::transport
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -151,15 +151,21 @@
     asio::ip::tcp::socket& socket = this->stream.socket();
     if (!socket.is_open())
         return false;
-    const auto sample = read_send_state(socket.native_handle());
+    auto sample = read_send_state(socket.native_handle());
     if (!sample)
         return false;
+    // While the request is still being written, new bytes replace acknowledged ones.
+    if (!this->write_done)
+        sample->queued_bytes.reset();
     switch (this->acks.on_sample(now, *sample))
     {
     case peer_state::up_to_date:
         return !this->write_done;
     case peer_state::awaited:
-        return true;
+        if (!sample->queued_bytes)
+            return true;
+        // The kernel's timeout would end the connection without discarding the request.
+        [[fallthrough]];
     case peer_state::responding:
         if (std::exchange(this->has_user_timeout, false))
             set_user_timeout(socket.native_handle(), state::milliseconds(0));
--- a/src/libs/transport/tcp_socket_state.cpp
+++ b/src/libs/transport/tcp_socket_state.cpp
@@ -1,7 +1,9 @@
 #include "transport/tcp_socket_state.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace pomelorouter::transport
@@ -42,6 +44,13 @@
     result.is_probing = info->tcpi_unacked == 0 && info->tcpi_backoff > 0;
     result.has_unanswered_retry = info->tcpi_probes > 0 || info->tcpi_retransmits > 0;
     result.since_ack = state::milliseconds(info->tcpi_last_ack_recv);
+    // Both at once are 0 only right after a segment has been sent, or always.
+    const bool has_no_ages =
+        info->tcpi_last_ack_recv == 0 && info->tcpi_last_data_sent == 0;
+    int queued_bytes = 0;
+    if (result.has_segments_in_flight && has_no_ages &&
+        ::ioctl(socket, SIOCOUTQ, &queued_bytes) == 0)
+        result.queued_bytes = queued_bytes;
     return result;
 }
 
--- a/tests/auto/transport/tst_ack_monitor.cpp
+++ b/tests/auto/transport/tst_ack_monitor.cpp
@@ -64,6 +64,28 @@
     return {true, false, false, at % milliseconds(300)};
 }
 
+/// Acknowledges nothing, and the kernel tells no times.
+tcp_send_state unreachable_peer_without_times(milliseconds)
+{
+    return {true, false, false, milliseconds(0), 2000};
+}
+
+/// Acknowledges a segment each second, and the kernel tells no times.
+tcp_send_state slow_peer_without_times(milliseconds at)
+{
+    return {true, false, false, milliseconds(0),
+            100000 - 1400 * static_cast<int>(at / milliseconds(1000))};
+}
+
+/// Something is always in flight, and now and then a segment has just been sent.
+tcp_send_state streaming_peer(milliseconds at)
+{
+    tcp_send_state result = slow_peer(at);
+    if (at.count() % 1000 < 750)
+        result.queued_bytes = 4000;
+    return result;
+}
+
 } // namespace
 
 // Guards against a sound server that is taken for an unreachable one because it does
@@ -86,6 +108,10 @@
          milliseconds(3000) + limit + period},
         {"dropping", dropping_peer, peer_state::responding, {}},
         {"slow", slow_peer, peer_state::responding, {}},
+        {"unreachable, without times", unreachable_peer_without_times, peer_state::silent,
+         limit + period},
+        {"slow, without times", slow_peer_without_times, peer_state::awaited, {}},
+        {"streaming", streaming_peer, peer_state::responding, {}},
     };
     for (const row& item : rows)
     {
