Count streams by how they end, and log sizes and limits of requests

A stream that is cut at its deadline looked like any other that broke off, and nothing told how the longest streams fare. The request line now has the token counts, the time limit and why the request was aborted; five counters give the streams that began, were complete or were cut at their deadline, and the same for those that ran for over half of their time.

--- a/src/app/gateway/serving/gateway_state.cpp
+++ b/src/app/gateway/serving/gateway_state.cpp
@@ -39,7 +39,17 @@
           "requests refused since the queues exceed the deadline")),
       refused_by_target(process_counters.count(
           "requests_refused_target_total",
-          "requests refused since they would be late and can come back earlier"))
+          "requests refused since they would be late and can come back earlier")),
+      streams_begun(process_counters.count("streams_begun_total",
+                                           "streams whose first event was passed on")),
+      streams_completed(process_counters.count("streams_completed_total",
+                                               "streams that were complete")),
+      streams_cut_at_deadline(process_counters.count(
+          "streams_cut_deadline_total", "streams that were cut at their deadline")),
+      long_streams(process_counters.count(
+          "long_streams_total", "streams that ran for over half of their time limit")),
+      long_streams_completed(process_counters.count("long_streams_completed_total",
+                                                    "those of them that were complete"))
 {
     this->memory->export_to(process_counters);
 }
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -96,6 +96,15 @@
     state::counter& requests_released;
     state::counter& refused_by_deadline;
     state::counter& refused_by_target;
+    /// Streams whose first event was passed on, and those of them that ended complete or
+    /// were cut at their deadline.
+    state::counter& streams_begun;
+    state::counter& streams_completed;
+    state::counter& streams_cut_at_deadline;
+    /// Streams that ran for more than half of their time limit, and those of them that
+    /// ended complete.
+    state::counter& long_streams;
+    state::counter& long_streams_completed;
     /// Gateways that share the engines, this one included.
     std::size_t gateways = 1;
     /// A planned stop has begun; requests are still accepted.
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -308,6 +308,7 @@
         if (last == call_end::completed)
         {
             this->log_end("answered", this->answer_status);
+            this->count_stream_end(true);
             co_return;
         }
         if (!this->may_try_again(last))
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -225,6 +225,8 @@
     state::milliseconds
     first_byte_timeout(const coordination::backend_choice& choice) const;
     void log_end(std::string_view outcome, unsigned status);
+    /// Counts a stream whose first event was passed on.
+    void count_stream_end(bool is_complete);
 
     gateway_state& shared;
     const request_dialect& dialect;
--- a/src/app/gateway/serving/relayed_request_completion.cpp
+++ b/src/app/gateway/serving/relayed_request_completion.cpp
@@ -46,11 +46,13 @@
     if (reason == abort_reason::client_closed)
     {
         this->log_end("client_closed", 0);
+        this->count_stream_end(false);
         co_return;
     }
     if (this->stream_begun)
     {
         this->log_end("broken_off", 0);
+        this->count_stream_end(false);
         throw state::error(error_code::connection_lost, this->last_backend,
                            "the stream ended early and could not be resumed");
     }
@@ -168,16 +170,40 @@
     return std::chrono::duration_cast<milliseconds>(after * spread);
 }
 
+void relayed_request::count_stream_end(bool is_complete)
+{
+    if (!this->stream_begun || !this->route->is_stream())
+        return;
+    const bool is_long =
+        since(this->started) * 2 >
+        std::chrono::duration_cast<milliseconds>(this->deadline - this->started);
+    this->shared.streams_begun.add();
+    if (is_complete)
+        this->shared.streams_completed.add();
+    else if (this->aborted->reason == abort_reason::deadline_passed)
+        this->shared.streams_cut_at_deadline.add();
+    if (!is_long)
+        return;
+    this->shared.long_streams.add();
+    if (is_complete)
+        this->shared.long_streams_completed.add();
+}
+
 void relayed_request::log_end(std::string_view outcome, unsigned status)
 {
     if (!this->is_logged)
         return;
+    const state::time_point::duration limit = this->deadline == state::time_point()
+                                                  ? state::time_point::duration::zero()
+                                                  : this->deadline - this->started;
     state::log_event(state::log_level::info, "request")
         .field("request", this->metadata.attempt_id)
         .field("route", this->route == nullptr ? "" : this->route->name)
         .field("team", this->team == nullptr ? "" : this->team->name)
         .field("service", this->demand.service)
         .field("weights", this->demand.weights())
+        .field("prompt_tokens", std::uint64_t{this->metadata.prompt_tokens})
+        .field("output_tokens", std::uint64_t{this->metadata.output_tokens})
         .field("outcome", outcome)
         .field("status", static_cast<std::int64_t>(status))
         .field("backend", this->last_backend)
@@ -188,6 +214,8 @@
         .field("queue_limit_ms", static_cast<std::int64_t>(this->queue_limit_ms))
         .field("first_byte_ms", this->first_byte_time.count())
         .field("elapsed_ms", since(this->started).count())
+        .field("limit_ms", std::chrono::duration_cast<milliseconds>(limit).count())
+        .field("aborted", to_string(this->aborted->reason))
         .field("problem", this->last_problem);
 }
 
