Log the software versions of engines and the streams that are resumed

Nothing read the version of an engine or what a client resumes, so the logs could not tell whether a gateway or a client continued a stream at another version.

No decision is changed.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -456,6 +456,7 @@
     this->demand.is_retry = true;
     this->tried.insert(entry.id);
     this->last_backend = entry.id;
+    this->last_software = entry.software;
     this->sent_at = now();
     this->answer_begun = false;
     this->shared.quarantine.on_sent(now(), this->demand.service, this->all_parts());
@@ -503,6 +504,7 @@
         state::log_event(state::log_level::info, "call_failed")
             .field("request", this->metadata.attempt_id)
             .field("backend", entry.id)
+            .field("software", entry.software)
             .field("attempt", this->attempts)
             .field("end", to_string(end))
             .field("aborted", to_string(this->aborted->reason))
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -286,6 +286,7 @@
     bool is_withdrawn = false;
     coordination::choice_failure last_failure = coordination::choice_failure::none;
     std::string last_backend;
+    std::string last_software;
     std::string last_problem;
     /// Error response of a backend server, forwarded if no other call succeeds.
     std::optional<transport::http_response> error_answer;
--- a/src/app/gateway/serving/request_dialect.hpp
+++ b/src/app/gateway/serving/request_dialect.hpp
@@ -31,6 +31,9 @@
     std::vector<coordination::prompt_part> parts;
     /// Id of the last stream event that the caller has received.
     std::optional<std::uint64_t> last_event_id;
+    /// Id of the attempt that brought the first event of the stream that the caller
+    /// resumes; empty if it gave none.
+    std::string resumes;
 };
 
 /// Metadata that the gateway adds to a forwarded request.
--- a/src/libs/state/backend_entry.hpp
+++ b/src/libs/state/backend_entry.hpp
@@ -42,6 +42,8 @@
     /// `ip:port`.
     std::string address;
     std::string zone;
+    /// Version of its software; empty if unknown.
+    std::string software;
     int slots = 1;
     backend_phase phase = backend_phase::ready;
     /// Time until the platform removes the process, if announced.
