Continue streams only at the software version that began them

One of two causes: a gateway that continued a stream after its engine was lost chose among all engines of the service. It now keeps the version whose first event it passed on, and backend_choice leaves the others out (other_software); without any engine of the version the stream ends at once.

--- a/src/app/gateway/serving/relayed_request_response.cpp
+++ b/src/app/gateway/serving/relayed_request_response.cpp
@@ -171,7 +171,10 @@
         if (output.empty())
             continue;
         if (!this->stream_begun)
+        {
+            this->demand.software = this->last_software;
             co_await this->begin_stream(backend.head());
+        }
         co_await this->exchange.write_piece(std::move(output));
     }
     if (!this->events.incomplete_event().empty())
--- a/src/libs/coordination/backend_choice.cpp
+++ b/src/libs/coordination/backend_choice.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<state::enum_name<choice_failure>, 10> failure_names{{
+constexpr std::array<state::enum_name<choice_failure>, 11> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_backend, "no_backend"},
     {choice_failure::model_missing, "model_missing"},
@@ -24,11 +24,13 @@
     {choice_failure::limited, "limited"},
     {choice_failure::quarantined, "quarantined"},
     {choice_failure::stopping, "stopping"},
+    {choice_failure::software_missing, "software_missing"},
 }};
 
-constexpr std::array<state::enum_name<candidate_state>, 10> candidate_names{{
+constexpr std::array<state::enum_name<candidate_state>, 11> candidate_names{{
     {candidate_state::usable, "usable"},
     {candidate_state::leaving, "leaving"},
+    {candidate_state::other_software, "other_software"},
     {candidate_state::model_missing, "model_missing"},
     {candidate_state::adapter_missing, "adapter_missing"},
     {candidate_state::already_tried, "already_tried"},
@@ -207,11 +209,20 @@
                 leave_out(*terms, *backend, candidate_state::leaving);
             continue;
         }
+        if (demand.software && entry.software != *demand.software)
+        {
+            if (terms != nullptr)
+                leave_out(*terms, *backend, candidate_state::other_software);
+            if (best.failure == choice_failure::no_backend)
+                best.failure = choice_failure::software_missing;
+            continue;
+        }
         if (!demand.model.empty() && entry.find_model(demand.model) == nullptr)
         {
             if (terms != nullptr)
                 leave_out(*terms, *backend, candidate_state::model_missing);
-            if (best.failure == choice_failure::no_backend)
+            if (best.failure == choice_failure::no_backend ||
+                best.failure == choice_failure::software_missing)
                 best.failure = choice_failure::model_missing;
             continue;
         }
@@ -220,6 +231,7 @@
             if (terms != nullptr)
                 leave_out(*terms, *backend, candidate_state::adapter_missing);
             if (best.failure == choice_failure::no_backend ||
+                best.failure == choice_failure::software_missing ||
                 best.failure == choice_failure::model_missing)
                 best.failure = choice_failure::adapter_missing;
             continue;
--- a/src/libs/coordination/backend_choice.hpp
+++ b/src/libs/coordination/backend_choice.hpp
@@ -26,6 +26,9 @@
     /// Empty for plain services.
     std::string model;
     std::string adapter;
+    /// Version of the software that began the stream, which no other can continue; none
+    /// for a new request.
+    std::optional<std::string> software;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;
     std::vector<prompt_part> parts;
@@ -77,6 +80,8 @@
     quarantined,
     /// This process stopped before a backend server was chosen.
     stopping,
+    /// No backend server of the service has the software version that began the stream.
+    software_missing,
 };
 
 std::string_view to_string(choice_failure failure);
@@ -137,6 +142,8 @@
 {
     usable,
     leaving,
+    /// Its software version did not begin the stream.
+    other_software,
     model_missing,
     adapter_missing,
     already_tried,
--- a/tests/auto/platform/gateway_fixture.cpp
+++ b/tests/auto/platform/gateway_fixture.cpp
@@ -105,15 +105,17 @@
         held.push_back(boost::json::object{
             {"Name", model}, {"Version", 1}, {"Adapters", boost::json::array()}});
     }
-    this->store.put("keyed.servers", id,
-                    boost::json::serialize(boost::json::object{{"Service", service},
-                                                               {"Address", address},
-                                                               {"Zone", "zone-a"},
-                                                               {"Slots", 8},
-                                                               {"State", state},
-                                                               {"Sequence", 1},
-                                                               {"born", born},
-                                                               {"Models", held}}));
+    this->store.put(
+        "keyed.servers", id,
+        boost::json::serialize(boost::json::object{{"Service", service},
+                                                   {"Address", address},
+                                                   {"Zone", "zone-a"},
+                                                   {"Version", this->software[id]},
+                                                   {"Slots", 8},
+                                                   {"State", state},
+                                                   {"Sequence", 1},
+                                                   {"born", born},
+                                                   {"Models", held}}));
 }
 
 void gateway_fixture::put_config(int version, int timeout_ms, int max_attempts,
--- a/tests/auto/platform/gateway_fixture.hpp
+++ b/tests/auto/platform/gateway_fixture.hpp
@@ -10,6 +10,7 @@
 #include <boost/json/array.hpp>
 
 #include <future>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -64,6 +65,8 @@
     /// Members `Tenants` of the configurations that `put_config()` writes. Unless empty,
     /// there is also an anonymous route /open/ to the plain service.
     boost::json::array tenants;
+    /// Software versions in the entries of backend servers, by id.
+    std::map<std::string, std::string> software;
     state::counter_registry counters;
     boost::asio::io_context loop{1};
     fake_store store{this->loop};
