Find the software version that began a stream that a client resumes

Cause: a client may resume a stream at any gateway, and that one sent it to any engine. Which version began a stream was known only to the gateway that began it, which may be gone.

Change: with the first event, a gateway passes the attempt's id and the version on to three gateways chosen by rendezvous hashing (one small datagram each per 100 ms). A gateway that is asked to resume looks up the attempt that Resumes names, asks up to six others at once for 300 ms at most, and sends the request to that version only. If nobody knows the version, it takes the only one that the service has had for as long as the stream may be old, if it reaches other gateways at all, and refuses with 503 otherwise. If the version has no engine any more, the client gets 503 at once.

--- a/src/app/gateway/peers/peer_gossip.cpp
+++ b/src/app/gateway/peers/peer_gossip.cpp
@@ -301,6 +301,25 @@
     this->send(targets);
 }
 
+void peer_gossip::send_origins(const std::string& node,
+                               const std::vector<protocol::stream_origin>& origins)
+{
+    const protocol::gateway_member* const member = this->table.find(node);
+    if (member == nullptr)
+        return;
+    // Larger datagrams would be fragmented.
+    constexpr std::size_t per_datagram = 32;
+    for (std::size_t begin = 0; begin < origins.size(); begin += per_datagram)
+    {
+        const auto first = origins.begin() + static_cast<std::ptrdiff_t>(begin);
+        const auto last =
+            origins.begin() +
+            static_cast<std::ptrdiff_t>(std::min(begin + per_datagram, origins.size()));
+        this->socket.send(member->datagrams,
+                          protocol::encode_origin_notice({first, last}));
+    }
+}
+
 void peer_gossip::send_demand()
 {
     std::vector<coordination::gossip_target> targets;
@@ -316,6 +335,11 @@
 {
     try
     {
+        if (protocol::is_origin_notice(datagram))
+        {
+            this->origins_received(protocol::decode_origin_notice(datagram));
+            return;
+        }
         const auto heartbeat = protocol::decode_gateway_heartbeat(datagram);
         const bool was_alive = this->table.is_alive(now(), heartbeat.origin.node);
         if (!this->table.on_heartbeat(now(), heartbeat))
--- a/src/app/gateway/peers/peer_gossip.hpp
+++ b/src/app/gateway/peers/peer_gossip.hpp
@@ -8,6 +8,7 @@
 #include "coordination/gossip_plan.hpp"
 #include "coordination/member_notice_queue.hpp"
 #include "protocol/gateway_heartbeat.hpp"
+#include "protocol/stream_origin_notice.hpp"
 #include "transport/datagram_socket.hpp"
 #include "transport/http_client.hpp"
 
@@ -45,6 +46,15 @@
     /// Sends the models that engines hold to the aggregators or, from an aggregator, to
     /// its own zone.
     void send_weights();
+    /// Sends the origins of streams to one gateway.
+    void send_origins(const std::string& node,
+                      const std::vector<protocol::stream_origin>& origins);
+    /// `callback` is called with the origins of streams that other gateways send.
+    void set_origin_callback(
+        std::function<void(const std::vector<protocol::stream_origin>&)> callback)
+    {
+        this->origins_received = std::move(callback);
+    }
     /// Sends the demand at once to the gateways that collect it, for requests that wait
     /// for weights.
     void send_demand();
@@ -108,6 +118,8 @@
     transport::datagram_socket socket;
     fill_callback fill_heartbeat;
     heartbeat_callback heartbeat_received;
+    std::function<void(const std::vector<protocol::stream_origin>&)> origins_received =
+        [](const std::vector<protocol::stream_origin>&) {};
     std::uint64_t counter = 0;
     std::uint64_t ticks = 0;
     std::string lease_holder;
--- a/src/app/gateway/process/control_handler.cpp
+++ b/src/app/gateway/process/control_handler.cpp
@@ -34,6 +34,7 @@
                                  const config_watcher& config_state,
                                  backend_watcher& backend_state,
                                  permit_exchange& send_permits,
+                                 const stream_origin_exchange& stream_origins,
                                  const request_dialect& request_format,
                                  transport::http_client& backend_client)
     : shared(gateway),
@@ -41,6 +42,7 @@
       config(config_state),
       backends(backend_state),
       permits(send_permits),
+      origins(stream_origins),
       dialect(request_format),
       client(backend_client)
 {
@@ -74,6 +76,20 @@
         co_await exchange.respond(transport::binary_response(
             status::ok, this->permits.respond(exchange.request().body())));
     }
+    else if (path == "/gateway/stream-origin")
+    {
+        std::vector<protocol::stream_origin> known;
+        for (const protocol::stream_origin& wanted :
+             protocol::decode_origin_notice(exchange.request().body()))
+        {
+            const std::optional<std::string> software =
+                this->origins.known(wanted.attempt);
+            if (software)
+                known.push_back({wanted.attempt, *software});
+        }
+        co_await exchange.respond(transport::binary_response(
+            status::ok, protocol::encode_origin_notice(known)));
+    }
     else if (path == "/gateway/explain")
         co_await this->explain_request(exchange);
     else if (path == "/metrics")
@@ -83,7 +99,7 @@
         throw state::error(
             state::error_code::not_found, std::string(path),
             "expected /gateway/members, /gateway/config, /gateway/backends, "
-            "/gateway/permits, /gateway/explain or /metrics");
+            "/gateway/permits, /gateway/stream-origin, /gateway/explain or /metrics");
 }
 
 boost::asio::awaitable<void>
--- a/src/app/gateway/process/gateway.cpp
+++ b/src/app/gateway/process/gateway.cpp
@@ -152,6 +152,7 @@
       placement(this->shared, *this->store, this->client, this->adapter.engines(),
                 this->peers),
       permits(this->shared, this->client, this->peers, counters),
+      origins(this->shared, this->client, this->peers, counters),
       crashes(this->loop.get_executor(), this->client, counters,
               [this](const coordination::backend_crash& crash)
               { this->on_crash(crash); }),
@@ -174,7 +175,7 @@
           [this] { return this->peers.ready_addresses(); },
           [this] { return this->is_ready(); }),
       control(this->shared, this->peers, this->config, this->backends, this->permits,
-              this->adapter.requests(), this->client),
+              this->origins, this->adapter.requests(), this->client),
       frontend_server(this->loop, server_limits(*this->shared.settings, {}), this->relay,
                       this->shared.counters),
       readiness_server(this->loop, internal_limits(*this->shared.settings),
@@ -218,6 +219,9 @@
                       { this->fill(heartbeat); },
                       [this](const protocol::gateway_heartbeat& heartbeat)
                       { this->on_heartbeat(heartbeat); });
+    this->peers.set_origin_callback(
+        [this](const std::vector<protocol::stream_origin>& notice)
+        { this->origins.on_notice(notice); });
     this->placement.start();
     this->saved_quarantines.start();
     // Other gateways stop using a leaving backend server as soon as they hear of it.
@@ -225,6 +229,12 @@
     this->shared.on_limit_changed = [this] { this->peers.send_heartbeat(); };
     this->shared.is_newer_config_announced = [this]
     { return this->config.is_newer_announced(); };
+    this->shared.on_stream_begun =
+        [this](const std::string& attempt, const std::string& software)
+    { this->origins.on_begun(attempt, software); };
+    this->shared.find_stream_origin =
+        [this](std::string attempt, std::string service, milliseconds age)
+    { return this->origins.find(std::move(attempt), std::move(service), age); };
     this->shared.on_permits_wanted = [this] { this->permits.request_permits(); };
     this->shared.on_call_lost = [this](const state::backend_entry& entry,
                                        std::optional<coordination::unanswered_call> call)
@@ -461,6 +471,7 @@
         }
         this->backends.tick();
         this->permits.tick();
+        this->origins.tick();
         this->shared.is_strongest = this->peers.rank() == 0;
         this->shared.quarantine.tick(now());
         this->update_quarantine();
--- a/src/app/gateway/process/gateway.hpp
+++ b/src/app/gateway/process/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "app/gateway/peers/peer_gossip.hpp"
 #include "app/gateway/peers/permit_exchange.hpp"
+#include "app/gateway/peers/stream_origin_exchange.hpp"
 #include "app/gateway/placement/placement_agent.hpp"
 #include "app/gateway/process/control_handler.hpp"
 #include "app/gateway/process/engine_speed_report.hpp"
@@ -83,6 +84,7 @@
     peer_gossip peers;
     placement_agent placement;
     permit_exchange permits;
+    stream_origin_exchange origins;
     crash_detector crashes;
     quarantine_store saved_quarantines;
     state::counter& quarantined_parts;
--- a/src/app/gateway/serving/gateway_state.hpp
+++ b/src/app/gateway/serving/gateway_state.hpp
@@ -19,6 +19,7 @@
 #include "transport/memory_budget.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <map>
@@ -83,6 +84,17 @@
     std::function<void()> on_limit_changed = [] {};
     /// Called when requests would use permits that this gateway lacks.
     std::function<void()> on_permits_wanted = [] {};
+    /// Called when the first event of a stream that may be resumed is passed on, with the
+    /// id of the attempt and the software version of the backend server.
+    std::function<void(const std::string&, const std::string&)> on_stream_begun =
+        [](const std::string&, const std::string&) {};
+    /// Returns the software version that began a stream, or nothing if it is not known.
+    /// Takes the id of the attempt that brought its first event, the service, and the
+    /// longest time since then.
+    std::function<boost::asio::awaitable<std::optional<std::string>>(
+        std::string, std::string, state::milliseconds)>
+        find_stream_origin = [](std::string, std::string, state::milliseconds)
+        -> boost::asio::awaitable<std::optional<std::string>> { co_return std::nullopt; };
     /// Called when a call lost its connection. The second argument is empty if the
     /// backend server had begun to answer.
     std::function<void(const state::backend_entry&,
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -128,9 +128,30 @@
         co_return;
     }
     this->watch();
+    const std::optional<state::error> unknown = co_await this->find_origin();
+    if (unknown && !this->is_aborted())
+    {
+        this->last_problem = unknown->what();
+        co_await this->refuse(unknown->code(), unknown->expected(), run_state::not_run);
+        co_return;
+    }
     co_await this->serve();
 }
 
+asio::awaitable<std::optional<state::error>> relayed_request::find_origin()
+{
+    const bool resumes =
+        this->metadata.last_event_id.has_value() || !this->metadata.resumes.empty();
+    if (!resumes || !this->route->is_stream() || !this->route->may_retry())
+        co_return std::nullopt;
+    this->demand.software = co_await this->shared.find_stream_origin(
+        this->metadata.resumes, this->demand.service, this->route->timeout);
+    if (this->demand.software)
+        co_return std::nullopt;
+    co_return state::error(error_code::no_backend_server, this->route->name,
+                           "the software version that began the stream is not known");
+}
+
 std::optional<state::error> relayed_request::try_prepare()
 {
     try
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -118,6 +118,9 @@
     void prepare();
     /// Finds the route. Throws `state::error` if there is none.
     void find_route();
+    /// If the caller resumes a stream, finds the software version that began it. Returns
+    /// the refusal if it is not known.
+    boost::asio::awaitable<std::optional<state::error>> find_origin();
     /// Finds the team whose key the request carries. Throws `state::error` if the route
     /// requires a key and no team holds it.
     void identify_team();
--- a/src/app/gateway/serving/relayed_request_response.cpp
+++ b/src/app/gateway/serving/relayed_request_response.cpp
@@ -173,6 +173,9 @@
         if (!this->stream_begun)
         {
             this->demand.software = this->last_software;
+            if (can_resume && this->metadata.resumes.empty())
+                this->shared.on_stream_begun(this->metadata.attempt_id,
+                                             this->last_software);
             co_await this->begin_stream(backend.head());
         }
         co_await this->exchange.write_piece(std::move(output));
--- a/src/libs/protocol/gen/peer_types.cpp
+++ b/src/libs/protocol/gen/peer_types.cpp
@@ -3215,6 +3215,233 @@
 }
 
 
+StreamOrigin::~StreamOrigin() noexcept {
+}
+
+
+void StreamOrigin::__set_attempt(const std::string& val) {
+  this->attempt = val;
+}
+
+void StreamOrigin::__set_software(const std::string& val) {
+  this->software = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOrigin::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_attempt = false;
+  bool isset_software = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->attempt);
+          isset_attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          isset_software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_attempt)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_software)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StreamOrigin::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigin");
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigin &a, StreamOrigin &b) {
+  using ::std::swap;
+  swap(a.attempt, b.attempt);
+  swap(a.software, b.software);
+}
+
+StreamOrigin::StreamOrigin(const StreamOrigin& other78) {
+  attempt = other78.attempt;
+  software = other78.software;
+}
+StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other79) {
+  attempt = other79.attempt;
+  software = other79.software;
+  return *this;
+}
+void StreamOrigin::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOrigin(";
+  out << "attempt=" << to_string(attempt);
+  out << ", " << "software=" << to_string(software);
+  out << ")";
+}
+
+
+StreamOrigins::~StreamOrigins() noexcept {
+}
+
+
+void StreamOrigins::__set_origins(const std::vector<StreamOrigin> & val) {
+  this->origins = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOrigins::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_origins = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->origins.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->origins.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += this->origins[_i84].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_origins)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StreamOrigins::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigins");
+
+  xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
+    std::vector<StreamOrigin> ::const_iterator _iter85;
+    for (_iter85 = this->origins.begin(); _iter85 != this->origins.end(); ++_iter85)
+    {
+      xfer += (*_iter85).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigins &a, StreamOrigins &b) {
+  using ::std::swap;
+  swap(a.origins, b.origins);
+}
+
+StreamOrigins::StreamOrigins(const StreamOrigins& other86) {
+  origins = other86.origins;
+}
+StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other87) {
+  origins = other87.origins;
+  return *this;
+}
+void StreamOrigins::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOrigins(";
+  out << "origins=" << to_string(origins);
+  out << ")";
+}
+
+
 GatewayHeartbeat::~GatewayHeartbeat() noexcept {
 }
 
@@ -3382,14 +3609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->loads.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->loads.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->loads[_i82].read(iprot);
+              xfer += this->loads[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3402,14 +3629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->rates.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->rates.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->rates[_i87].read(iprot);
+              xfer += this->rates[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3422,14 +3649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->weights.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->weights.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->weights[_i92].read(iprot);
+              xfer += this->weights[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3442,14 +3669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->leaving.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->leaving.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->leaving[_i97].read(iprot);
+              xfer += this->leaving[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3486,14 +3713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->members.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->members.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->members[_i102].read(iprot);
+              xfer += this->members[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3506,14 +3733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->suspects.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->suspects.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->suspects[_i107].read(iprot);
+              xfer += this->suspects[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3526,14 +3753,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->limits.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->limits.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->limits[_i112].read(iprot);
+              xfer += this->limits[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3554,14 +3781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->teams.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->teams.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->teams[_i117].read(iprot);
+              xfer += this->teams[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3574,14 +3801,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->speeds.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->speeds.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->speeds[_i122].read(iprot);
+              xfer += this->speeds[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3666,10 +3893,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<BackendLoad> ::const_iterator _iter123;
-    for (_iter123 = this->loads.begin(); _iter123 != this->loads.end(); ++_iter123)
+    std::vector<BackendLoad> ::const_iterator _iter133;
+    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3678,10 +3905,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<WeightRate> ::const_iterator _iter124;
-    for (_iter124 = this->rates.begin(); _iter124 != this->rates.end(); ++_iter124)
+    std::vector<WeightRate> ::const_iterator _iter134;
+    for (_iter134 = this->rates.begin(); _iter134 != this->rates.end(); ++_iter134)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3690,10 +3917,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
-    std::vector<EngineWeights> ::const_iterator _iter125;
-    for (_iter125 = this->weights.begin(); _iter125 != this->weights.end(); ++_iter125)
+    std::vector<EngineWeights> ::const_iterator _iter135;
+    for (_iter135 = this->weights.begin(); _iter135 != this->weights.end(); ++_iter135)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3702,10 +3929,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingBackend> ::const_iterator _iter126;
-    for (_iter126 = this->leaving.begin(); _iter126 != this->leaving.end(); ++_iter126)
+    std::vector<LeavingBackend> ::const_iterator _iter136;
+    for (_iter136 = this->leaving.begin(); _iter136 != this->leaving.end(); ++_iter136)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3730,10 +3957,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MemberNotice> ::const_iterator _iter127;
-      for (_iter127 = this->members.begin(); _iter127 != this->members.end(); ++_iter127)
+      std::vector<MemberNotice> ::const_iterator _iter137;
+      for (_iter137 = this->members.begin(); _iter137 != this->members.end(); ++_iter137)
       {
-        xfer += (*_iter127).write(oprot);
+        xfer += (*_iter137).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3743,10 +3970,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectPart> ::const_iterator _iter128;
-      for (_iter128 = this->suspects.begin(); _iter128 != this->suspects.end(); ++_iter128)
+      std::vector<SuspectPart> ::const_iterator _iter138;
+      for (_iter138 = this->suspects.begin(); _iter138 != this->suspects.end(); ++_iter138)
       {
-        xfer += (*_iter128).write(oprot);
+        xfer += (*_iter138).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3756,10 +3983,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<BackendLimit> ::const_iterator _iter129;
-      for (_iter129 = this->limits.begin(); _iter129 != this->limits.end(); ++_iter129)
+      std::vector<BackendLimit> ::const_iterator _iter139;
+      for (_iter139 = this->limits.begin(); _iter139 != this->limits.end(); ++_iter139)
       {
-        xfer += (*_iter129).write(oprot);
+        xfer += (*_iter139).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3774,10 +4001,10 @@
     xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->teams.size()));
-      std::vector<TeamUsage> ::const_iterator _iter130;
-      for (_iter130 = this->teams.begin(); _iter130 != this->teams.end(); ++_iter130)
+      std::vector<TeamUsage> ::const_iterator _iter140;
+      for (_iter140 = this->teams.begin(); _iter140 != this->teams.end(); ++_iter140)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter140).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3787,10 +4014,10 @@
     xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-      std::vector<ServiceSpeed> ::const_iterator _iter131;
-      for (_iter131 = this->speeds.begin(); _iter131 != this->speeds.end(); ++_iter131)
+      std::vector<ServiceSpeed> ::const_iterator _iter141;
+      for (_iter141 = this->speeds.begin(); _iter141 != this->speeds.end(); ++_iter141)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter141).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3841,51 +4068,51 @@
   swap(a.__isset, b.__isset);
 }
 
-GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other132) {
-  origin = other132.origin;
-  counter = other132.counter;
-  configVersion = other132.configVersion;
-  lease = other132.lease;
-  loads = other132.loads;
-  rates = other132.rates;
-  weights = other132.weights;
-  leaving = other132.leaving;
-  scope = other132.scope;
-  periodMs = other132.periodMs;
-  aggregator = other132.aggregator;
-  members = other132.members;
-  suspects = other132.suspects;
-  limits = other132.limits;
-  storeEra = other132.storeEra;
-  teams = other132.teams;
-  speeds = other132.speeds;
-  teamReporters = other132.teamReporters;
-  storeId = other132.storeId;
-  storeContactMs = other132.storeContactMs;
-  __isset = other132.__isset;
-}
-GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other133) {
-  origin = other133.origin;
-  counter = other133.counter;
-  configVersion = other133.configVersion;
-  lease = other133.lease;
-  loads = other133.loads;
-  rates = other133.rates;
-  weights = other133.weights;
-  leaving = other133.leaving;
-  scope = other133.scope;
-  periodMs = other133.periodMs;
-  aggregator = other133.aggregator;
-  members = other133.members;
-  suspects = other133.suspects;
-  limits = other133.limits;
-  storeEra = other133.storeEra;
-  teams = other133.teams;
-  speeds = other133.speeds;
-  teamReporters = other133.teamReporters;
-  storeId = other133.storeId;
-  storeContactMs = other133.storeContactMs;
-  __isset = other133.__isset;
+GatewayHeartbeat::GatewayHeartbeat(const GatewayHeartbeat& other142) {
+  origin = other142.origin;
+  counter = other142.counter;
+  configVersion = other142.configVersion;
+  lease = other142.lease;
+  loads = other142.loads;
+  rates = other142.rates;
+  weights = other142.weights;
+  leaving = other142.leaving;
+  scope = other142.scope;
+  periodMs = other142.periodMs;
+  aggregator = other142.aggregator;
+  members = other142.members;
+  suspects = other142.suspects;
+  limits = other142.limits;
+  storeEra = other142.storeEra;
+  teams = other142.teams;
+  speeds = other142.speeds;
+  teamReporters = other142.teamReporters;
+  storeId = other142.storeId;
+  storeContactMs = other142.storeContactMs;
+  __isset = other142.__isset;
+}
+GatewayHeartbeat& GatewayHeartbeat::operator=(const GatewayHeartbeat& other143) {
+  origin = other143.origin;
+  counter = other143.counter;
+  configVersion = other143.configVersion;
+  lease = other143.lease;
+  loads = other143.loads;
+  rates = other143.rates;
+  weights = other143.weights;
+  leaving = other143.leaving;
+  scope = other143.scope;
+  periodMs = other143.periodMs;
+  aggregator = other143.aggregator;
+  members = other143.members;
+  suspects = other143.suspects;
+  limits = other143.limits;
+  storeEra = other143.storeEra;
+  teams = other143.teams;
+  speeds = other143.speeds;
+  teamReporters = other143.teamReporters;
+  storeId = other143.storeId;
+  storeContactMs = other143.storeContactMs;
+  __isset = other143.__isset;
   return *this;
 }
 void GatewayHeartbeat::printTo(std::ostream& out) const {
@@ -4052,17 +4279,17 @@
   swap(a.urgent, b.urgent);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other134) {
-  backend = other134.backend;
-  perSecond = other134.perSecond;
-  count = other134.count;
-  urgent = other134.urgent;
+PermitRequest::PermitRequest(const PermitRequest& other144) {
+  backend = other144.backend;
+  perSecond = other144.perSecond;
+  count = other144.count;
+  urgent = other144.urgent;
 }
-PermitRequest& PermitRequest::operator=(const PermitRequest& other135) {
-  backend = other135.backend;
-  perSecond = other135.perSecond;
-  count = other135.count;
-  urgent = other135.urgent;
+PermitRequest& PermitRequest::operator=(const PermitRequest& other145) {
+  backend = other145.backend;
+  perSecond = other145.perSecond;
+  count = other145.count;
+  urgent = other145.urgent;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -4173,13 +4400,13 @@
   swap(a.waitMs, b.waitMs);
 }
 
-PermitGrant::PermitGrant(const PermitGrant& other136) noexcept {
-  count = other136.count;
-  waitMs = other136.waitMs;
+PermitGrant::PermitGrant(const PermitGrant& other146) noexcept {
+  count = other146.count;
+  waitMs = other146.waitMs;
 }
-PermitGrant& PermitGrant::operator=(const PermitGrant& other137) noexcept {
-  count = other137.count;
-  waitMs = other137.waitMs;
+PermitGrant& PermitGrant::operator=(const PermitGrant& other147) noexcept {
+  count = other147.count;
+  waitMs = other147.waitMs;
   return *this;
 }
 void PermitGrant::printTo(std::ostream& out) const {
@@ -4328,19 +4555,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other138) {
-  key = other138.key;
-  offset = other138.offset;
-  value = other138.value;
-  removal = other138.removal;
-  __isset = other138.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other148) {
+  key = other148.key;
+  offset = other148.offset;
+  value = other148.value;
+  removal = other148.removal;
+  __isset = other148.__isset;
 }
-BackendRecord& BackendRecord::operator=(const BackendRecord& other139) {
-  key = other139.key;
-  offset = other139.offset;
-  value = other139.value;
-  removal = other139.removal;
-  __isset = other139.__isset;
+BackendRecord& BackendRecord::operator=(const BackendRecord& other149) {
+  key = other149.key;
+  offset = other149.offset;
+  value = other149.value;
+  removal = other149.removal;
+  __isset = other149.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -4456,14 +4683,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->records.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->records.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->records[_i144].read(iprot);
+              xfer += this->records[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4534,10 +4761,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter145;
-    for (_iter145 = this->records.begin(); _iter145 != this->records.end(); ++_iter145)
+    std::vector<BackendRecord> ::const_iterator _iter155;
+    for (_iter155 = this->records.begin(); _iter155 != this->records.end(); ++_iter155)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4570,25 +4797,25 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendPage::BackendPage(const BackendPage& other146) {
-  nextOffset = other146.nextOffset;
-  whole = other146.whole;
-  listReachable = other146.listReachable;
-  settingsReachable = other146.settingsReachable;
-  records = other146.records;
-  storeEra = other146.storeEra;
-  storeId = other146.storeId;
-  __isset = other146.__isset;
-}
-BackendPage& BackendPage::operator=(const BackendPage& other147) {
-  nextOffset = other147.nextOffset;
-  whole = other147.whole;
-  listReachable = other147.listReachable;
-  settingsReachable = other147.settingsReachable;
-  records = other147.records;
-  storeEra = other147.storeEra;
-  storeId = other147.storeId;
-  __isset = other147.__isset;
+BackendPage::BackendPage(const BackendPage& other156) {
+  nextOffset = other156.nextOffset;
+  whole = other156.whole;
+  listReachable = other156.listReachable;
+  settingsReachable = other156.settingsReachable;
+  records = other156.records;
+  storeEra = other156.storeEra;
+  storeId = other156.storeId;
+  __isset = other156.__isset;
+}
+BackendPage& BackendPage::operator=(const BackendPage& other157) {
+  nextOffset = other157.nextOffset;
+  whole = other157.whole;
+  listReachable = other157.listReachable;
+  settingsReachable = other157.settingsReachable;
+  records = other157.records;
+  storeEra = other157.storeEra;
+  storeId = other157.storeId;
+  __isset = other157.__isset;
   return *this;
 }
 void BackendPage::printTo(std::ostream& out) const {
@@ -4720,17 +4947,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other148) {
-  heartbeat = other148.heartbeat;
-  settingsPull = other148.settingsPull;
-  settingsState = other148.settingsState;
-  __isset = other148.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other158) {
+  heartbeat = other158.heartbeat;
+  settingsPull = other158.settingsPull;
+  settingsState = other158.settingsState;
+  __isset = other158.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other149) {
-  heartbeat = other149.heartbeat;
-  settingsPull = other149.settingsPull;
-  settingsState = other149.settingsState;
-  __isset = other149.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other159) {
+  heartbeat = other159.heartbeat;
+  settingsPull = other159.settingsPull;
+  settingsState = other159.settingsState;
+  __isset = other159.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -4840,13 +5067,13 @@
   swap(a.message, b.message);
 }
 
-Envelope::Envelope(const Envelope& other150) {
-  sender = other150.sender;
-  message = other150.message;
+Envelope::Envelope(const Envelope& other160) {
+  sender = other160.sender;
+  message = other160.message;
 }
-Envelope& Envelope::operator=(const Envelope& other151) {
-  sender = other151.sender;
-  message = other151.message;
+Envelope& Envelope::operator=(const Envelope& other161) {
+  sender = other161.sender;
+  message = other161.message;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen/peer_types.h
+++ b/src/libs/protocol/gen/peer_types.h
@@ -57,6 +57,10 @@
 
 class BackendLimit;
 
+class StreamOrigin;
+
+class StreamOrigins;
+
 class GatewayHeartbeat;
 
 class PermitRequest;
@@ -1186,6 +1190,85 @@
 
 std::ostream& operator<<(std::ostream& out, const BackendLimit& obj);
 
+
+class StreamOrigin : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigin(const StreamOrigin&);
+  StreamOrigin& operator=(const StreamOrigin&);
+  StreamOrigin() noexcept
+               : attempt(),
+                 software() {
+  }
+
+  virtual ~StreamOrigin() noexcept;
+  std::string attempt;
+  std::string software;
+
+  void __set_attempt(const std::string& val);
+
+  void __set_software(const std::string& val);
+
+  bool operator == (const StreamOrigin & rhs) const
+  {
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigin &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigin & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOrigin &a, StreamOrigin &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj);
+
+
+class StreamOrigins : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigins(const StreamOrigins&);
+  StreamOrigins& operator=(const StreamOrigins&);
+  StreamOrigins() noexcept {
+  }
+
+  virtual ~StreamOrigins() noexcept;
+  std::vector<StreamOrigin>  origins;
+
+  void __set_origins(const std::vector<StreamOrigin> & val);
+
+  bool operator == (const StreamOrigins & rhs) const
+  {
+    if (!(origins == rhs.origins))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigins &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigins & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOrigins &a, StreamOrigins &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj);
+
 typedef struct _GatewayHeartbeat__isset {
   _GatewayHeartbeat__isset() : scope(false), periodMs(false), aggregator(false), members(false), suspects(false), limits(false), storeEra(false), teams(false), speeds(false), teamReporters(false), storeId(false), storeContactMs(false) {}
   bool scope :1;
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -169,6 +169,17 @@
   3: required i32 ageMs
 }
 
+// The software version that began a stream, by the id of the attempt that brought its first event.
+struct StreamOrigin {
+  1: required string attempt
+  2: required string software
+}
+
+// Sent as a datagram after streams have begun, and as question and answer about one stream.
+struct StreamOrigins {
+  1: required list<StreamOrigin> origins
+}
+
 // Sent as a datagram several times a second.
 struct GatewayHeartbeat {
   1: required GatewayMember origin
--- a/tests/auto/protocol/tst_gateway_protocol.cpp
+++ b/tests/auto/protocol/tst_gateway_protocol.cpp
@@ -2,6 +2,7 @@
 #include "protocol/gateway_heartbeat.hpp"
 #include "protocol/send_permit.hpp"
 #include "protocol/sse_event_splitter.hpp"
+#include "protocol/stream_origin_notice.hpp"
 #include "state/error.hpp"
 
 #include <doctest/doctest.h>
@@ -286,3 +287,44 @@
         CHECK_THROWS_AS(protocol::decode_backend_page(whole.substr(0, size)),
                         state::error);
 }
+
+TEST_CASE("a decoded notice of stream origins equals the encoded one")
+{
+    const std::string datagram =
+        protocol::encode_origin_notice({{"a1", "v1"}, {"a2", ""}});
+    CHECK(protocol::is_origin_notice(datagram));
+    CHECK_FALSE(protocol::is_origin_notice(protocol::encode_gateway_heartbeat(sample())));
+    const auto copy = protocol::decode_origin_notice(datagram);
+    REQUIRE(copy.size() == 2);
+    CHECK(copy[0].attempt == "a1");
+    CHECK(copy[0].software == "v1");
+    CHECK(copy[1].software.empty());
+    SUBCASE("what exceeds the limits is left out")
+    {
+        std::vector<protocol::stream_origin> many(1000, {"a", "v"});
+        many[0].attempt = std::string(1000, 'a');
+        many[1].attempt.clear();
+        many[2].software = std::string(1000, 'v');
+        CHECK(
+            protocol::decode_origin_notice(protocol::encode_origin_notice(many)).size() ==
+            protocol::max_origins_per_notice);
+    }
+    SUBCASE("truncated and changed bytes are refused or read, and nothing else")
+    {
+        for (std::size_t size = 0; size < datagram.size(); ++size)
+            CHECK_THROWS_AS(protocol::decode_origin_notice(datagram.substr(0, size)),
+                            state::error);
+        for (std::size_t at = 0; at < datagram.size(); ++at)
+        {
+            std::string changed = datagram;
+            changed[at] = static_cast<char>(changed[at] ^ 0x55);
+            try
+            {
+                protocol::decode_origin_notice(changed);
+            }
+            catch (const state::error&)
+            {
+            }
+        }
+    }
+}
