Bound the inquiries about resumed streams

Clients can invent ids for Resumes without end, and each unknown one costs up to six requests to other gateways; 64 inquiries may be open at once now. An answer counts only for the attempt that was asked for.

--- a/src/app/gateway/peers/stream_origin_exchange.cpp
+++ b/src/app/gateway/peers/stream_origin_exchange.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t asked_gateways = 6;
 /// A caller waits for the answers.
 constexpr milliseconds answer_timeout{300};
+/// Clients can invent ids without end, and each inquiry is several requests.
+constexpr std::size_t max_open_inquiries = 64;
 /// Longest time for which the versions of a service are remembered.
 constexpr state::seconds version_memory{300};
 
@@ -113,9 +115,11 @@
     target->software = this->origins.find(attempt);
     const std::vector<std::string> nodes = this->other_nodes();
     if (!target->software && !attempt.empty() &&
-        attempt.size() <= protocol::max_origin_text)
+        attempt.size() <= protocol::max_origin_text &&
+        this->open_inquiries < max_open_inquiries)
     {
         this->asked.add();
+        ++this->open_inquiries;
         for (const std::string& node :
              coordination::origin_keepers(attempt, nodes, asked_gateways))
         {
@@ -132,6 +136,7 @@
         {
             co_await target->done.wait(std::chrono::ceil<milliseconds>(limit - now()));
         }
+        --this->open_inquiries;
         if (target->software)
             this->origins.add(now(), attempt, *target->software);
     }
@@ -166,7 +171,10 @@
             ++target->answers;
             for (protocol::stream_origin& origin :
                  protocol::decode_origin_notice(response.body()))
-                target->software = std::move(origin.software);
+            {
+                if (origin.attempt == attempt)
+                    target->software = std::move(origin.software);
+            }
         }
     }
     catch (const state::error& failure)
--- a/src/app/gateway/peers/stream_origin_exchange.hpp
+++ b/src/app/gateway/peers/stream_origin_exchange.hpp
@@ -51,6 +51,7 @@
     coordination::stream_origins origins;
     coordination::software_history versions;
     std::vector<protocol::stream_origin> pending;
+    std::size_t open_inquiries = 0;
     state::counter& asked;
     state::counter& unknown;
 };
--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -146,10 +146,13 @@
         co_return std::nullopt;
     this->demand.software = co_await this->shared.find_stream_origin(
         this->metadata.resumes, this->demand.service, this->route->timeout);
-    if (this->demand.software)
-        co_return std::nullopt;
-    co_return state::error(error_code::no_backend_server, this->route->name,
-                           "the software version that began the stream is not known");
+    std::optional<state::error> unknown;
+    if (!this->demand.software)
+    {
+        unknown.emplace(error_code::no_backend_server, this->route->name,
+                        "the software version that began the stream is not known");
+    }
+    co_return unknown;
 }
 
 std::optional<state::error> relayed_request::try_prepare()
