--- a/tests/auto/coordination/tst_stream_origins.cpp
+++ b/tests/auto/coordination/tst_stream_origins.cpp
@@ -86,6 +86,7 @@
 TEST_CASE("the gateways that keep an origin are found again, also after one has ended")
 {
     std::vector<std::string> nodes;
+    nodes.reserve(20);
     for (int i = 0; i < 20; ++i)
         nodes.push_back("gateway-" + std::to_string(i));
     std::map<std::string, int> kept;
