Let clients that name no attempt resume while one version serves

Such a client is now sent to the only version that the gateway knows, without asking; with several it is refused as before. A named attempt keeps the strict rule. The new case of tst_platform_software_versions needs this; the table of tst_stream_origins has a column for it.

--- a/src/app/gateway/peers/stream_origin_exchange.cpp
+++ b/src/app/gateway/peers/stream_origin_exchange.cpp
@@ -87,12 +87,7 @@
 void stream_origin_exchange::tick()
 {
     this->origins.forget_old(now());
-    for (const auto& [id, backend] : this->shared.directory.all())
-    {
-        if (!backend->entry.models.empty())
-            this->versions.on_seen(now(), backend->entry.service,
-                                   backend->entry.software);
-    }
+    this->update_versions();
     this->versions.forget(now() - version_memory);
     if (this->pending.empty())
         return;
@@ -108,14 +103,29 @@
         this->peers.send_origins(node, origins_of_node);
 }
 
+void stream_origin_exchange::update_versions()
+{
+    for (const auto& [id, backend] : this->shared.directory.all())
+    {
+        if (!backend->entry.models.empty())
+            this->versions.on_seen(now(), backend->entry.service,
+                                   backend->entry.software);
+    }
+}
+
 asio::awaitable<std::optional<std::string>>
 stream_origin_exchange::find(std::string attempt, std::string service, milliseconds age)
 {
+    this->update_versions();
+    if (attempt.empty())
+    {
+        // Clients that do not name the attempt know nothing of versions.
+        co_return this->versions.only_seen(now(), service, age);
+    }
     const auto target = std::make_shared<inquiry>(this->shared.executor);
     target->software = this->origins.find(attempt);
     const std::vector<std::string> nodes = this->other_nodes();
-    if (!target->software && !attempt.empty() &&
-        attempt.size() <= protocol::max_origin_text &&
+    if (!target->software && attempt.size() <= protocol::max_origin_text &&
         this->open_inquiries < max_open_inquiries)
     {
         this->asked.add();
--- a/src/app/gateway/peers/stream_origin_exchange.hpp
+++ b/src/app/gateway/peers/stream_origin_exchange.hpp
@@ -44,6 +44,7 @@
     boost::asio::awaitable<void> ask(std::string address, std::string attempt,
                                      std::shared_ptr<inquiry> target);
     std::vector<std::string> other_nodes() const;
+    void update_versions();
 
     gateway_state& shared;
     transport::http_client& client;
--- a/src/libs/coordination/stream_origins.cpp
+++ b/src/libs/coordination/stream_origins.cpp
@@ -51,23 +51,34 @@
     times.last = now;
 }
 
-std::optional<std::string> software_history::only_version(state::time_point now,
-                                                          std::string_view service,
-                                                          state::milliseconds span) const
+std::optional<std::string> software_history::only_seen(state::time_point now,
+                                                       std::string_view service,
+                                                       state::milliseconds span) const
 {
+    std::optional<std::string> only;
     const auto found = this->services.find(service);
     if (found == this->services.end())
-        return std::nullopt;
-    const std::string* only = nullptr;
+        return only;
     for (const auto& [software, times] : found->second)
     {
         if (times.last < now - span)
             continue;
-        if (only != nullptr || times.first > now - span)
+        if (only)
             return std::nullopt;
-        only = &software;
+        only = software;
     }
-    return only == nullptr ? std::nullopt : std::optional<std::string>(*only);
+    return only;
+}
+
+std::optional<std::string> software_history::only_version(state::time_point now,
+                                                          std::string_view service,
+                                                          state::milliseconds span) const
+{
+    std::optional<std::string> only = this->only_seen(now, service, span);
+    if (only &&
+        this->services.find(service)->second.find(*only)->second.first > now - span)
+        only.reset();
+    return only;
 }
 
 void software_history::forget(state::time_point oldest)
--- a/src/libs/coordination/stream_origins.hpp
+++ b/src/libs/coordination/stream_origins.hpp
@@ -50,6 +50,9 @@
     std::optional<std::string> only_version(state::time_point now,
                                             std::string_view service,
                                             state::milliseconds span) const;
+    /// The same, also if the service has been known for a shorter time.
+    std::optional<std::string> only_seen(state::time_point now, std::string_view service,
+                                         state::milliseconds span) const;
     /// Drops versions that were last seen before `oldest`.
     void forget(state::time_point oldest);
 
--- a/tests/auto/coordination/tst_stream_origins.cpp
+++ b/tests/auto/coordination/tst_stream_origins.cpp
@@ -54,17 +54,20 @@
         /// Version, first and last second in which it is seen.
         std::vector<std::tuple<std::string, int, int>> seen;
         std::optional<std::string> only;
+        /// The same if the time before the first sight does not count.
+        std::optional<std::string> only_seen;
     };
     const std::vector<row> rows{
-        {"one version throughout", {{"v1", 0, 100}}, "v1"},
-        {"two versions", {{"v1", 0, 100}, {"v2", 50, 100}}, std::nullopt},
+        {"one version throughout", {{"v1", 0, 100}}, "v1", "v1"},
+        {"two versions", {{"v1", 0, 100}, {"v2", 50, 100}}, std::nullopt, std::nullopt},
         {"the other was there a moment ago",
          {{"v1", 0, 100}, {"v2", 50, 90}},
+         std::nullopt,
          std::nullopt},
-        {"the other was there long ago", {{"v1", 0, 100}, {"v2", 0, 80}}, "v1"},
-        {"not known for so long", {{"v1", 90, 100}}, std::nullopt},
-        {"no version any more", {{"v1", 0, 80}}, std::nullopt},
-        {"nothing is known", {}, std::nullopt},
+        {"the other was there long ago", {{"v1", 0, 100}, {"v2", 0, 80}}, "v1", "v1"},
+        {"not known for so long", {{"v1", 90, 100}}, std::nullopt, "v1"},
+        {"no version any more", {{"v1", 0, 80}}, std::nullopt, std::nullopt},
+        {"nothing is known", {}, std::nullopt, std::nullopt},
     };
     for (const row& item : rows)
     {
@@ -79,6 +82,7 @@
             }
         }
         CHECK(history.only_version(start + seconds(100), "models", age) == item.only);
+        CHECK(history.only_seen(start + seconds(100), "models", age) == item.only_seen);
         CHECK_FALSE(history.only_version(start + seconds(100), "other", age));
     }
 }
--- a/tests/auto/platform/tst_software_versions.cpp
+++ b/tests/auto/platform/tst_software_versions.cpp
@@ -219,3 +219,23 @@
     REQUIRE(response);
     CHECK(response->body() == events(4, 6));
 }
+
+// Failure: clients that name no attempt cannot resume at a gateway that has just started.
+TEST_CASE("a client that names no attempt resumes while one software version serves")
+{
+    gateway_fixture test;
+    test.software["e1"] = "v1";
+    test.add_backend(
+        "e1", "models",
+        [](const transport::http_request&) {
+            return raw_reply{{stream_head("again"), chunk(events(4, 6)), "0\r\n\r\n"}};
+        },
+        {"m1"});
+    test.put_config(1);
+    test.start();
+    auto request = test.request("/stream/x", "again", "m1");
+    request.set("Last-Event-Id", "3");
+    const auto response = test.fetch(request);
+    REQUIRE(response);
+    CHECK(response->body() == events(4, 6));
+}
