Judge a stream that a client resumes by what is left of it

A resumed stream now counts what was generated as prompt, and is sent like one that the gateway continues. The new case of tst_platform_software_versions passes with the address sanitizer; by reading, its second request was refused with 429 before, as its first one still is. Not run without the change.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -146,6 +146,13 @@
         co_return std::nullopt;
     this->demand.software = co_await this->shared.find_stream_origin(
         this->metadata.resumes, this->demand.service, this->route->timeout);
+    // The engine reads what was generated before, and generates the rest only. As for a
+    // stream that this gateway continues itself, an estimate does not prevent that.
+    const auto generated = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        this->metadata.last_event_id.value_or(0), this->demand.output_tokens));
+    this->demand.prompt_tokens += generated;
+    this->demand.output_tokens -= generated;
+    this->demand.is_retry = true;
     std::optional<state::error> unknown;
     if (!this->demand.software)
     {
--- a/tests/auto/platform/tst_software_versions.cpp
+++ b/tests/auto/platform/tst_software_versions.cpp
@@ -239,3 +239,32 @@
     REQUIRE(response);
     CHECK(response->body() == events(4, 6));
 }
+
+// Failure: a stream that is resumed is refused by the estimate for a whole one.
+TEST_CASE("a stream that a client resumes is not refused by the estimate of a new one")
+{
+    gateway_fixture test;
+    test.software["e1"] = "v1";
+    test.add_backend("e1", "models",
+                     [](const transport::http_request& request)
+                     {
+                         return raw_reply{{stream_head(std::string(
+                                               request["X-Pomelorouter-Attempt-Id"])),
+                                           chunk(events(4, 6)), "0\r\n\r\n"}};
+                     },
+                     {"m1"});
+    test.put_config(1);
+    test.start();
+    auto request = test.request("/stream/x", "new", "m1");
+    // Would take longer than the time limit.
+    request.set("X-Pomelorouter-Token-Count", "100,4000");
+    const auto refused = test.fetch(request);
+    REQUIRE(refused);
+    CHECK(refused->result_int() == 429);
+    request.set("X-Pomelorouter-Attempt-Id", "again");
+    request.set("Last-Event-Id", "3");
+    const auto resumed = test.fetch(request);
+    REQUIRE(resumed);
+    CHECK(resumed->result_int() == 200);
+    CHECK(resumed->body() == events(4, 6));
+}
