Send a stream that a client resumes past the queue for new requests

Cause: a stream that the gateway itself continues is sent without queueing, since its caller has waited already; one that a client takes up at another gateway was treated as new. It now skips the queue as well. Without any engine that has the model it waits for one as before.

--- a/src/app/gateway/serving/relayed_request.cpp
+++ b/src/app/gateway/serving/relayed_request.cpp
@@ -153,6 +153,7 @@
     this->demand.prompt_tokens += generated;
     this->demand.output_tokens -= generated;
     this->demand.is_retry = true;
+    this->is_resumed = true;
     std::optional<state::error> unknown;
     if (!this->demand.software)
     {
--- a/src/app/gateway/serving/relayed_request.hpp
+++ b/src/app/gateway/serving/relayed_request.hpp
@@ -241,6 +241,8 @@
     std::shared_ptr<const coordination::route_table> team_source;
     /// The caller's team, in `team_source`; null if it has none.
     const state::team* team = nullptr;
+    /// The caller takes up a stream that an earlier attempt began.
+    bool is_resumed = false;
     /// What the request was counted as, for which team, and when.
     double charged_cost = 0.0;
     std::string charged_team;
--- a/src/app/gateway/serving/relayed_request_queue.cpp
+++ b/src/app/gateway/serving/relayed_request_queue.cpp
@@ -75,9 +75,9 @@
                             choice.is_memory_full || choice.has_behind_streams ||
                             is_limited;
     const bool has_queue = this->shared.queue.size() > 0;
-    const bool is_held =
-        choice.backend && (has_queue || this->decide(choice, true, 0.0).action !=
-                                            coordination::room_action::send);
+    const bool is_held = choice.backend && ((has_queue && !this->is_resumed) ||
+                                            this->decide(choice, true, 0.0).action !=
+                                                coordination::room_action::send);
     if (is_missing || is_held)
         choice = co_await this->wait_in_queue();
     co_return choice;
@@ -124,6 +124,13 @@
 coordination::room_decision relayed_request::decide(const backend_choice& choice,
                                                     bool is_next, double own_ahead_ms)
 {
+    if (this->is_resumed)
+    {
+        // Its caller has waited already, as for a stream that the gateway continues.
+        coordination::room_decision decision;
+        decision.action = coordination::room_action::send;
+        return decision;
+    }
     coordination::room_request request;
     request.urgency = this->room;
     request.waited_ms = static_cast<double>(since(this->started).count());
--- a/tests/auto/platform/tst_software_versions.cpp
+++ b/tests/auto/platform/tst_software_versions.cpp
@@ -1,5 +1,6 @@
 #include "gateway_fixture.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -268,3 +269,46 @@
     CHECK(resumed->result_int() == 200);
     CHECK(resumed->body() == events(4, 6));
 }
+
+// Failure: a stream that is resumed is refused by the queue for new requests.
+TEST_CASE("a stream that a client resumes does not queue behind new requests")
+{
+    gateway_fixture test;
+    test.software["e1"] = "v1";
+    test.add_backend(
+        "e1", "models",
+        [](const transport::http_request& request)
+        {
+            const std::string attempt(request["X-Pomelorouter-Attempt-Id"]);
+            if (attempt == "long")
+                return raw_reply{{}, reply_end::silent};
+            return raw_reply{{stream_head(attempt), chunk(events(4, 6)), "0\r\n\r\n"}};
+        },
+        {"m1"});
+    test.put_config(1);
+    test.start();
+    // Takes the engine 2.5 s to read.
+    auto request = test.request("/stream/x", "long", "m1");
+    request.set("X-Pomelorouter-Token-Count", "50000,20");
+    transport::http_call_options options;
+    options.progress_timeout = state::milliseconds(15000);
+    const auto send_long = [&]() -> boost::asio::awaitable<void> {
+        co_await test.client.fetch(test.gateway->own_settings().listen, request, options);
+    };
+    bool is_done = false;
+    boost::asio::co_spawn(test.loop, send_long(),
+                          [&](const std::exception_ptr&) { is_done = true; });
+    const auto answer_of = [&](const std::string& attempt, bool is_resumed)
+    {
+        auto next = test.request("/stream/x", attempt, "m1");
+        next.set("X-Pomelorouter-Deadline-Ms", "2000");
+        if (is_resumed)
+            next.set("Last-Event-Id", "3");
+        const auto response = test.fetch(next);
+        return response ? response->result_int() : 0U;
+    };
+    test.run_until([&] { return !test.backends[0]->requests.empty(); });
+    CHECK(answer_of("new", false) == 429);
+    CHECK(answer_of("again", true) == 200);
+    test.run_until([&] { return is_done; });
+}
